Serve a request from caller to executor through one daemon

Cause: the frame of folders, interfaces and drivers has to carry one whole path before modules are deepened. Ruled out: keeping connections to executors open in this first path; with one connection a call, an answer can only belong to the request sent on it. Before: no program.

--- /dev/null
+++ b/include/citronford/drain.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "citronford/chart_machine.h"
+#include "citronford/instant.h"
+
+#include <absl/status/statusor.h>
+
+#include <memory>
+#include <variant>
+#include <vector>
+
+namespace citronford {
+
+// Inputs of a planned stop.
+
+/// A planned stop was asked for; repeated requests change nothing.
+struct stop_requested {
+    static constexpr std::string_view event_name = "stop_requested";
+};
+/// Time passed.
+struct drain_tick {
+    static constexpr std::string_view event_name = "tick";
+    std::size_t open_work = 0; ///< Requests and handovers not finished yet.
+};
+
+using drain_input = std::variant<stop_requested, drain_tick>;
+
+// Effects of a planned stop.
+
+/// Close the listening sockets.
+struct stop_listening {};
+/// Hand over what the node owns and tell its peers that it leaves.
+struct hand_over {};
+/// Leave the process.
+struct leave {};
+
+using drain_effect = std::variant<stop_listening, hand_over, leave>;
+
+struct drain_options {
+    duration delay{};   ///< From the failed readiness to closing the listening sockets.
+    duration timeout{}; ///< From closing the listening sockets to leaving with work open.
+};
+
+/// Decides the steps of a planned stop: fail readiness, wait for the load balancer, stop listening,
+/// finish the work under way, hand over, leave.
+class drain {
+  public:
+    /// `life_cycle` is the chart `drain`.
+    static absl::StatusOr<drain> create(const chart& life_cycle, drain_options options);
+
+    /// Whether the node wants new work; false from the moment a stop was asked for.
+    [[nodiscard]] bool ready() const;
+
+    std::vector<drain_effect> handle(const drain_input& input, instant now);
+
+  private:
+    struct step_context {
+        drain_options options;
+        instant now;
+        instant entered_at; ///< When the present state was entered.
+        std::vector<drain_effect> effects;
+    };
+    using machine = chart_machine<step_context, drain_input>;
+
+    drain(machine life_cycle, drain_options options);
+
+    machine machine_;
+    chart_position position_;
+    step_context context_;
+};
+
+} // namespace citronford
--- /dev/null
+++ b/include/citronford/executor_link.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "citronford/endpoint.h"
+#include "citronford/identifier.h"
+#include "citronford/instant.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace citronford {
+
+/// Number of one attempt of a node; never reused within an incarnation of the node.
+enum class attempt_id : std::uint64_t {};
+
+/// One attempt to run a request on an executor.
+struct attempt {
+    attempt_id id{};
+    request_id request;
+    service_id service;
+    std::string_view body;
+    duration timeout{};
+};
+
+/// The executor answered this attempt; both ids were verified.
+struct attempt_answered {
+    int status = 0;
+    std::string body;
+    bool leaving = false;
+};
+/// The executor refused before execution.
+struct attempt_refused {
+    bool leaving = false;
+};
+/// No byte was sent: the connection could not be established.
+struct attempt_unreachable {};
+/// Bytes may have arrived and no matching answer came: timeout, closed or crossed connection.
+struct attempt_lost {};
+
+using attempt_result =
+    std::variant<attempt_answered, attempt_refused, attempt_unreachable, attempt_lost>;
+
+/// The executor finished the request; this is its answer.
+struct outcome_done {
+    int status = 0;
+    std::string body;
+};
+/// The executor is still running the request.
+struct outcome_running {};
+/// The executor has not seen the request; a delayed message may still bring it.
+struct outcome_not_seen {};
+/// The executor could not be asked.
+struct outcome_unavailable {};
+
+using outcome_result =
+    std::variant<outcome_done, outcome_running, outcome_not_seen, outcome_unavailable>;
+
+/// Connections to the executors of services.
+class executor_link {
+  public:
+    using attempt_callback = std::function<void(attempt_result)>;
+    using outcome_callback = std::function<void(outcome_result)>;
+    using probe_callback = std::function<void(bool healthy, bool leaving)>;
+
+    executor_link() = default;
+    executor_link(const executor_link&) = delete;
+    executor_link& operator=(const executor_link&) = delete;
+    executor_link(executor_link&&) = delete;
+    executor_link& operator=(executor_link&&) = delete;
+    virtual ~executor_link() = default;
+
+    /// Sends one attempt. `done` is called exactly once, within the timeout of the attempt.
+    virtual void send(const endpoint& to, const attempt& work, attempt_callback done) = 0;
+
+    /// Asks for the outcome of a request sent before.
+    virtual void ask_outcome(const endpoint& to, const request_id& request,
+                             outcome_callback done) = 0;
+
+    /// Checks the health of an executor on a new connection.
+    virtual void probe(const endpoint& to, probe_callback done) = 0;
+};
+
+} // namespace citronford
--- /dev/null
+++ b/include/citronford/request_router.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include "citronford/caller_link.h"
+#include "citronford/chart_machine.h"
+#include "citronford/endpoint.h"
+#include "citronford/executor_link.h"
+#include "citronford/fleet_configuration.h"
+#include "citronford/identifier.h"
+#include "citronford/instant.h"
+#include "citronford/team_limits.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace citronford {
+
+// Inputs of the router.
+
+/// An authorized request of a caller.
+struct request_submission {
+    caller_id caller{};
+    request_id request;
+    team_id team; ///< Empty on an open queue.
+    service_id service;
+    std::string body;
+    duration timeout{};
+};
+/// The claim of the request id is recorded and belongs to this node.
+struct claim_granted {
+    static constexpr std::string_view event_name = "claim_granted";
+    caller_id caller{};
+};
+/// The request id was claimed before.
+struct claim_duplicate {
+    static constexpr std::string_view event_name = "claim_duplicate";
+    caller_id caller{};
+    std::string outcome; ///< Recorded outcome; empty while it is not known.
+};
+/// The claim was certainly not recorded.
+struct claim_unavailable {
+    static constexpr std::string_view event_name = "claim_unavailable";
+    caller_id caller{};
+};
+struct attempt_report {
+    caller_id caller{};
+    attempt_id attempt{};
+    attempt_result result;
+};
+struct outcome_report {
+    caller_id caller{};
+    outcome_result result;
+};
+/// The executors known at present; replaces the list before.
+struct executor_listing {
+    struct executor {
+        executor_id id;
+        service_id service;
+        zone_id zone;
+        endpoint address;
+        bool leaving = false;
+    };
+    std::vector<executor> executors;
+};
+struct caller_gone {
+    static constexpr std::string_view event_name = "caller_gone";
+    caller_id caller{};
+};
+/// Time passed; deadlines are checked.
+struct router_tick {};
+
+using router_input =
+    std::variant<request_submission, claim_granted, claim_duplicate, claim_unavailable,
+                 attempt_report, outcome_report, executor_listing, caller_gone, router_tick>;
+
+// Effects of the router.
+
+/// Record the request id in the table, unless it is recorded.
+struct commit_claim {
+    caller_id caller{};
+    request_id request;
+};
+/// Record the outcome of a claimed request.
+struct record_outcome {
+    request_id request;
+    std::string outcome; ///< "done" or "not_run".
+};
+struct send_attempt {
+    caller_id caller{};
+    endpoint to;
+    attempt work; ///< The body is a view into the router, valid until the next input.
+};
+struct ask_outcome {
+    caller_id caller{};
+    endpoint to;
+    request_id request;
+};
+struct answer_caller {
+    caller_id caller{};
+    int status = 200;
+    result_code code = result_code::ok;
+    request_id request;
+    std::string body;
+};
+
+using router_effect =
+    std::variant<commit_claim, record_outcome, send_attempt, ask_outcome, answer_caller>;
+
+struct router_options {
+    zone_id zone;                   ///< Zone of the node; its executors are preferred.
+    std::size_t queue_limit = 256;  ///< Requests waiting per service, at most.
+    int executor_slots = 8;         ///< Requests that one executor runs at once.
+    duration outcome_retry{200000}; ///< Pause between two questions for an outcome.
+    duration unit_hold{30000000};   ///< How long a lost attempt may still be running.
+    std::uint32_t seed = 1;         ///< Seed of the random choice between executors.
+};
+
+/// Routes requests to executors: queues, claims, attempts, retries and outcomes.
+class request_router {
+  public:
+    /// `life_cycle` is the chart `request`. `limits` must outlive the router.
+    static absl::StatusOr<std::unique_ptr<request_router>>
+    create(const chart& life_cycle, router_options options, team_limits& limits);
+
+    request_router(const request_router&) = delete;
+    request_router& operator=(const request_router&) = delete;
+    request_router(request_router&&) = delete;
+    request_router& operator=(request_router&&) = delete;
+    ~request_router();
+
+    /// Takes in a new configuration; requests under way keep their service definition.
+    void configure(const fleet_configuration& fleet);
+
+    /// Decides on one input. The effects are to be performed in order.
+    std::vector<router_effect> handle(const router_input& input, instant now);
+
+    [[nodiscard]] std::size_t open_requests() const;
+    [[nodiscard]] std::size_t queued(const service_id& service) const;
+
+  private:
+    class implementation;
+    explicit request_router(std::unique_ptr<implementation> body);
+
+    std::unique_ptr<implementation> body_;
+};
+
+} // namespace citronford
--- /dev/null
+++ b/include/citronford/table_service.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace citronford {
+
+/// Version of the transaction that wrote a row; versions rise across the whole table.
+using table_version = std::uint64_t;
+
+/// As a check, requires that the row does not exist.
+inline constexpr table_version absent_row = 0;
+
+struct table_row {
+    std::string key;
+    std::optional<std::string> value; ///< Empty for a row that was deleted.
+    table_version version = 0;
+};
+
+/// Requires that the row `key` has exactly `version`.
+struct table_check {
+    std::string key;
+    table_version version = absent_row;
+};
+
+struct table_write {
+    std::string key;
+    std::optional<std::string> value; ///< Empty deletes the row.
+};
+
+/// Result of a transaction whose reply arrived. Nothing was written when `committed` is false.
+struct table_commit {
+    bool committed = false;
+    table_version version = 0;        ///< Version written, when committed.
+    std::string conflict_key;         ///< First row whose check failed.
+    table_version conflict_version{}; ///< Its present version.
+};
+
+struct table_scan {
+    std::vector<table_row> rows;
+    table_version version = 0; ///< Version of the table that the rows reflect.
+};
+
+/// The platform's transactional table service. An error status with `table_unavailable` says that
+/// nothing was written, `commit_in_doubt` that the transaction may have been committed.
+class table_service {
+  public:
+    using commit_callback = std::function<void(absl::StatusOr<table_commit>)>;
+    using scan_callback = std::function<void(absl::StatusOr<table_scan>)>;
+
+    table_service() = default;
+    table_service(const table_service&) = delete;
+    table_service& operator=(const table_service&) = delete;
+    table_service(table_service&&) = delete;
+    table_service& operator=(table_service&&) = delete;
+    virtual ~table_service() = default;
+
+    /// Writes all rows in one transaction if every check holds.
+    virtual void commit(std::span<const table_check> checks, std::span<const table_write> writes,
+                        commit_callback done) = 0;
+
+    /// Reads the rows whose key begins with `prefix` and that changed after `since`, in rising
+    /// order of key; deleted rows are included when `since` is not zero.
+    virtual void scan(std::string_view prefix, table_version since, scan_callback done) = 0;
+};
+
+} // namespace citronford
--- /dev/null
+++ b/src/decide/authorization.cpp
@@ -0,0 +1,62 @@
+#include "citronford/authorization.h"
+
+#include "citronford/planted_fault.h"
+#include "citronford/result_code.h"
+
+#include <charconv>
+#include <string>
+
+namespace citronford {
+namespace {
+
+/// Compares without an early exit, so that the time does not tell how much of a digest matched.
+bool equal_in_constant_time(std::string_view left, std::string_view right) {
+    if (left.size() != right.size()) {
+        return false;
+    }
+    unsigned difference = 0;
+    for (std::size_t index = 0; index < left.size(); ++index) {
+        difference |=
+            static_cast<unsigned char>(left[index]) ^ static_cast<unsigned char>(right[index]);
+    }
+    return difference == 0;
+}
+
+} // namespace
+
+duration confirmation_limit(const configuration_view& view) {
+    const std::string scope = "zone/" + view.zone.str();
+    const auto text = exception_value(view.fleet, scope, "key_confirmation_limit_ms");
+    std::int64_t limit_ms = 0;
+    if (text &&
+        std::from_chars(text->data(), text->data() + text->size(), limit_ms).ec == std::errc()) {
+        return milliseconds(limit_ms);
+    }
+    return view.fleet.defaults.key_confirmation_limit;
+}
+
+bool confirmed(const configuration_view& view, instant now) {
+    return fault_planted("keys") || now - view.confirmed_at <= confirmation_limit(view);
+}
+
+absl::StatusOr<team_id> authorized_team(const configuration_view& view, const key_digest& digest,
+                                        bool open_queue, instant now) {
+    if (digest.empty()) {
+        if (open_queue) {
+            return team_id();
+        }
+        return make_status(result_code::key_missing, "a key is needed for this queue");
+    }
+    if (!confirmed(view, now)) {
+        return make_status(result_code::key_unconfirmed,
+                           "the configuration is not confirmed recently enough to check keys");
+    }
+    for (const team_key& key : view.fleet.keys) {
+        if (equal_in_constant_time(key.digest.view(), digest.view())) {
+            return key.team;
+        }
+    }
+    return make_status(result_code::key_rejected, "the key is unknown or withdrawn");
+}
+
+} // namespace citronford
--- /dev/null
+++ b/src/decide/configuration_change.cpp
@@ -0,0 +1,173 @@
+#include "citronford/configuration_change.h"
+
+#include "citronford/overloaded.h"
+#include "citronford/result_code.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+namespace citronford {
+namespace {
+
+absl::Status invalid(std::string_view message) {
+    return make_status(result_code::invalid_argument, message);
+}
+
+absl::Status missing(std::string_view message) {
+    return make_status(result_code::not_found, message);
+}
+
+template <class Definition>
+absl::Status distinct_names(const std::vector<Definition>& definitions, std::string_view kind) {
+    std::set<std::string_view> names;
+    for (const Definition& definition : definitions) {
+        if (definition.name.empty() || !names.insert(definition.name.view()).second) {
+            return invalid(std::string(kind) + ": names must be given and distinct");
+        }
+    }
+    return absl::OkStatus();
+}
+
+absl::Status valid_service(const service_definition& service) {
+    if (service.objective <= 0 || service.objective >= 1) {
+        return invalid("service " + service.name.str() + ": objective must lie between 0 and 1");
+    }
+    if (service.latency <= milliseconds(0)) {
+        return invalid("service " + service.name.str() + ": latency_ms must be above 0");
+    }
+    return absl::OkStatus();
+}
+
+absl::Status valid_team(const team_definition& team) {
+    if (team.share <= 0) {
+        return invalid("team " + team.name.str() + ": share must be above 0");
+    }
+    if (team.limit < 0) {
+        return invalid("team " + team.name.str() + ": limit must not be negative");
+    }
+    return absl::OkStatus();
+}
+
+absl::Status valid_pool(const pool_definition& pool) {
+    if (pool.wanted < 0 || pool.unavailable < 0) {
+        return invalid("pool " + pool.name.str() + ": wanted and unavailable must not be negative");
+    }
+    return absl::OkStatus();
+}
+
+template <class Definition, class Check>
+absl::Status valid_all(const std::vector<Definition>& definitions, std::string_view kind,
+                       Check check) {
+    absl::Status status = distinct_names(definitions, kind);
+    for (auto item = definitions.begin(); status.ok() && item != definitions.end(); ++item) {
+        status = check(*item);
+    }
+    return status;
+}
+
+absl::Status valid_defaults(const fleet_defaults& defaults) {
+    absl::Status status = valid_all(defaults.services, "services", valid_service);
+    if (status.ok()) {
+        status = valid_all(defaults.teams, "teams", valid_team);
+    }
+    if (status.ok()) {
+        status = valid_all(defaults.pools, "pools", valid_pool);
+    }
+    if (status.ok() && (defaults.retry_ratio < 0 || defaults.retry_ratio > 1)) {
+        status = invalid("retry_ratio must lie between 0 and 1");
+    }
+    return status;
+}
+
+template <class Items, class Id, class Member>
+bool contains(const Items& items, const Id& id, Member member) {
+    return std::ranges::find(items, id, member) != items.end();
+}
+
+/// Replaces the item with the same id, or appends.
+template <class Item, class Member>
+void upsert(std::vector<Item>& items, const Item& item, Member member) {
+    const auto found = std::ranges::find(items, item.*member, member);
+    if (found == items.end()) {
+        items.push_back(item);
+    } else {
+        *found = item;
+    }
+}
+
+} // namespace
+
+absl::Status validated(const configuration_change& change, const fleet_configuration& fleet) {
+    return std::visit(overloaded{
+                          [](const set_defaults& item) { return valid_defaults(item.defaults); },
+                          [](const add_exception& item) {
+                              const exception_rule& rule = item.rule;
+                              if (rule.id.empty() || rule.scope.empty() || rule.setting.empty()) {
+                                  return invalid("an exception needs an id, a scope and a setting");
+                              }
+                              return rule.reason.empty() ? invalid("an exception needs a reason")
+                                                         : absl::OkStatus();
+                          },
+                          [&](const remove_exception& item) {
+                              return contains(fleet.exceptions, item.id, &exception_rule::id)
+                                         ? absl::OkStatus()
+                                         : missing("there is no such exception");
+                          },
+                          [](const remove_zone& item) {
+                              return item.removal.zone.empty() || item.removal.reason.empty()
+                                         ? invalid("a zone removal needs a zone and a reason")
+                                         : absl::OkStatus();
+                          },
+                          [&](const restore_zone& item) {
+                              return zone_removed(fleet, item.zone)
+                                         ? absl::OkStatus()
+                                         : missing("the zone is not taken out");
+                          },
+                          [&](const give_key& item) {
+                              if (item.key.id.empty() || item.key.digest.empty()) {
+                                  return invalid("a key needs an id and a digest");
+                              }
+                              return find_team(fleet, item.key.team.view()) != nullptr
+                                         ? absl::OkStatus()
+                                         : missing("there is no such team");
+                          },
+                          [&](const withdraw_key& item) {
+                              return contains(fleet.keys, item.id, &team_key::id)
+                                         ? absl::OkStatus()
+                                         : missing("there is no such key");
+                          },
+                      },
+                      change);
+}
+
+fleet_configuration changed_configuration(fleet_configuration fleet,
+                                          const configuration_change& change) {
+    ++fleet.version;
+    std::visit(
+        overloaded{
+            [&](const set_defaults& item) { fleet.defaults = item.defaults; },
+            [&](const add_exception& item) {
+                upsert(fleet.exceptions, item.rule, &exception_rule::id);
+            },
+            [&](const remove_exception& item) {
+                std::erase_if(fleet.exceptions,
+                              [&](const auto& rule) { return rule.id == item.id; });
+            },
+            [&](const remove_zone& item) {
+                upsert(fleet.removals, item.removal, &zone_removal::zone);
+            },
+            [&](const restore_zone& item) {
+                std::erase_if(fleet.removals,
+                              [&](const auto& removal) { return removal.zone == item.zone; });
+            },
+            [&](const give_key& item) { upsert(fleet.keys, item.key, &team_key::id); },
+            [&](const withdraw_key& item) {
+                std::erase_if(fleet.keys, [&](const auto& key) { return key.id == item.id; });
+            },
+        },
+        change);
+    return fleet;
+}
+
+} // namespace citronford
--- /dev/null
+++ b/src/decide/drain.cpp
@@ -0,0 +1,57 @@
+#include "citronford/drain.h"
+
+#include "citronford/planted_fault.h"
+
+#include <utility>
+
+namespace citronford {
+
+absl::StatusOr<drain> drain::create(const chart& life_cycle, drain_options options) {
+    static constexpr machine::guard guards[] = {
+        {"delay_passed",
+         [](const step_context& context, const drain_input&) {
+             return context.now - context.entered_at >= context.options.delay;
+         }},
+        {"idle",
+         [](const step_context&, const drain_input& input) {
+             return std::get<drain_tick>(input).open_work == 0 || fault_planted("graceful-stop");
+         }},
+        {"timeout_passed",
+         [](const step_context& context, const drain_input&) {
+             return context.now - context.entered_at >= context.options.timeout;
+         }},
+    };
+    static constexpr machine::action actions[] = {
+        {"note_time",
+         [](step_context& context, const drain_input&) { context.entered_at = context.now; }},
+        {"stop_listening",
+         [](step_context& context, const drain_input&) {
+             context.effects.emplace_back(stop_listening{});
+         }},
+        {"hand_over", [](step_context& context,
+                         const drain_input&) { context.effects.emplace_back(hand_over{}); }},
+        {"leave",
+         [](step_context& context, const drain_input&) { context.effects.emplace_back(leave{}); }},
+    };
+    auto bound = machine::create(life_cycle, guards, actions);
+    if (!bound.ok()) {
+        return bound.status();
+    }
+    return drain(*std::move(bound), options);
+}
+
+drain::drain(machine life_cycle, drain_options options)
+    : machine_(std::move(life_cycle)),
+      position_(machine_.initial()), context_{options, instant(), instant(), {}} {}
+
+bool drain::ready() const {
+    return position_ == machine_.initial();
+}
+
+std::vector<drain_effect> drain::handle(const drain_input& input, instant now) {
+    context_.now = now;
+    machine_.step(position_, context_, input);
+    return std::exchange(context_.effects, {});
+}
+
+} // namespace citronford
--- /dev/null
+++ b/src/io/http_server.cpp
@@ -0,0 +1,288 @@
+#include "io/http_server.h"
+
+#include "citronford/result_code.h"
+#include "io/error_body.h"
+
+#include <h2o.h>
+
+#include <algorithm>
+#include <new>
+
+namespace citronford {
+namespace {
+
+std::string_view view_of(const h2o_iovec_t& text) {
+    return {text.base, text.len};
+}
+
+h2o_iovec_t pooled_copy(h2o_req_t* request, std::string_view text) {
+    return h2o_strdup(&request->pool, text.data(), text.size());
+}
+
+} // namespace
+
+std::string_view reason_phrase(int status) {
+    constexpr std::pair<int, std::string_view> phrases[] = {
+        {200, "OK"},
+        {201, "Created"},
+        {202, "Accepted"},
+        {400, "Bad Request"},
+        {401, "Unauthorized"},
+        {403, "Forbidden"},
+        {404, "Not Found"},
+        {405, "Method Not Allowed"},
+        {409, "Conflict"},
+        {413, "Content Too Large"},
+        {422, "Unprocessable Content"},
+        {429, "Too Many Requests"},
+        {500, "Internal Server Error"},
+        {503, "Service Unavailable"},
+        {504, "Gateway Timeout"},
+    };
+    for (const auto& [number, phrase] : phrases) {
+        if (number == status) {
+            return phrase;
+        }
+    }
+    return "Other";
+}
+
+std::string_view http_request::header(std::string_view name) const {
+    const auto found = std::ranges::find(headers, name, &http_header::first);
+    return found == headers.end() ? std::string_view() : found->second;
+}
+
+struct http_server::implementation {
+    h2o_globalconf_t config{};
+    h2o_context_t context{};
+    h2o_accept_ctx_t accept{};
+    uv_loop_t* loop = nullptr;
+    uv_tcp_t* listener = nullptr;
+    std::size_t body_limit = 0;
+    std::size_t open = 0;
+    bool stopping = false;
+    std::uint16_t port = 0;
+    handler handle;
+};
+
+/// State shared by a request of h2o and the responders; `request` is null once h2o disposed it.
+struct http_responder::exchange {
+    h2o_req_t* request = nullptr;
+    std::size_t* open = nullptr;
+    const bool* stopping = nullptr;
+    bool sent = false;
+    std::function<void()> gone;
+    std::function<void()> finished;
+};
+
+namespace {
+
+struct server_handler {
+    h2o_handler_t base;
+    http_server::implementation* server;
+};
+
+/// Lives in the pool of the request; its disposal tells that the request has ended.
+struct request_guard {
+    std::shared_ptr<http_responder::exchange> exchange;
+};
+
+void dispose_guard(void* memory) {
+    auto* guard = static_cast<request_guard*>(memory);
+    const auto exchange = std::move(guard->exchange);
+    guard->~request_guard();
+    exchange->request = nullptr;
+    --*exchange->open;
+    if (!exchange->sent && exchange->gone) {
+        exchange->gone();
+    }
+    if (exchange->finished) {
+        exchange->finished();
+    }
+    exchange->gone = nullptr;
+    exchange->finished = nullptr;
+}
+
+std::shared_ptr<http_responder::exchange> guarded_exchange(h2o_req_t* request,
+                                                           http_server::implementation& server) {
+    auto exchange = std::make_shared<http_responder::exchange>();
+    exchange->request = request;
+    exchange->open = &server.open;
+    exchange->stopping = &server.stopping;
+    ++server.open;
+    void* memory = h2o_mem_alloc_shared(&request->pool, sizeof(request_guard), dispose_guard);
+    new (memory) request_guard{exchange};
+    return exchange;
+}
+
+http_request request_view(const h2o_req_t* request) {
+    http_request view;
+    view.method = view_of(request->method);
+    const std::string_view path = view_of(request->path);
+    view.path = path.substr(0, request->query_at);
+    if (request->query_at < path.size()) {
+        view.query = path.substr(request->query_at + 1);
+    }
+    view.body = view_of(request->entity);
+    for (std::size_t index = 0; index < request->headers.size; ++index) {
+        const h2o_header_t& header = request->headers.entries[index];
+        view.headers.emplace_back(view_of(*header.name), view_of(header.value));
+    }
+    return view;
+}
+
+int handle_request(h2o_handler_t* self, h2o_req_t* request) {
+    auto& server = *reinterpret_cast<server_handler*>(self)->server;
+    const http_responder responder(guarded_exchange(request, server));
+    if (request->entity.len > server.body_limit) {
+        const std::string body = error_body(result_code::body_too_large, "the body is too large");
+        responder.send({entry_of(result_code::body_too_large).http_status, {}, body});
+        return 0;
+    }
+    server.handle(request_view(request), responder);
+    return 0;
+}
+
+void accept_connection(uv_stream_t* listener, int status) {
+    if (status != 0) {
+        return;
+    }
+    auto* server = static_cast<http_server::implementation*>(listener->data);
+    auto* connection = static_cast<uv_tcp_t*>(h2o_mem_alloc(sizeof(uv_tcp_t)));
+    uv_tcp_init(listener->loop, connection);
+    const uv_close_cb release = [](uv_handle_t* handle) { free(handle); };
+    if (uv_accept(listener, reinterpret_cast<uv_stream_t*>(connection)) != 0) {
+        uv_close(reinterpret_cast<uv_handle_t*>(connection), release);
+        return;
+    }
+    uv_tcp_nodelay(connection, 1);
+    h2o_socket_t* socket =
+        h2o_uv_socket_create(reinterpret_cast<uv_stream_t*>(connection), release);
+    h2o_accept(&server->accept, socket);
+}
+
+absl::Status listen_on(http_server::implementation& server, const endpoint& at) {
+    sockaddr_in address{};
+    const auto failed = [&](int error) {
+        return make_status(result_code::listen_failed, "cannot listen on " + at.address + ":" +
+                                                           std::to_string(at.port) + ": " +
+                                                           uv_strerror(error));
+    };
+    int error = uv_ip4_addr(at.address.c_str(), at.port, &address);
+    if (error != 0) {
+        return failed(error);
+    }
+    server.listener = new uv_tcp_t();
+    uv_tcp_init(server.loop, server.listener);
+    server.listener->data = &server;
+    error = uv_tcp_bind(server.listener, reinterpret_cast<const sockaddr*>(&address), 0);
+    if (error == 0) {
+        constexpr int backlog = 1024;
+        error =
+            uv_listen(reinterpret_cast<uv_stream_t*>(server.listener), backlog, accept_connection);
+    }
+    if (error != 0) {
+        return failed(error);
+    }
+    int length = sizeof(address);
+    uv_tcp_getsockname(server.listener, reinterpret_cast<sockaddr*>(&address), &length);
+    server.port = ntohs(address.sin_port);
+    return absl::OkStatus();
+}
+
+void close_listener(http_server::implementation& server) {
+    if (server.listener != nullptr) {
+        uv_close(reinterpret_cast<uv_handle_t*>(server.listener),
+                 [](uv_handle_t* handle) { delete reinterpret_cast<uv_tcp_t*>(handle); });
+        server.listener = nullptr;
+    }
+}
+
+} // namespace
+
+void http_responder::send(const http_response& response) const {
+    h2o_req_t* request = exchange_->request;
+    if (request == nullptr || exchange_->sent) {
+        return;
+    }
+    exchange_->sent = true;
+    request->res.status = response.status;
+    request->res.reason = reason_phrase(response.status).data();
+    if (*exchange_->stopping) {
+        request->http1_is_persistent = 0;
+    }
+    h2o_add_header(&request->pool, &request->res.headers, H2O_TOKEN_CONTENT_TYPE, nullptr,
+                   pooled_copy(request, response.content_type).base, response.content_type.size());
+    for (const auto& [name, value] : response.headers) {
+        const h2o_iovec_t pooled_name = pooled_copy(request, name);
+        const h2o_iovec_t pooled_value = pooled_copy(request, value);
+        h2o_add_header_by_str(&request->pool, &request->res.headers, pooled_name.base,
+                              pooled_name.len, 1, nullptr, pooled_value.base, pooled_value.len);
+    }
+    static h2o_generator_t generator = {nullptr, nullptr};
+    request->res.content_length = response.body.size();
+    h2o_iovec_t body = pooled_copy(request, response.body);
+    h2o_start_response(request, &generator);
+    h2o_send(request, &body, 1, H2O_SEND_STATE_FINAL);
+}
+
+void http_responder::on_gone(std::function<void()> function) const {
+    exchange_->gone = std::move(function);
+}
+
+void http_responder::on_finished(std::function<void()> function) const {
+    exchange_->finished = std::move(function);
+}
+
+absl::StatusOr<std::unique_ptr<http_server>>
+http_server::create(uv_loop_t* loop, const endpoint& at, std::size_t body_limit, handler handle) {
+    auto body = std::make_unique<implementation>();
+    body->loop = loop;
+    body->body_limit = body_limit;
+    body->handle = std::move(handle);
+    h2o_config_init(&body->config);
+    // A body beyond this hard limit is refused by h2o while it arrives; up to it, the handler
+    // answers with a numbered result.
+    constexpr std::size_t hard_limit_factor = 4;
+    body->config.max_request_entity_size = body_limit * hard_limit_factor;
+    h2o_hostconf_t* host =
+        h2o_config_register_host(&body->config, h2o_iovec_init("default", 7), 65535);
+    h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
+    auto* handler_entry =
+        reinterpret_cast<server_handler*>(h2o_create_handler(path, sizeof(server_handler)));
+    handler_entry->base.on_req = handle_request;
+    handler_entry->server = body.get();
+    h2o_context_init(&body->context, loop, &body->config);
+    body->accept.ctx = &body->context;
+    body->accept.hosts = body->config.hosts;
+    const absl::Status status = listen_on(*body, at);
+    std::unique_ptr<http_server> server(new http_server(std::move(body)));
+    if (!status.ok()) {
+        return status;
+    }
+    return server;
+}
+
+http_server::http_server(std::unique_ptr<implementation> body) : body_(std::move(body)) {}
+
+http_server::~http_server() {
+    close_listener(*body_);
+    // h2o closes its connections and context only with the process: the loop ends first.
+    body_.release(); // NOLINT(bugprone-unused-return-value)
+}
+
+std::uint16_t http_server::port() const {
+    return body_->port;
+}
+
+void http_server::stop_accepting() {
+    body_->stopping = true;
+    close_listener(*body_);
+    h2o_context_request_shutdown(&body_->context);
+}
+
+std::size_t http_server::open_requests() const {
+    return body_->open;
+}
+
+} // namespace citronford
--- /dev/null
+++ b/src/io/operator_front.cpp
@@ -0,0 +1,191 @@
+#include "io/operator_front.h"
+
+#include "citronford/invariant.h"
+#include "io/configuration_codec.h"
+#include "io/digest.h"
+#include "io/http_response.h"
+#include "io/url.h"
+#include "node/node.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace citronford {
+namespace {
+
+using nlohmann::json;
+
+/// One request of an operator with its decoded path.
+struct operation {
+    node& target;
+    const http_request& request;
+    const http_responder& responder;
+    std::vector<std::string> path; ///< Without the leading "v1".
+};
+
+struct route {
+    std::string_view method;
+    std::string_view resource; ///< First segment after "v1".
+    std::size_t segments;      ///< Number of segments after "v1".
+    std::string_view last;     ///< Required last segment; empty for any.
+    void (*function)(const operation& parameters);
+};
+
+void apply_change(const operation& parameters, const configuration_change& change) {
+    parameters.target.configuration().change(
+        change, [responder = parameters.responder](absl::StatusOr<configuration_version> version) {
+            if (!version.ok()) {
+                send_error(responder, version.status());
+                return;
+            }
+            send_json(responder, json{{"version", *version}}.dump());
+        });
+}
+
+/// The member `name` of a JSON body; empty when the body has no such text.
+std::string body_text(const operation& parameters, const char* name) {
+    const json document = json::parse(parameters.request.body, nullptr, false);
+    if (!document.is_object() || !document.contains(name) || !document[name].is_string()) {
+        return {};
+    }
+    return document[name];
+}
+
+void show_defaults(const operation& parameters) {
+    send_json(parameters.responder,
+              defaults_json(parameters.target.configuration().fleet().defaults));
+}
+
+void replace_defaults(const operation& parameters) {
+    auto defaults = parse_defaults(parameters.request.body);
+    if (!defaults.ok()) {
+        send_error(parameters.responder, defaults.status());
+        return;
+    }
+    apply_change(parameters, set_defaults{*std::move(defaults)});
+}
+
+void list_exceptions(const operation& parameters) {
+    send_json(parameters.responder,
+              exceptions_json(parameters.target.configuration().fleet().exceptions));
+}
+
+void create_exception(const operation& parameters) {
+    auto rule = parse_exception(parameters.request.body);
+    if (!rule.ok()) {
+        send_error(parameters.responder, rule.status());
+        return;
+    }
+    apply_change(parameters, add_exception{*std::move(rule)});
+}
+
+void delete_exception(const operation& parameters) {
+    apply_change(parameters, remove_exception{exception_id(parameters.path[1])});
+}
+
+void take_zone_out(const operation& parameters) {
+    apply_change(parameters,
+                 remove_zone{{zone_id(parameters.path[1]), body_text(parameters, "reason")}});
+}
+
+void bring_zone_in(const operation& parameters) {
+    apply_change(parameters, restore_zone{zone_id(parameters.path[1])});
+}
+
+/// Creates a key for a team; the key itself is in this answer and nowhere else.
+void create_key(const operation& parameters) {
+    constexpr std::size_t id_bytes = 6;
+    constexpr std::size_t key_bytes = 24;
+    const std::string id = random_hex(id_bytes);
+    const std::string key = random_hex(key_bytes);
+    const team_key item{key_id(id), digest_of_key(key), team_id(body_text(parameters, "team"))};
+    parameters.target.configuration().change(
+        give_key{item},
+        [responder = parameters.responder, id, key](absl::StatusOr<configuration_version> version) {
+            if (!version.ok()) {
+                send_error(responder, version.status());
+                return;
+            }
+            send_json(responder, json{{"id", id}, {"key", key}, {"version", *version}}.dump());
+        });
+}
+
+void delete_key(const operation& parameters) {
+    apply_change(parameters, withdraw_key{key_id(parameters.path[1])});
+}
+
+void show_state(const operation& parameters) {
+    node& target = parameters.target;
+    const fleet_configuration& fleet = target.configuration().fleet();
+    json teams = json::array();
+    for (const team_definition& team : fleet.defaults.teams) {
+        teams.push_back({{"name", team.name.str()},
+                         {"share", team.share},
+                         {"limit", team.limit},
+                         {"units", target.limits().units(team.name)},
+                         {"running", target.limits().running(team.name)}});
+    }
+    json removals = json::array();
+    for (const zone_removal& removal : fleet.removals) {
+        removals.push_back({{"zone", removal.zone.str()}, {"reason", removal.reason}});
+    }
+    const json document = {{"node", target.node_settings().node.str()},
+                           {"zone", target.node_settings().zone.str()},
+                           {"ready", target.ready()},
+                           {"configuration_version", fleet.version},
+                           {"open_requests", target.open_requests()},
+                           {"teams", teams},
+                           {"removed_zones", removals},
+                           {"invariant_violations", invariant_monitor::violations()}};
+    send_json(parameters.responder, document.dump());
+}
+
+constexpr route routes[] = {
+    {"GET", "defaults", 1, "", show_defaults},
+    {"PUT", "defaults", 1, "", replace_defaults},
+    {"GET", "exceptions", 1, "", list_exceptions},
+    {"POST", "exceptions", 1, "", create_exception},
+    {"DELETE", "exceptions", 2, "", delete_exception},
+    {"POST", "zones", 3, "out", take_zone_out},
+    {"POST", "zones", 3, "in", bring_zone_in},
+    {"POST", "keys", 1, "", create_key},
+    {"DELETE", "keys", 2, "", delete_key},
+    {"GET", "state", 1, "", show_state},
+};
+
+bool matches_path(const route& candidate, const std::vector<std::string>& path) {
+    return path.size() == candidate.segments && path[0] == candidate.resource &&
+           (candidate.last.empty() || path.back() == candidate.last);
+}
+
+} // namespace
+
+void operator_front::handle(const http_request& request, const http_responder& responder) {
+    std::vector<std::string> path = path_segments(request.path);
+    if (path.empty() || path[0] != "v1") {
+        send_error(responder, result_code::unknown_path, "no resource has this path");
+        return;
+    }
+    path.erase(path.begin());
+    bool path_known = false;
+    for (const route& candidate : routes) {
+        if (!matches_path(candidate, path)) {
+            continue;
+        }
+        path_known = true;
+        if (candidate.method == request.method) {
+            candidate.function({node_, request, responder, path});
+            return;
+        }
+    }
+    if (path_known) {
+        send_error(responder, result_code::method_not_allowed, "the method is not supported here");
+    } else {
+        send_error(responder, result_code::unknown_path, "no resource has this path");
+    }
+}
+
+} // namespace citronford
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,115 @@
+#include "node/node.h"
+
+#include "citronford/chart.h"
+#include "citronford/overloaded.h"
+#include "io/log.h"
+
+#include <utility>
+
+namespace citronford {
+namespace {
+
+/// Pause between two looks at the work that is left during a planned stop.
+constexpr duration drain_tick_period = milliseconds(50);
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<node>> node::create(const settings& node_settings, node_links links,
+                                                   std::function<void()> on_stop_listening,
+                                                   std::function<void()> on_leave) {
+    const auto life_cycle = chart::load(node_settings.charts + "/drain.scxml");
+    if (!life_cycle.ok()) {
+        return life_cycle.status();
+    }
+    auto stop =
+        drain::create(*life_cycle, {node_settings.drain_delay, node_settings.drain_timeout});
+    if (!stop.ok()) {
+        return stop.status();
+    }
+    std::unique_ptr<node> created(new node(node_settings, links, *std::move(stop)));
+    auto requests = request_driver::create(node_settings, links, created->limits_);
+    if (!requests.ok()) {
+        return requests.status();
+    }
+    created->requests_ = *std::move(requests);
+    created->on_stop_listening_ = std::move(on_stop_listening);
+    created->on_leave_ = std::move(on_leave);
+    return created;
+}
+
+node::node(settings node_settings, node_links links, drain stop)
+    : settings_(std::move(node_settings)), links_(links), drain_(std::move(stop)),
+      configuration_(std::make_unique<configuration_driver>(settings_, links)) {}
+
+void node::start() {
+    configuration_->subscribe([this](const fleet_configuration& fleet) { apply(fleet); });
+    configuration_->start();
+    requests_->start();
+}
+
+void node::apply(const fleet_configuration& fleet) {
+    for (const team_definition& team : fleet.defaults.teams) {
+        limits_.set_units(team.name, team.limit);
+    }
+    requests_->configure(fleet);
+}
+
+bool node::ready() const {
+    return drain_.ready() && configuration_->loaded();
+}
+
+void node::submit(const caller_request& request) {
+    const fleet_configuration& fleet = configuration_->fleet();
+    const service_definition* service = find_service(fleet, request.service.view());
+    if (service == nullptr) {
+        refuse(request, make_status(result_code::unknown_service, "there is no such service"));
+        return;
+    }
+    const auto team =
+        authorized_team(configuration_->view(), request.digest, service->open, links_.timers.now());
+    if (!team.ok()) {
+        refuse(request, team.status());
+        return;
+    }
+    if (request.request.empty() && !service->idempotent) {
+        refuse(request, make_status(result_code::missing_request_id,
+                                    "the service is not idempotent: a Request-Id is needed"));
+        return;
+    }
+    const duration timeout =
+        request.timeout > duration::zero() ? request.timeout : fleet.defaults.request_timeout;
+    requests_->handle(request_submission{request.caller, request.request, *team, request.service,
+                                         std::string(request.body), timeout});
+}
+
+void node::refuse(const caller_request& request, const absl::Status& status) {
+    const result_code_entry& entry = entry_of(code_of(status));
+    links_.callers.answer(request.caller, {entry.http_status, entry.code, entry.state,
+                                           request.request, message_of(status)});
+}
+
+void node::caller_left(caller_id caller) {
+    requests_->handle(caller_gone{caller});
+}
+
+void node::request_stop() {
+    log_event(log_level::info, "stop_requested", {{"node", settings_.node.view()}});
+    handle(stop_requested{});
+    if (!drain_timer_.active()) {
+        drain_timer_ = links_.timers.every(
+            drain_tick_period, [this](instant) { handle(drain_tick{requests_->open_requests()}); });
+    }
+}
+
+void node::handle(const drain_input& input) {
+    for (const drain_effect& effect : drain_.handle(input, links_.timers.now())) {
+        std::visit(overloaded{
+                       [this](const stop_listening&) { on_stop_listening_(); },
+                       [](const hand_over&) {},
+                       [this](const leave&) { on_leave_(); },
+                   },
+                   effect);
+    }
+}
+
+} // namespace citronford
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "citronford/drain.h"
+#include "citronford/settings.h"
+#include "citronford/team_limits.h"
+#include "node/configuration_driver.h"
+#include "node/node_links.h"
+#include "node/request_driver.h"
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace citronford {
+
+/// A request of a caller, free of any encoding.
+struct caller_request {
+    caller_id caller{};
+    request_id request;
+    service_id service;
+    key_digest digest; ///< Empty when no key was presented.
+    std::string_view body;
+    duration timeout{}; ///< Zero for the fleet default.
+};
+
+/// All decisions of one entry VM and the drivers that perform their effects.
+class node {
+  public:
+    /// Fails with `chart_invalid`. `on_leave` is called at the end of a planned stop,
+    /// `on_stop_listening` when new connections are to be refused.
+    static absl::StatusOr<std::unique_ptr<node>> create(const settings& node_settings,
+                                                        node_links links,
+                                                        std::function<void()> on_stop_listening,
+                                                        std::function<void()> on_leave);
+
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+    node(node&&) = delete;
+    node& operator=(node&&) = delete;
+    ~node() = default;
+
+    void start();
+
+    /// Whether the load balancer should send new connections.
+    [[nodiscard]] bool ready() const;
+
+    /// Takes in a request; it is answered through `caller_link`.
+    void submit(const caller_request& request);
+    void caller_left(caller_id caller);
+
+    /// Begins a planned stop.
+    void request_stop();
+
+    [[nodiscard]] configuration_driver& configuration() { return *configuration_; }
+    [[nodiscard]] const team_limits& limits() const { return limits_; }
+    [[nodiscard]] std::size_t open_requests() const { return requests_->open_requests(); }
+    [[nodiscard]] const settings& node_settings() const { return settings_; }
+
+  private:
+    node(settings node_settings, node_links links, drain stop);
+
+    void handle(const drain_input& input);
+    void apply(const fleet_configuration& fleet);
+    void refuse(const caller_request& request, const absl::Status& status);
+
+    settings settings_;
+    node_links links_;
+    team_limits limits_;
+    drain drain_;
+    std::unique_ptr<configuration_driver> configuration_;
+    std::unique_ptr<request_driver> requests_;
+    std::function<void()> on_stop_listening_;
+    std::function<void()> on_leave_;
+    timer_subscription drain_timer_;
+};
+
+} // namespace citronford
--- /dev/null
+++ b/src/node/request_driver.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "citronford/request_router.h"
+#include "citronford/settings.h"
+#include "citronford/team_limits.h"
+#include "node/node_links.h"
+
+#include <absl/status/statusor.h>
+
+#include <memory>
+
+namespace citronford {
+
+/// Performs the effects of the request router through the interfaces of the node.
+class request_driver {
+  public:
+    /// Fails with `chart_invalid`.
+    static absl::StatusOr<std::unique_ptr<request_driver>>
+    create(const settings& node_settings, node_links links, team_limits& limits);
+
+    request_driver(const request_driver&) = delete;
+    request_driver& operator=(const request_driver&) = delete;
+    request_driver(request_driver&&) = delete;
+    request_driver& operator=(request_driver&&) = delete;
+    ~request_driver() = default;
+
+    /// Begins to check deadlines and to read the VM list.
+    void start();
+
+    void configure(const fleet_configuration& fleet);
+    void handle(const router_input& input);
+
+    [[nodiscard]] std::size_t open_requests() const { return router_->open_requests(); }
+
+  private:
+    request_driver(settings node_settings, node_links links,
+                   std::unique_ptr<request_router> router);
+
+    void perform(const commit_claim& effect);
+    void perform(const record_outcome& effect);
+    void perform(const send_attempt& effect);
+    void perform(const ask_outcome& effect);
+    void perform(const answer_caller& effect);
+
+    void read_claim(caller_id caller, const request_id& request);
+    void poll_vms();
+
+    settings settings_;
+    node_links links_;
+    std::unique_ptr<request_router> router_;
+    fleet_configuration fleet_;
+    timer_subscription tick_timer_;
+    timer_subscription vm_timer_;
+};
+
+} // namespace citronford
--- /dev/null
+++ b/tools/standins/standin_platform.cpp
@@ -0,0 +1,212 @@
+// Stand-in for the platform: table service, object store and VM list in memory, with switchable
+// faults. For tests and demonstrations only.
+#include "standins/standin.h"
+
+#include "io/url.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+
+namespace {
+
+namespace po = boost::program_options;
+using namespace citronford;
+using nlohmann::json;
+
+struct stored_row {
+    std::optional<std::string> value; ///< Empty for a deleted row, which is kept for scans.
+    std::uint64_t version = 0;
+};
+
+struct fault_switches {
+    bool outage = false;
+    std::int64_t delay_ms = 0;
+    std::int64_t lose_replies = 0; ///< Replies to transactions that are still to be lost.
+    std::int64_t vm_lag_ms = 0;
+};
+
+class platform {
+  public:
+    explicit platform(event_loop& loop) : loop_(loop) {}
+
+    void handle(const http_request& request, const http_responder& responder) {
+        const std::vector<std::string> path = path_segments(request.path);
+        const std::string method(request.method);
+        const std::string body(request.body);
+        const std::string query(request.query);
+        if (path == std::vector<std::string>{"fault"}) {
+            set_faults(json::parse(body, nullptr, false));
+            responder.send({200, {}, "{}"});
+            return;
+        }
+        if (path == std::vector<std::string>{"stats"}) {
+            responder.send(
+                {200, {}, json{{"transactions", transactions_}, {"scans", scans_}}.dump()});
+            return;
+        }
+        if (faults_.outage) {
+            responder.send({503, {}, R"({"error":"outage"})"});
+            return;
+        }
+        delayed([this, path, method, body, query, responder] {
+            serve(path, method, body, query, responder);
+        });
+    }
+
+  private:
+    void delayed(std::function<void()> function) {
+        if (faults_.delay_ms == 0) {
+            function();
+            return;
+        }
+        auto timer = std::make_shared<timer_subscription>();
+        *timer = loop_.after(milliseconds(faults_.delay_ms),
+                             [timer, function = std::move(function)](instant) {
+                                 function();
+                                 timer->cancel();
+                             });
+    }
+
+    void serve(const std::vector<std::string>& path, const std::string& method,
+               const std::string& body, const std::string& query, const http_responder& responder) {
+        if (path.size() == 2 && path[0] == "table" && path[1] == "txn") {
+            commit(json::parse(body, nullptr, false), responder);
+        } else if (path.size() == 2 && path[0] == "table" && path[1] == "scan") {
+            scan(query_value(query, "prefix"),
+                 std::strtoull(query_value(query, "since").c_str(), nullptr, 10), responder);
+        } else if (path.size() == 2 && path[0] == "objects" && method == "PUT") {
+            objects_[path[1]] = body;
+            responder.send({200, {}, "{}"});
+        } else if (path.size() == 2 && path[0] == "objects") {
+            const auto found = objects_.find(path[1]);
+            responder.send(found == objects_.end() ? http_response{404, {}, "{}"}
+                                                   : http_response{200, {}, found->second});
+        } else if (path.size() == 1 && path[0] == "vms" && method == "PUT") {
+            set_vms(json::parse(body, nullptr, false), responder);
+        } else if (path.size() == 1 && path[0] == "vms") {
+            responder.send({200, {}, json{{"vms", listed_vms()}}.dump()});
+        } else {
+            responder.send({404, {}, R"({"error":"unknown path"})"});
+        }
+    }
+
+    void commit(const json& document, const http_responder& responder) {
+        if (!document.is_object()) {
+            responder.send({400, {}, R"({"error":"malformed"})"});
+            return;
+        }
+        ++transactions_;
+        for (const json& check : document.value("checks", json::array())) {
+            const std::string key = check.at("key");
+            const std::uint64_t present = live_version(key);
+            if (present != check.at("version").get<std::uint64_t>()) {
+                const json reply = {{"committed", false}, {"key", key}, {"version", present}};
+                responder.send({409, {}, reply.dump()});
+                return;
+            }
+        }
+        ++version_;
+        for (const json& write : document.value("writes", json::array())) {
+            stored_row& row = rows_[write.at("key")];
+            row.version = version_;
+            row.value.reset();
+            if (!write.value("delete", false)) {
+                row.value = write.at("value").get<std::string>();
+            }
+        }
+        if (faults_.lose_replies > 0) {
+            --faults_.lose_replies;
+            lost_.push_back(responder);
+            return;
+        }
+        responder.send({200, {}, json{{"committed", true}, {"version", version_}}.dump()});
+    }
+
+    [[nodiscard]] std::uint64_t live_version(const std::string& key) const {
+        const auto found = rows_.find(key);
+        return found == rows_.end() || !found->second.value ? 0 : found->second.version;
+    }
+
+    void scan(const std::string& prefix, std::uint64_t since, const http_responder& responder) {
+        ++scans_;
+        json rows = json::array();
+        for (auto row = rows_.lower_bound(prefix);
+             row != rows_.end() && row->first.starts_with(prefix); ++row) {
+            const auto& [key, stored] = *row;
+            if (stored.version <= since || (!stored.value && since == 0)) {
+                continue;
+            }
+            json item = {{"key", key}, {"version", stored.version}};
+            if (stored.value) {
+                item["value"] = *stored.value;
+            } else {
+                item["deleted"] = true;
+            }
+            rows.push_back(std::move(item));
+        }
+        responder.send({200, {}, json{{"rows", rows}, {"version", version_}}.dump()});
+    }
+
+    /// Replaces the VM list; readers see it after the lag in force.
+    void set_vms(const json& document, const http_responder& responder) {
+        vm_history_.emplace_back(loop_.now(), document.value("vms", json::array()));
+        responder.send({200, {}, "{}"});
+    }
+
+    json listed_vms() {
+        const instant visible = loop_.now() - milliseconds(faults_.vm_lag_ms);
+        while (vm_history_.size() > 1 && vm_history_[1].first <= visible) {
+            vm_history_.pop_front();
+        }
+        return vm_history_.empty() ? json::array() : vm_history_.front().second;
+    }
+
+    void set_faults(const json& document) {
+        if (!document.is_object()) {
+            return;
+        }
+        faults_.outage = document.value("outage", faults_.outage);
+        faults_.delay_ms = document.value("delay_ms", faults_.delay_ms);
+        faults_.lose_replies = document.value("lose_replies", faults_.lose_replies);
+        faults_.vm_lag_ms = document.value("vm_lag_ms", faults_.vm_lag_ms);
+    }
+
+    event_loop& loop_;
+    std::map<std::string, stored_row> rows_;
+    std::map<std::string, std::string> objects_;
+    std::deque<std::pair<instant, json>> vm_history_;
+    std::vector<http_responder> lost_; ///< Requests whose reply is never sent.
+    std::uint64_t version_ = 0;
+    std::uint64_t transactions_ = 0;
+    std::uint64_t scans_ = 0;
+    fault_switches faults_;
+};
+
+} // namespace
+
+int main(int argc, char** argv) {
+    std::string listen;
+    po::options_description description("standin_platform");
+    description.add_options()("help", "show this text")(
+        "listen", po::value(&listen)->default_value("127.0.0.1:8090"), "ADDRESS:PORT");
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, description), values);
+    po::notify(values);
+    if (values.count("help") != 0) {
+        std::cout << description;
+        return EXIT_SUCCESS;
+    }
+    auto loop = event_loop::create();
+    if (!loop.ok()) {
+        return EXIT_FAILURE;
+    }
+    platform service(**loop);
+    return serve_standin(**loop, listen,
+                         [&](const http_request& request, const http_responder& responder) {
+                             service.handle(request, responder);
+                         });
+}
