Run jobs as tasks on workers under fenced leases

Jobs had no path: this adds the caller resource, the task scheduler with its charts, the worker link, the driver and a worker stand-in. The row of a job is inserted before the answer; a task that may run only once is recorded as started before it is sent. The epoch of a worker lease is the table version of its row, which rises by itself, so no counter has to be read first. Ruled out: resending starts after a lost reply (a worker that lost its memory would run the task twice); the next accepted message with a higher sequence tells instead whether the start arrived.

--- a/include/citronford/fleet_configuration.h
+++ b/include/citronford/fleet_configuration.h
@@ -35,6 +35,7 @@
     std::int64_t wanted = 0;      ///< VMs that the demand needs.
     std::int64_t unavailable = 1; ///< Availability budget: most VMs unavailable at once.
     pool_id spare;                ///< Pool to borrow from; empty for none.
+    bool workers = false;         ///< Whether the VMs of the pool run tasks.
 };
 
 /// The one set of defaults for the whole fleet.
--- /dev/null
+++ b/include/citronford/placement.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "citronford/resources.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace citronford {
+
+/// Free resources of the workers that may take tasks, ordered by free processors.
+class placement {
+  public:
+    /// Offers `free` of the worker with this index, replacing what it offered before.
+    void offer(std::size_t worker, const resources& free);
+
+    /// Offers nothing of the worker any more.
+    void withdraw(std::size_t worker);
+
+    /// The worker with the fewest free processors that holds `size` and that `allowed` accepts.
+    [[nodiscard]] std::optional<std::size_t>
+    best_fit(const resources& size, const std::function<bool(std::size_t)>& allowed) const;
+
+    /// Workers examined so far; the cost of the searches in a unit that does not depend on the
+    /// machine.
+    [[nodiscard]] std::uint64_t operations() const { return operations_; }
+
+  private:
+    struct slot {
+        bool offered = false;
+        resources free;
+    };
+    std::vector<slot> slots_;
+    std::set<std::pair<std::int64_t, std::size_t>> by_processors_;
+    mutable std::uint64_t operations_ = 0;
+};
+
+} // namespace citronford
--- /dev/null
+++ b/include/citronford/share_ledger.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "citronford/fleet_configuration.h"
+#include "citronford/identifier.h"
+#include "citronford/instant.h"
+#include "citronford/resources.h"
+
+#include <map>
+#include <span>
+
+namespace citronford {
+
+/// What each team uses, for weighted dominant resource fairness. Usage fades with a half-life, so
+/// that a team that got too little for a while is served first until it has caught up.
+class share_ledger {
+  public:
+    explicit share_ledger(duration half_life) : half_life_(half_life) {}
+
+    void set_shares(std::span<const team_definition> teams);
+
+    /// Capacity of all usable workers; fractions refer to it.
+    void set_capacity(const resources& capacity) { capacity_ = capacity; }
+
+    /// Changes what the running tasks of `team` use at present.
+    void add(const team_id& team, const resources& amount);
+    void remove(const team_id& team, const resources& amount);
+
+    /// Moves the faded usage of every team on to `now`.
+    void advance(instant now);
+
+    /// The lower, the sooner the team is served: present and faded dominant use over the share.
+    [[nodiscard]] double priority(const team_id& team) const;
+
+  private:
+    struct account {
+        double share = 1;
+        resources used;
+        double faded = 0; ///< Faded mean of the dominant fraction over the share.
+    };
+    [[nodiscard]] double present(const account& entry) const;
+
+    duration half_life_;
+    resources capacity_;
+    instant advanced_at_{};
+    std::map<team_id, account> accounts_;
+};
+
+} // namespace citronford
--- /dev/null
+++ b/include/citronford/task_scheduler.h
@@ -0,0 +1,183 @@
+#pragma once
+
+#include "citronford/caller_link.h"
+#include "citronford/chart.h"
+#include "citronford/fleet_configuration.h"
+#include "citronford/instant.h"
+#include "citronford/job.h"
+#include "citronford/result_code.h"
+#include "citronford/table_service.h"
+#include "citronford/team_limits.h"
+#include "citronford/worker_health.h"
+#include "citronford/worker_link.h"
+#include "citronford/worker_ownership.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace citronford {
+
+// Inputs of the scheduler.
+
+/// An authorized job of a caller.
+struct job_submission {
+    caller_id caller{};
+    job_definition job;
+};
+/// Jobs that are not to run any more; applied together at the next tick.
+struct job_cancellation {
+    std::vector<job_id> jobs;
+};
+/// Result of a write of a job row. `conflict` says that another node owns the job.
+struct job_write_result {
+    enum class outcome { written, conflict, unavailable };
+    job_id job;
+    std::uint64_t write = 0; ///< Number of the write.
+    outcome result = outcome::unavailable;
+    table_version version = 0; ///< Version of the row, when written.
+};
+/// A row of the table as last scanned.
+struct job_row_seen {
+    job_row row;
+    table_version version = 0;
+};
+/// The workers known at present, in any order; replaces the list before.
+struct worker_listing {
+    struct worker {
+        worker_id id;
+        zone_id zone;
+        endpoint address;
+        bool leaving = false;
+    };
+    std::vector<worker> workers;
+};
+/// The live entry VMs, this one included; replaces the list before.
+struct member_listing {
+    std::vector<live_member> members;
+};
+/// The row `lease/worker/{id}` names this node under `epoch`.
+struct worker_lease_granted {
+    worker_id worker;
+    std::uint64_t epoch = 0;
+};
+struct worker_lease_refused {
+    worker_id worker;
+};
+struct sync_report {
+    worker_id worker;
+    std::uint64_t sequence = 0;
+    sync_result result;
+};
+/// Time passed; places tasks and sends what is due.
+struct scheduler_tick {
+    instant confirmed_at{}; ///< Of the node's copy of the configuration.
+};
+
+using scheduler_input =
+    std::variant<job_submission, job_cancellation, job_write_result, job_row_seen, worker_listing,
+                 member_listing, worker_lease_granted, worker_lease_refused, sync_report,
+                 scheduler_tick>;
+
+// Effects of the scheduler.
+
+/// Write a job row if it still has `expected`; `absent_row` inserts it.
+struct write_job {
+    job_row row;
+    table_version expected = absent_row;
+    std::uint64_t write = 0;
+};
+/// Write the row `lease/worker/{id}` with a higher epoch.
+struct take_worker_lease {
+    worker_id worker;
+};
+struct sync_worker {
+    worker_id worker;
+    endpoint to;
+    duration timeout{};
+    sync_request message;
+};
+struct answer_job {
+    caller_id caller{};
+    result_code code = result_code::ok;
+    job_row row;
+};
+
+using scheduler_effect = std::variant<write_job, take_worker_lease, sync_worker, answer_job>;
+
+struct scheduler_options {
+    live_member self;
+    duration half_life{30000000};         ///< Of the usage that teams are charged.
+    duration sync_period{500000};         ///< Between two messages to a worker.
+    duration sync_timeout{1000000};       ///< Of a message to a worker.
+    duration lease{5000000};              ///< Of a worker, from each message.
+    duration checkpoint_timeout{3000000}; ///< After it the task goes on.
+    duration patience{10000000};          ///< Wait of a job before capacity is kept free for it.
+    duration unit_hold{15000000};   ///< Of a task handed over, until its new owner counts the unit.
+    duration settle{5000000};       ///< Wait for workers to report their capacity.
+    duration stray_grace{60000000}; ///< Before a task without a job is stopped.
+    std::size_t lookahead = 8;      ///< Jobs of a team examined for one place.
+    std::size_t reserve_every = 16; ///< One worker in so many takes no task that must not stop.
+    std::uint32_t longest_attempts = 3; ///< Starts of a restartable task that fails.
+    bool fair = true;                   ///< Otherwise jobs start in the order of submission.
+    bool evict = true;                  ///< Checkpoint tasks for urgent jobs.
+    health_options health;
+};
+
+/// Charts of the life cycles that the scheduler steps.
+struct scheduler_charts {
+    chart job;
+    chart worker_lease;
+    chart worker_health;
+};
+
+/// Counts of one node since its start.
+struct scheduler_counts {
+    std::uint64_t started = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t evicted = 0;
+    std::uint64_t lost = 0;
+    std::uint64_t operations = 0; ///< Workers and jobs examined; the cost of the decisions.
+};
+
+/// Decides which job runs on which worker owned by this node, and when.
+class task_scheduler {
+  public:
+    /// `limits` must outlive the scheduler.
+    static absl::StatusOr<std::unique_ptr<task_scheduler>>
+    create(const scheduler_charts& charts, scheduler_options options, team_limits& limits);
+
+    task_scheduler(const task_scheduler&) = delete;
+    task_scheduler& operator=(const task_scheduler&) = delete;
+    task_scheduler(task_scheduler&&) = delete;
+    task_scheduler& operator=(task_scheduler&&) = delete;
+    ~task_scheduler();
+
+    void configure(const fleet_configuration& fleet);
+
+    /// Decides on one input. The effects are to be performed in order.
+    std::vector<scheduler_effect> handle(const scheduler_input& input, instant now);
+
+    /// The job as this node knows it; none when it does not own the job.
+    [[nodiscard]] const job_row* find(const job_id& job) const;
+
+    /// Jobs owned by this node that have not ended.
+    [[nodiscard]] std::size_t open_jobs() const;
+    [[nodiscard]] std::size_t queued_jobs() const;
+    [[nodiscard]] bool holds(const worker_id& worker) const;
+    [[nodiscard]] bool quarantined(const worker_id& worker) const;
+    [[nodiscard]] const scheduler_counts& counts() const;
+
+  private:
+    class implementation;
+    explicit task_scheduler(std::unique_ptr<implementation> body);
+
+    std::unique_ptr<implementation> body_;
+};
+
+} // namespace citronford
--- a/include/citronford/team_limits.h
+++ b/include/citronford/team_limits.h
@@ -18,6 +18,10 @@
     /// Takes one unit; false when the node runs as much as it may.
     bool acquire(const team_id& team);
 
+    /// Counts one unit of work that runs already, taken over from another node; may exceed the
+    /// units of this node, and then nothing is acquired until enough are released.
+    void adopt(const team_id& team);
+
     /// Returns one unit taken before.
     void release(const team_id& team);
 
--- a/src/decide/team_limits.cpp
+++ b/src/decide/team_limits.cpp
@@ -20,6 +20,12 @@
     return true;
 }
 
+void team_limits::adopt(const team_id& team) {
+    if (!team.empty()) {
+        ++accounts_[team].running;
+    }
+}
+
 void team_limits::release(const team_id& team) {
     if (team.empty()) {
         return;
--- /dev/null
+++ b/src/decide/worker_health.cpp
@@ -0,0 +1,99 @@
+#include "citronford/worker_health.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace citronford {
+
+absl::StatusOr<worker_health> worker_health::create(const chart& life_cycle,
+                                                    health_options options) {
+    static constexpr machine::guard guards[] = {
+        {"stands_out",
+         [](const step_context& context, const health_input&) {
+             return context.health.stands_out(context.worker);
+         }},
+    };
+    static constexpr machine::action actions[] = {
+        {"begin_pause",
+         [](step_context& context, const health_input&) {
+             context.worker.pause = context.health.options_.first_pause;
+             context.worker.probe_at = context.now + context.worker.pause;
+         }},
+        {"double_pause",
+         [](step_context& context, const health_input&) {
+             context.worker.pause =
+                 std::min(context.worker.pause * 2, context.health.options_.longest_pause);
+             context.worker.probe_at = context.now + context.worker.pause;
+         }},
+        {"clear_record",
+         [](step_context& context, const health_input&) {
+             context.worker.successes = 1;
+             context.worker.failures = 0;
+         }},
+    };
+    auto bound = machine::create(life_cycle, guards, actions);
+    if (!bound.ok()) {
+        return bound.status();
+    }
+    return worker_health(*std::move(bound), options);
+}
+
+worker_health::worker_health(machine life_cycle, health_options options)
+    : machine_(std::move(life_cycle)), options_(options) {}
+
+void worker_health::add(std::size_t worker) {
+    if (worker >= workers_.size()) {
+        workers_.resize(worker + 1);
+    }
+    workers_[worker] = {};
+    workers_[worker].position = machine_.initial();
+}
+
+void worker_health::handle(std::size_t worker, const health_input& input, instant now) {
+    record& entry = workers_[worker];
+    fade(entry, now);
+    if (std::holds_alternative<task_succeeded>(input)) {
+        ++entry.successes;
+        ++successes_;
+    } else if (std::holds_alternative<task_broke>(input)) {
+        ++entry.failures;
+        ++failures_;
+    }
+    step_context context{*this, entry, now};
+    machine_.step(entry.position, context, input);
+}
+
+bool worker_health::usable(std::size_t worker, instant now) const {
+    const record& entry = workers_[worker];
+    const std::string_view state = machine_.name_of(entry.position);
+    return state == "healthy" || (state == "quarantined" && entry.probe_at <= now);
+}
+
+bool worker_health::quarantined(std::size_t worker) const {
+    return machine_.name_of(workers_[worker].position) != "healthy";
+}
+
+void worker_health::fade(record& entry, instant now) const {
+    const double kept = std::exp2(-static_cast<double>((now - entry.faded_at).count()) /
+                                  static_cast<double>(options_.half_life.count()));
+    entry.successes *= kept;
+    entry.failures *= kept;
+    entry.faded_at = now;
+}
+
+bool worker_health::stands_out(const record& entry) const {
+    const double total = entry.successes + entry.failures;
+    if (entry.failures < options_.least_failures || total <= 0) {
+        return false;
+    }
+    const double peer_failures = std::max(failures_ - entry.failures, 0.0);
+    const double peer_successes = std::max(successes_ - entry.successes, 0.0);
+    const double peer_total = peer_failures + peer_successes;
+    const double peer_ratio = peer_total <= 0 ? 0 : peer_failures / peer_total;
+    return entry.failures / total >
+           std::min(options_.peer_factor * peer_ratio + options_.ratio_margin,
+                    (1 + peer_ratio) / 2);
+}
+
+} // namespace citronford
--- a/src/io/caller_front.cpp
+++ b/src/io/caller_front.cpp
@@ -4,6 +4,7 @@
 #include "io/digest.h"
 #include "io/error_body.h"
 #include "io/http_response.h"
+#include "io/job_front.h"
 #include "io/url.h"
 #include "node/node.h"
 
@@ -14,16 +15,6 @@
 namespace citronford {
 namespace {
 
-constexpr std::string_view bearer = "Bearer ";
-
-key_digest presented_digest(const http_request& request) {
-    const std::string_view header = request.header("authorization");
-    if (!header.starts_with(bearer)) {
-        return {};
-    }
-    return digest_of_key(header.substr(bearer.size()));
-}
-
 /// False when the header is present and not a number of milliseconds from 1 to 600,000.
 bool parse_timeout(const http_request& request, duration& timeout) {
     constexpr std::int64_t longest_ms = 600000;
@@ -58,6 +49,12 @@
         } else {
             send_error(responder, result_code::method_not_allowed, "use POST");
         }
+    } else if ((path.size() == 2 || path.size() == 3) && path[0] == "v1" && path[1] == "jobs") {
+        const caller_id caller = admit(target, responder);
+        if (!handle_job_request(target, caller, request, path)) {
+            callers_.erase(caller);
+            send_error(responder, result_code::method_not_allowed, "use POST, GET or DELETE");
+        }
     } else {
         send_error(responder, result_code::unknown_path, "no resource has this path");
     }
@@ -71,14 +68,19 @@
                    "Request-Timeout-Ms must be a number from 1 to 600000");
         return;
     }
+    const caller_id caller = admit(target, responder);
+    target.submit({caller, request_id(request.header("request-id")), service_id(service),
+                   presented_digest(request.header("authorization")), request.body, timeout});
+}
+
+caller_id caller_front::admit(node& target, const http_responder& responder) {
     const auto caller = static_cast<caller_id>(next_caller_++);
     callers_.emplace(caller, responder);
     responder.on_gone([this, &target, caller] {
         callers_.erase(caller);
         target.caller_left(caller);
     });
-    target.submit({caller, request_id(request.header("request-id")), service_id(service),
-                   presented_digest(request), request.body, timeout});
+    return caller;
 }
 
 void caller_front::answer(caller_id caller, const caller_answer& content) {
--- a/src/io/caller_front.h
+++ b/src/io/caller_front.h
@@ -24,6 +24,9 @@
     void submit(node& target, std::string_view service, const http_request& request,
                 const http_responder& responder);
 
+    /// Names a caller that waits for its answer.
+    caller_id admit(node& target, const http_responder& responder);
+
     std::map<caller_id, http_responder> callers_;
     std::uint64_t next_caller_ = 1;
 };
--- a/src/io/configuration_codec.cpp
+++ b/src/io/configuration_codec.cpp
@@ -63,12 +63,13 @@
 }
 
 pool_definition pool_of(const json& object) {
-    require_members(object, {"name", "wanted", "unavailable", "spare"});
+    require_members(object, {"name", "wanted", "unavailable", "spare", "workers"});
     pool_definition pool;
     pool.name = named<pool_id>(object, "name");
     pool.wanted = object.value("wanted", pool.wanted);
     pool.unavailable = object.value("unavailable", pool.unavailable);
     pool.spare = named<pool_id>(object, "spare");
+    pool.workers = object.value("workers", pool.workers);
     return pool;
 }
 
@@ -120,7 +121,8 @@
         document["pools"].push_back({{"name", pool.name.str()},
                                      {"wanted", pool.wanted},
                                      {"unavailable", pool.unavailable},
-                                     {"spare", pool.spare.str()}});
+                                     {"spare", pool.spare.str()},
+                                     {"workers", pool.workers}});
     }
     return document;
 }
--- a/src/io/digest.cpp
+++ b/src/io/digest.cpp
@@ -51,4 +51,12 @@
     return hex(data.data(), bytes);
 }
 
+key_digest presented_digest(std::string_view authorization) {
+    constexpr std::string_view bearer = "Bearer ";
+    if (!authorization.starts_with(bearer)) {
+        return {};
+    }
+    return digest_of_key(authorization.substr(bearer.size()));
+}
+
 } // namespace citronford
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -32,6 +32,14 @@
         return requests.status();
     }
     created->requests_ = *std::move(requests);
+    auto tasks =
+        task_driver::create(node_settings, links, created->limits_, [target = created.get()] {
+            return target->configuration_->view().confirmed_at;
+        });
+    if (!tasks.ok()) {
+        return tasks.status();
+    }
+    created->tasks_ = *std::move(tasks);
     created->on_stop_listening_ = std::move(on_stop_listening);
     created->on_leave_ = std::move(on_leave);
     return created;
@@ -45,6 +53,7 @@
     configuration_->subscribe([this](const fleet_configuration& fleet) { apply(fleet); });
     configuration_->start();
     requests_->start();
+    tasks_->start();
 }
 
 void node::apply(const fleet_configuration& fleet) {
@@ -52,6 +61,7 @@
         limits_.set_units(team.name, team.limit);
     }
     requests_->configure(fleet);
+    tasks_->configure(fleet);
 }
 
 bool node::ready() const {
@@ -92,6 +102,53 @@
     requests_->handle(caller_gone{caller});
 }
 
+void node::submit_job(caller_id caller, const key_digest& digest,
+                      const absl::StatusOr<job_definition>& job) {
+    if (!job.ok()) {
+        refuse_job(caller, {}, job.status());
+        return;
+    }
+    const service_definition* queue = find_service(configuration_->fleet(), job->queue.view());
+    if (!job->queue.empty() && queue == nullptr) {
+        refuse_job(caller, job->id,
+                   make_status(result_code::unknown_service, "there is no such queue"));
+        return;
+    }
+    const bool open = queue != nullptr && queue->open;
+    const auto team = authorized_team(configuration_->view(), digest, open, links_.timers.now());
+    if (!team.ok()) {
+        refuse_job(caller, job->id, team.status());
+        return;
+    }
+    job_submission submission{caller, *job};
+    submission.job.team = *team;
+    tasks_->handle(submission);
+}
+
+void node::show_job(caller_id caller, const key_digest& digest, const job_id& id) {
+    const auto team = authorized_team(configuration_->view(), digest, true, links_.timers.now());
+    if (!team.ok()) {
+        refuse_job(caller, id, team.status());
+        return;
+    }
+    tasks_->show(caller, *team, id);
+}
+
+void node::cancel_job(caller_id caller, const key_digest& digest, const job_id& id) {
+    const auto team = authorized_team(configuration_->view(), digest, true, links_.timers.now());
+    if (!team.ok()) {
+        refuse_job(caller, id, team.status());
+        return;
+    }
+    tasks_->cancel(caller, *team, id);
+}
+
+void node::refuse_job(caller_id caller, const job_id& id, const absl::Status& status) {
+    const result_code_entry& entry = entry_of(code_of(status));
+    links_.callers.answer(caller, {entry.http_status, entry.code, entry.state,
+                                   request_id(id.view()), message_of(status)});
+}
+
 void node::request_stop() {
     log_event(log_level::info, "stop_requested", {{"node", settings_.node.view()}});
     handle(stop_requested{});
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -6,6 +6,7 @@
 #include "node/configuration_driver.h"
 #include "node/node_links.h"
 #include "node/request_driver.h"
+#include "node/task_driver.h"
 
 #include <absl/status/statusor.h>
 
@@ -51,12 +52,19 @@
     void submit(const caller_request& request);
     void caller_left(caller_id caller);
 
+    /// Takes in a job for the team of its key; it is answered through `caller_link`.
+    void submit_job(caller_id caller, const key_digest& digest,
+                    const absl::StatusOr<job_definition>& job);
+    void show_job(caller_id caller, const key_digest& digest, const job_id& id);
+    void cancel_job(caller_id caller, const key_digest& digest, const job_id& id);
+
     /// Begins a planned stop.
     void request_stop();
 
     [[nodiscard]] configuration_driver& configuration() { return *configuration_; }
     [[nodiscard]] const team_limits& limits() const { return limits_; }
     [[nodiscard]] std::size_t open_requests() const { return requests_->open_requests(); }
+    [[nodiscard]] const task_scheduler& tasks() const { return tasks_->scheduler(); }
     [[nodiscard]] const settings& node_settings() const { return settings_; }
 
   private:
@@ -65,6 +73,7 @@
     void handle(const drain_input& input);
     void apply(const fleet_configuration& fleet);
     void refuse(const caller_request& request, const absl::Status& status);
+    void refuse_job(caller_id caller, const job_id& id, const absl::Status& status);
 
     settings settings_;
     node_links links_;
@@ -72,6 +81,7 @@
     drain drain_;
     std::unique_ptr<configuration_driver> configuration_;
     std::unique_ptr<request_driver> requests_;
+    std::unique_ptr<task_driver> tasks_;
     std::function<void()> on_stop_listening_;
     std::function<void()> on_leave_;
     timer_subscription drain_timer_;
--- a/src/node/node_links.h
+++ b/src/node/node_links.h
@@ -6,6 +6,7 @@
 #include "citronford/table_service.h"
 #include "citronford/timer_service.h"
 #include "citronford/vm_list.h"
+#include "citronford/worker_link.h"
 
 namespace citronford {
 
@@ -17,6 +18,7 @@
     vm_list& vms;
     executor_link& executors;
     caller_link& callers;
+    worker_link& workers;
 };
 
 } // namespace citronford
--- /dev/null
+++ b/src/node/task_driver.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "citronford/settings.h"
+#include "citronford/task_scheduler.h"
+#include "citronford/team_limits.h"
+#include "node/node_links.h"
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace citronford {
+
+/// Performs the effects of the task scheduler through the interfaces of the node.
+class task_driver {
+  public:
+    /// Reads when the node's copy of the configuration was confirmed.
+    using confirmation = std::function<instant()>;
+
+    /// Fails with `chart_invalid`.
+    static absl::StatusOr<std::unique_ptr<task_driver>> create(const settings& node_settings,
+                                                               node_links links,
+                                                               team_limits& limits,
+                                                               confirmation confirmed_at);
+
+    task_driver(const task_driver&) = delete;
+    task_driver& operator=(const task_driver&) = delete;
+    task_driver(task_driver&&) = delete;
+    task_driver& operator=(task_driver&&) = delete;
+    ~task_driver() = default;
+
+    /// Begins to place tasks and to read the VM list and the rows of jobs.
+    void start();
+
+    void configure(const fleet_configuration& fleet);
+    void handle(const scheduler_input& input);
+
+    /// Answers with the job `id` if it belongs to `team`, whichever node owns it.
+    void show(caller_id caller, const team_id& team, const job_id& id);
+
+    /// Asks the owner of the job `id` to cancel it if it belongs to `team`.
+    void cancel(caller_id caller, const team_id& team, const job_id& id);
+
+    [[nodiscard]] const task_scheduler& scheduler() const { return *scheduler_; }
+
+  private:
+    using row_callback = std::function<void(absl::StatusOr<job_row_seen>)>;
+
+    task_driver(settings node_settings, node_links links, live_member self,
+                std::unique_ptr<task_scheduler> scheduler, confirmation confirmed_at);
+
+    void perform(const write_job& effect);
+    void perform(const take_worker_lease& effect);
+    void perform(const sync_worker& effect);
+    void perform(const answer_job& effect);
+
+    /// Finds out by reading whether a write took effect whose result is not certain.
+    void resolve(const write_job& effect);
+    void take_lease(const worker_id& worker, table_version expected);
+    void read_row(const job_id& id, row_callback done);
+    void commit_cancellation(caller_id caller, const job_row_seen& seen);
+    void answer(caller_id caller, const job_row& row);
+    void refuse(caller_id caller, const job_id& id, const absl::Status& status);
+    void poll_jobs();
+    void poll_vms();
+
+    settings settings_;
+    node_links links_;
+    live_member self_;
+    std::unique_ptr<task_scheduler> scheduler_;
+    confirmation confirmed_at_;
+    fleet_configuration fleet_;
+    table_version scanned_ = 0;
+    bool polling_ = false;
+    timer_subscription tick_timer_;
+    timer_subscription job_timer_;
+    timer_subscription vm_timer_;
+};
+
+} // namespace citronford
