--- a/include/citronford/job.h
+++ b/include/citronford/job.h
@@ -29,7 +29,8 @@
 struct job_row {
     job_definition job;
     node_id owner;
-    std::uint64_t epoch = 0; ///< Incarnation of the owner.
+    std::uint64_t epoch = 0;      ///< Incarnation of the owner.
+    std::uint64_t generation = 0; ///< Rises with every change of the owner.
     job_state state = job_state::queued;
     worker_id worker;             ///< Worker of the latest start; empty before the first.
     std::uint32_t attempt = 0;    ///< Number of the latest start.
--- a/include/citronford/task_scheduler.h
+++ b/include/citronford/task_scheduler.h
@@ -16,6 +16,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <variant>
@@ -86,10 +87,13 @@
 
 // Effects of the scheduler.
 
-/// Write a job row if it still has `expected`; `absent_row` inserts it.
+/// Write a job row if it still has `expected`; `absent_row` inserts it. The write also holds over
+/// another version that names this node under `generation`: only a request to cancel or an earlier
+/// write of this node came in between.
 struct write_job {
     job_row row;
     table_version expected = absent_row;
+    std::optional<std::uint64_t> generation; ///< Under which this node owns the job.
     std::uint64_t write = 0;
 };
 /// Write the row `lease/worker/{id}` with a higher epoch.
--- a/src/decide/task_scheduler.cpp
+++ b/src/decide/task_scheduler.cpp
@@ -232,6 +232,7 @@
                 if (job_machine_.name_of(entry.position) == "adopting") {
                     entry.row.owner = entry.former_owner;
                     entry.row.epoch = entry.former_epoch;
+                    --entry.row.generation;
                     foreign_[input.job] = foreign_job{entry.row, entry.version};
                 }
                 entry.not_before = now + write_retry;
@@ -252,9 +253,10 @@
         const bool mine = row.owner == options_.self.id && row.epoch == options_.self.incarnation;
         if (found != jobs_.end()) {
             job_entry& entry = found->second;
-            if (mine && row.cancel) {
+            const bool same = mine && row.generation == entry.row.generation;
+            if (same && row.cancel) {
                 cancellations_.insert(row.job.id);
-            } else if (!mine && input.version > entry.version && entry.version != absent_row) {
+            } else if (!same && input.version > entry.version && entry.version != absent_row) {
                 step(entry, job_taken_over{}, now, effects);
                 settle_job(row.job.id, now, effects);
             }
@@ -424,11 +426,18 @@
         entry.rewrite = false;
         entry.await_rewrite = false;
         job_row row = entry.row;
+        std::optional<std::uint64_t> generation;
+        if (row.owner == options_.self.id && entry.version != absent_row &&
+            job_machine_.name_of(entry.position) != "adopting") {
+            generation = row.generation;
+        }
         if (entry.next_owner) {
+            ++row.generation;
             row.owner = entry.next_owner->id;
             row.epoch = entry.next_owner->incarnation;
         }
-        effects.emplace_back(write_job{std::move(row), entry.version, entry.open_write});
+        effects.emplace_back(
+            write_job{std::move(row), entry.version, generation, entry.open_write});
     }
 
     void apply_cancellations(instant now, effects_out effects) {
@@ -1432,6 +1441,7 @@
          [](job_context& context, const job_event&) {
              context.job.row.owner = context.scheduler.options_.self.id;
              context.job.row.epoch = context.scheduler.options_.self.incarnation;
+             ++context.job.row.generation;
              context.scheduler.write_row(context.job, true, context.effects);
          }},
         {"write_new_owner",
--- a/src/io/job_codec.cpp
+++ b/src/io/job_codec.cpp
@@ -110,6 +110,7 @@
     document["team"] = row.job.team.str();
     document["owner"] = row.owner.str();
     document["epoch"] = row.epoch;
+    document["generation"] = row.generation;
     document["state"] = name_of(row.state);
     document["worker"] = row.worker.str();
     document["attempt"] = row.attempt;
@@ -127,6 +128,7 @@
         row.job.team = team_id(document.value("team", ""));
         row.owner = node_id(document.value("owner", ""));
         row.epoch = document.value("epoch", std::uint64_t{0});
+        row.generation = document.value("generation", std::uint64_t{0});
         row.state = job_state_of(document.value("state", ""));
         row.worker = worker_id(document.value("worker", ""));
         row.attempt = document.value("attempt", std::uint32_t{0});
--- a/src/node/task_driver.cpp
+++ b/src/node/task_driver.cpp
@@ -150,9 +150,10 @@
             handle(job_write_result{id, effect.write, outcome::unavailable, 0});
             return;
         }
-        const bool mine =
-            exists && seen->row.owner == self_.id && seen->row.epoch == self_.incarnation;
-        if (!mine || effect.expected == absent_row) {
+        const bool mine = exists && seen->row.owner == self_.id &&
+                          seen->row.epoch == self_.incarnation && effect.generation &&
+                          seen->row.generation == *effect.generation;
+        if (!mine) {
             handle(job_write_result{id, effect.write, outcome::conflict, 0});
             return;
         }
