--- a/include/citronford/share_ledger.h
+++ b/include/citronford/share_ledger.h
@@ -21,9 +21,10 @@
     /// Capacity of all usable workers; fractions refer to it.
     void set_capacity(const resources& capacity) { capacity_ = capacity; }
 
-    /// Changes what the running tasks of `team` use at present.
-    void add(const team_id& team, const resources& amount);
-    void remove(const team_id& team, const resources& amount);
+    /// Changes what the running tasks of `team` use at present, held to `percent` of the processors
+    /// that they want.
+    void add(const team_id& team, const resources& amount, int percent = whole);
+    void remove(const team_id& team, const resources& amount, int percent = whole);
 
     /// Moves the faded usage of every team on to `now`.
     void advance(instant now);
@@ -31,16 +32,33 @@
     /// The lower, the sooner the team is served: present and faded dominant use over the share.
     [[nodiscard]] double priority(const team_id& team) const;
 
+    /// The priority that every one of `teams` would have if their use were divided by share.
+    [[nodiscard]] double mean_priority(std::span<const team_id> teams) const;
+
+    /// What `amount` adds to the priority of `team`.
+    [[nodiscard]] double weight(const team_id& team, const resources& amount) const;
+
+    /// The fraction of what the tasks of `team` want that takes its priority to `wanted`.
+    [[nodiscard]] double allowed_fraction(const team_id& team, double wanted) const;
+
+    [[nodiscard]] const resources& capacity() const { return capacity_; }
+    /// What the running tasks of all teams use at present.
+    [[nodiscard]] const resources& used() const { return used_; }
+
   private:
+    static constexpr int whole = 100;
+
     struct account {
         double share = 1;
         resources used;
+        resources wanted; ///< As used, without throttling.
         double faded = 0; ///< Faded mean of the dominant fraction over the share.
     };
     [[nodiscard]] double present(const account& entry) const;
 
     duration half_life_;
     resources capacity_;
+    resources used_;
     instant advanced_at_{};
     std::map<team_id, account> accounts_;
 };
--- a/src/decide/share_ledger.cpp
+++ b/src/decide/share_ledger.cpp
@@ -4,6 +4,15 @@
 #include <cmath>
 
 namespace citronford {
+namespace {
+
+resources unthrottled(resources amount, int percent) {
+    constexpr std::int64_t whole = 100;
+    amount.millicores = amount.millicores * whole / percent;
+    return amount;
+}
+
+} // namespace
 
 void share_ledger::set_shares(std::span<const team_definition> teams) {
     for (const team_definition& team : teams) {
@@ -11,12 +20,18 @@
     }
 }
 
-void share_ledger::add(const team_id& team, const resources& amount) {
-    accounts_[team].used += amount;
+void share_ledger::add(const team_id& team, const resources& amount, int percent) {
+    account& entry = accounts_[team];
+    entry.used += amount;
+    entry.wanted += unthrottled(amount, percent);
+    used_ += amount;
 }
 
-void share_ledger::remove(const team_id& team, const resources& amount) {
-    accounts_[team].used -= amount;
+void share_ledger::remove(const team_id& team, const resources& amount, int percent) {
+    account& entry = accounts_[team];
+    entry.used -= amount;
+    entry.wanted -= unthrottled(amount, percent);
+    used_ -= amount;
 }
 
 void share_ledger::advance(instant now) {
@@ -37,6 +52,33 @@
     return found == accounts_.end() ? 0 : present(found->second) + found->second.faded;
 }
 
+double share_ledger::mean_priority(std::span<const team_id> teams) const {
+    double use = 0;
+    double shares = 0;
+    for (const team_id& team : teams) {
+        const auto found = accounts_.find(team);
+        const double share = found == accounts_.end() ? 1 : found->second.share;
+        use += priority(team) * share;
+        shares += share;
+    }
+    return shares > 0 ? use / shares : 0;
+}
+
+double share_ledger::weight(const team_id& team, const resources& amount) const {
+    const auto found = accounts_.find(team);
+    const double share = found == accounts_.end() ? 1 : found->second.share;
+    return dominant_fraction(amount, capacity_) / share;
+}
+
+double share_ledger::allowed_fraction(const team_id& team, double wanted) const {
+    const auto found = accounts_.find(team);
+    if (found == accounts_.end()) {
+        return 1;
+    }
+    const double without = weight(team, found->second.wanted);
+    return without <= 0 ? 1 : (wanted - found->second.faded) / without;
+}
+
 double share_ledger::present(const account& entry) const {
     return dominant_fraction(entry.used, capacity_) / entry.share;
 }
--- a/src/decide/task_scheduler.cpp
+++ b/src/decide/task_scheduler.cpp
@@ -8,8 +8,10 @@
 #include "citronford/share_ledger.h"
 #include "decide/job_events.h"
 #include "decide/lease_events.h"
+#include "decide/waiting_jobs.h"
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <limits>
 #include <map>
@@ -42,7 +44,10 @@
 
     // The place on a worker.
     std::optional<std::size_t> worker;
-    resources charge; ///< What the task is taken to use.
+    resources charge;          ///< What the task is taken to use.
+    resources use;             ///< As last reported; what the team is charged.
+    int percent = 100;         ///< Of its processors, as last told to the worker.
+    int charged_percent = 100; ///< Of the processors, when `use` was reported.
     bool charged = false;
     bool has_unit = false;
     bool measured = false;            ///< The worker reported its usage.
@@ -52,8 +57,8 @@
 
     // The wait for a place.
     std::uint64_t order = 0;
-    instant queued_at{};
-    instant not_before{}; ///< No start is tried sooner.
+    std::optional<instant> refused_at; ///< When a place was first looked for in vain.
+    instant not_before{};              ///< No start is tried sooner.
     instant reserved_at{};
     std::optional<std::size_t> reserved_on;
     resources reservation;
@@ -86,8 +91,7 @@
     std::set<job_id> to_stop;
     std::set<job_id> to_checkpoint;
     std::set<task_id> to_forget;
-    std::vector<task_throttle> to_throttle;
-    bool throttled = false;
+    bool saturated = false;            ///< Its tasks use all processors, so they may want more.
     std::map<task_id, instant> strays; ///< Tasks without a job here, by when they were first seen.
     std::optional<job_id> probe;
 };
@@ -450,7 +454,8 @@
 
     void adopt_orphans(instant now, effects_out effects) {
         std::vector<foreign_job> orphans;
-        for (const auto& [id, foreign] : foreign_) {
+        for (const auto& item : foreign_) {
+            const foreign_job& foreign = item.second;
             const bool live = std::ranges::any_of(members_, [&](const live_member& member) {
                 return member.id == foreign.row.owner && member.incarnation == foreign.row.epoch;
             });
@@ -587,10 +592,18 @@
         return worker.open_sync == 0 || now - worker.sync_sent_at < slow_answer;
     }
 
+    /// What more tasks may be taken to use. Processors are shared out when the tasks of a worker
+    /// want more than it has, so a little more than all of them is given away; memory is not.
+    [[nodiscard]] resources free_on(const worker_entry& worker) const {
+        resources free = worker.capacity - worker.used - worker.reserved;
+        free.millicores += scaled(worker.capacity.millicores, options_.overcommitment);
+        return free;
+    }
+
     void update_offer(std::size_t index) {
         const worker_entry& worker = workers_[index];
         if (usable(worker)) {
-            placement_.offer(index, worker.capacity - worker.used - worker.reserved);
+            placement_.offer(index, free_on(worker));
         } else {
             placement_.withdraw(index);
         }
@@ -615,6 +628,7 @@
             reports.emplace(report.id, &report);
         }
         worker.to_forget.clear();
+        worker.saturated = is_saturated(result);
         const std::vector<job_id> jobs(worker.jobs.begin(), worker.jobs.end());
         for (const job_id& id : jobs) {
             const job_entry& entry = jobs_.at(id);
@@ -631,7 +645,6 @@
             }
         }
         take_strays(index, reports, now);
-        throttle(index, result);
         update_offer(index);
         dirty_ = true;
     }
@@ -687,30 +700,48 @@
         worker.strays = std::move(strays);
     }
 
-    /// Holds tasks to their declared processors while the worker is overcommitted.
-    void throttle(std::size_t index, const sync_done& result) {
-        constexpr int whole = 100;
-        worker_entry& worker = workers_[index];
+    /// Whether the tasks of the worker use all of its processors, so that the reports do not tell
+    /// what they want.
+    static bool is_saturated(const sync_done& result) {
+        constexpr double nearly_all = 0.97;
         std::int64_t total = 0;
         for (const task_report& report : result.tasks) {
             total += report.usage.millicores;
         }
-        const bool overcommitted = total > result.capacity.millicores;
-        worker.to_throttle.clear();
-        if (!overcommitted && !worker.throttled) {
-            return;
-        }
-        worker.throttled = overcommitted;
+        return static_cast<double>(total) >=
+               nearly_all * static_cast<double>(result.capacity.millicores);
+    }
+
+    /// Tells the worker how far to hold the tasks of teams above their share.
+    void throttle(const worker_entry& worker, sync_request& message) {
+        constexpr double whole = 100;
         for (const job_id& id : worker.jobs) {
-            const job_entry& entry = jobs_.at(id);
-            const std::int64_t declared = entry.row.job.size.millicores;
-            const bool exceeds = overcommitted && entry.charge.millicores > declared;
-            const auto percent =
-                exceeds ? static_cast<int>(whole * declared / entry.charge.millicores) : whole;
-            worker.to_throttle.push_back({task_of(entry.row), std::max(percent, 1)});
+            job_entry& entry = jobs_.at(id);
+            const auto found = throttle_.find(entry.row.job.team);
+            const bool held = found != throttle_.end() && !entry.row.job.urgent;
+            const int percent = held ? static_cast<int>(whole * found->second) : 100;
+            if (entry.position == running_ && percent != entry.percent) {
+                entry.percent = percent;
+                message.throttle.push_back({task_of(entry.row), percent});
+            }
         }
     }
 
+    /// Holds the running tasks of teams above their share under full load; the tasks of other teams
+    /// on the same workers get the processors.
+    void review_throttle() {
+        constexpr double strongest = 0.6;
+        const std::vector<team_id> waiting = waiting_teams();
+        const bool applies = options_.fair && full();
+        const double mean = ledger_.mean_priority(waiting);
+        for (const team_id& team : waiting) {
+            throttle_[team] = std::clamp(ledger_.allowed_fraction(team, mean), strongest, 1.0);
+        }
+        std::erase_if(throttle_, [&](const auto& item) {
+            return !applies || std::ranges::find(waiting, item.first) == waiting.end();
+        });
+    }
+
     void put_back_starts(std::size_t index, std::uint64_t sequence) {
         worker_entry& worker = workers_[index];
         for (const job_id& id : worker.jobs) {
@@ -776,7 +807,7 @@
         for (const job_id& id : worker.to_checkpoint) {
             message.checkpoint.push_back(task_of(jobs_.at(id).row));
         }
-        message.throttle = worker.to_throttle;
+        throttle(worker, message);
         worker.open_sync = message.sequence;
         worker.sync_sent_at = now;
         worker.next_sync = now + options_.sync_period;
@@ -815,20 +846,37 @@
         blend(ratio.memory, usage.memory_mb, declared.memory_mb);
     }
 
-    void charge(job_entry& entry, const resources& amount) {
+    /// Counts `wanted` as taken on the worker and charges `used` to the team.
+    void charge(job_entry& entry, const resources& wanted, const resources& used) {
         worker_entry& worker = workers_[*entry.worker];
         const team_id& team = entry.row.job.team;
         if (entry.charged) {
             worker.used -= entry.charge;
-            ledger_.remove(team, entry.charge);
+            ledger_.remove(team, entry.use, entry.charged_percent);
         }
-        entry.charge = amount;
+        entry.charge = wanted;
+        entry.use = used;
         entry.charged = true;
-        worker.used += amount;
-        ledger_.add(team, amount);
+        worker.used += wanted;
+        entry.charged_percent = entry.percent;
+        ledger_.add(team, used, entry.percent);
         update_offer(*entry.worker);
     }
 
+    void note_usage(job_entry& entry, const resources& usage) {
+        resources used = usage;
+        used.accelerators = std::max(used.accelerators, entry.row.job.size.accelerators);
+        resources wanted = used;
+        if (workers_[*entry.worker].saturated) {
+            wanted.millicores = std::max(wanted.millicores, entry.charge.millicores);
+        }
+        if (!entry.measured) {
+            entry.measured = true;
+            learn_usage(entry, wanted);
+        }
+        charge(entry, wanted, used);
+    }
+
     /// The task has surely ended.
     void free_place(job_entry& entry, instant now) {
         if (entry.has_unit) {
@@ -863,13 +911,14 @@
         }
         if (entry.charged) {
             worker.used -= entry.charge;
-            ledger_.remove(entry.row.job.team, entry.charge);
+            ledger_.remove(entry.row.job.team, entry.use, entry.charged_percent);
             entry.charged = false;
         }
         update_offer(*entry.worker);
         entry.worker.reset();
         entry.start_sequence = 0;
         entry.measured = false;
+        entry.percent = 100;
         dirty_ = true;
     }
 
@@ -910,9 +959,11 @@
     void update_capacity() {
         resources total;
         largest_ = {};
+        usable_workers_ = 0;
         for (const worker_entry& worker : workers_) {
             if (usable(worker)) {
                 total += worker.capacity;
+                ++usable_workers_;
                 largest_.millicores = std::max(largest_.millicores, worker.capacity.millicores);
                 largest_.memory_mb = std::max(largest_.memory_mb, worker.capacity.memory_mb);
             }
@@ -966,7 +1017,7 @@
             cancel_reservation(entry);
             return false;
         }
-        const resources free = worker.capacity - worker.used - worker.reserved + entry.reservation;
+        const resources free = free_on(worker) + entry.reservation;
         if (!may_take(index, entry, now) || !free.holds(entry.reservation)) {
             return false;
         }
@@ -1025,7 +1076,7 @@
     /// The tasks to evict from a worker so that `size` becomes free; empty when that is impossible.
     std::vector<job_id> victims_on(std::size_t index, const resources& size) {
         const worker_entry& worker = workers_[index];
-        resources free = worker.capacity - worker.used - worker.reserved;
+        resources free = free_on(worker);
         std::vector<const job_entry*> candidates;
         for (const job_id& id : worker.jobs) {
             const job_entry& entry = jobs_.at(id);
@@ -1057,50 +1108,83 @@
                 teams.emplace(ledger_.priority(team), team);
             }
         }
+        bool first = true;
         while (!teams.empty()) {
             const team_id team = teams.begin()->second;
             teams.erase(teams.begin());
+            served_below_ =
+                first || !full() ? std::numeric_limits<double>::infinity() : highest_priority();
+            first = false;
             if (start_one_of(team, now, effects) && !queues_[team].empty()) {
                 teams.emplace(ledger_.priority(team), team);
             }
         }
     }
 
-    bool start_one_of(const team_id& team, instant now, effects_out effects) {
-        std::vector<job_entry*> candidates;
-        for (const auto& [order, entry] : queues_[team]) {
-            if (candidates.size() == options_.lookahead) {
-                break;
+    /// Whether so little is free that a start of one team is at the cost of another.
+    [[nodiscard]] bool full() const {
+        constexpr double full_load = 0.9;
+        return static_cast<double>(ledger_.used().millicores) >=
+               full_load * static_cast<double>(ledger_.capacity().millicores);
+    }
+
+    /// Under full load a team far above its share starts nothing, even where the jobs of the teams
+    /// below their share do not fit: the room is kept until they do.
+    [[nodiscard]] double highest_priority() const {
+        return ledger_.mean_priority(waiting_teams()) * (1 + options_.share_tolerance);
+    }
+
+    [[nodiscard]] std::vector<team_id> waiting_teams() const {
+        std::vector<team_id> waiting;
+        for (const auto& [team, queue] : queues_) {
+            if (!queue.empty()) {
+                waiting.push_back(team);
             }
-            candidates.push_back(entry);
         }
+        return waiting;
+    }
+
+    bool start_one_of(const team_id& team, instant now, effects_out effects) {
         if (!team.empty() && limits_.running(team) >= limits_.units(team) &&
             !fault_planted("task-limits")) {
             return false;
         }
-        for (job_entry* entry : candidates) {
+        for (job_entry* entry : queues_[team].oldest()) {
             ++operations_;
-            if (entry->reserved_on || entry->not_before > now) {
+            if (entry->reserved_on || entry->not_before > now ||
+                ledger_.priority(team) + ledger_.weight(team, expected_size(*entry)) / 2 >
+                    served_below_) {
                 continue;
             }
             if (try_start(*entry, now, effects)) {
                 return true;
             }
-            if (now - entry->queued_at >= options_.patience) {
+            if (!entry->refused_at) {
+                entry->refused_at = now;
+            } else if (now - *entry->refused_at >= patience_for(team)) {
                 reserve_soonest(*entry, now);
             }
         }
         return false;
     }
 
+    /// A team below its share whose jobs are all too large for the room that others leave gets
+    /// room soon.
+    [[nodiscard]] duration patience_for(const team_id& team) const {
+        constexpr double below_share = 0.95;
+        return full() && ledger_.priority(team) < below_share * highest_priority()
+                   ? options_.patience_below_share
+                   : options_.patience;
+    }
+
     /// Keeps a worker from taking tasks until a job that has waited long fits on it.
     void reserve_soonest(job_entry& entry, instant now) {
-        // At most one worker in eight is kept free for jobs that wait.
+        // At most one usable worker in eight is kept free for jobs that wait.
         constexpr std::size_t kept_free = 8;
-        if (reservations_ > workers_.size() / kept_free) {
+        if (reservations_ > usable_workers_ / kept_free) {
             return;
         }
-        const resources size = entry.row.job.size;
+        const resources size = expected_size(entry);
         std::optional<std::size_t> best;
         std::int64_t most = std::numeric_limits<std::int64_t>::min();
         operations_ += workers_.size();
@@ -1124,7 +1208,8 @@
     void start_in_order(instant now, effects_out effects) {
         std::map<std::uint64_t, job_entry*> waiting;
         for (const auto& [team, queue] : queues_) {
-            waiting.insert(queue.begin(), queue.end());
+            queue.for_each(
+                [&](std::uint64_t order, job_entry* entry) { waiting.emplace(order, entry); });
         }
         for (const auto& [order, entry] : waiting) {
             ++operations_;
@@ -1146,6 +1231,7 @@
         }
         review_queued(now, effects);
         review_attached(now, effects);
+        review_throttle();
         dirty_ = true;
     }
 
@@ -1201,9 +1287,8 @@
         }
         std::vector<job_entry*> waiting;
         for (const auto& [team, queue] : queues_) {
-            for (const auto& [order, entry] : queue) {
-                waiting.push_back(entry);
-            }
+            queue.for_each(
+                [&](std::uint64_t /*order*/, job_entry* entry) { waiting.push_back(entry); });
         }
         for (const auto& [order, entry] : urgent_) {
             waiting.push_back(entry);
@@ -1359,16 +1444,19 @@
     std::map<job_id, job_entry> jobs_;
     std::map<job_id, foreign_job> foreign_; ///< Jobs of other owners that have not ended.
     std::map<job_id, std::pair<table_version, instant>> left_; ///< Jobs that left this node.
-    std::map<team_id, job_queue> queues_;
+    std::map<team_id, waiting_jobs<job_entry>> queues_;
     job_queue urgent_;
     std::deque<std::pair<instant, team_id>> held_units_; ///< By the time of their release.
     std::set<job_id> cancellations_;
     std::set<job_id> rewrites_;
     std::set<job_id> reserved_jobs_;
+    std::map<team_id, double> throttle_; ///< Fraction of their processors that tasks may use.
     std::map<team_id, mean_ratio> usage_ratio_; ///< Usage over declared size.
     std::vector<worker_entry> workers_;
     std::map<worker_id, std::size_t> worker_index_;
-    resources largest_; ///< Largest amount of each resource on one worker.
+    resources largest_;       ///< Largest amount of each resource on one worker.
+    double served_below_ = 0; ///< Priority that no start may exceed by more than half its weight.
+    std::size_t usable_workers_ = 0;
     std::size_t reservations_ = 0;
     std::size_t next_eviction_ = 0;
     std::uint64_t next_order_ = 1;
@@ -1452,22 +1540,28 @@
          [](job_context& context, const job_event&) {
              auto& scheduler = context.scheduler;
              context.job.row.state = job_state::queued;
-             context.job.queued_at = context.now;
              context.job.next_owner.reset();
              if (context.job.cancel_wanted) {
                  scheduler.cancellations_.insert(context.job.row.job.id);
              }
-             auto& queue = context.job.row.job.urgent ? scheduler.urgent_
-                                                      : scheduler.queues_[context.job.row.job.team];
-             queue.emplace(context.job.order, &context.job);
+             const job_definition& job = context.job.row.job;
+             if (job.urgent) {
+                 scheduler.urgent_.emplace(context.job.order, &context.job);
+             } else {
+                 scheduler.queues_[job.team].insert(context.job.order, job.size, &context.job);
+             }
+             context.job.refused_at.reset();
              scheduler.dirty_ = true;
          }},
         {"dequeue",
          [](job_context& context, const job_event&) {
              auto& scheduler = context.scheduler;
-             auto& queue = context.job.row.job.urgent ? scheduler.urgent_
-                                                      : scheduler.queues_[context.job.row.job.team];
-             queue.erase(context.job.order);
+             const job_definition& job = context.job.row.job;
+             if (job.urgent) {
+                 scheduler.urgent_.erase(context.job.order);
+             } else {
+                 scheduler.queues_[job.team].erase(context.job.order, job.size);
+             }
              scheduler.cancel_reservation(context.job);
          }},
         {"take_place",
@@ -1475,7 +1569,8 @@
              auto& scheduler = context.scheduler;
              worker_entry& worker = scheduler.workers_[*context.job.worker];
              worker.jobs.insert(context.job.row.job.id);
-             scheduler.charge(context.job, scheduler.expected_size(context.job));
+             const resources size = scheduler.expected_size(context.job);
+             scheduler.charge(context.job, size, size);
              context.job.start_sequence = 0;
              context.job.row.worker = worker.listing.id;
              ++context.job.row.attempt;
@@ -1498,7 +1593,7 @@
              context.job.next_owner.reset();
              scheduler.limits_.adopt(context.job.row.job.team);
              context.job.has_unit = true;
-             scheduler.charge(context.job, context.job.row.job.size);
+             scheduler.charge(context.job, context.job.row.job.size, context.job.row.job.size);
          }},
         {"record_start",
          [](job_context& context, const job_event&) {
@@ -1532,14 +1627,7 @@
              if (usage == resources{}) {
                  return;
              }
-             resources amount = usage;
-             amount.accelerators =
-                 std::max(amount.accelerators, context.job.row.job.size.accelerators);
-             if (!context.job.measured) {
-                 context.job.measured = true;
-                 context.scheduler.learn_usage(context.job, usage);
-             }
-             context.scheduler.charge(context.job, amount);
+             context.scheduler.note_usage(context.job, usage);
          }},
         {"want_cancel",
          [](job_context& context, const job_event&) {
--- a/tools/standins/worker_model.h
+++ b/tools/standins/worker_model.h
@@ -33,6 +33,10 @@
     duration left{};
     instant started_at{};
     instant checkpointed_at = instant::max();
+    int percent = 100; ///< Of its processors, as throttled.
+    [[nodiscard]] std::int64_t wanted() const {
+        return state == task_state::running ? usage.millicores * percent / 100 : 0;
+    }
     [[nodiscard]] bool running() const {
         return state == task_state::running || state == task_state::checkpointed;
     }
@@ -50,12 +54,13 @@
     instant lease_until{};
     instant advanced_at{};
     std::map<task_id, model_task> tasks;
+    double speed = 1; ///< Below 1 while the tasks want more processors than there are.
     std::map<team_id, double> consumed; ///< Processor-seconds by team.
 
     void advance(instant now, std::map<job_id, job_truth>& truth) {
         std::int64_t total = 0;
         for (const auto& [id, task] : tasks) {
-            total += task.state == task_state::running ? task.usage.millicores : 0;
+            total += task.wanted();
         }
         const double speed =
             total <= capacity.millicores
@@ -71,9 +76,9 @@
                 continue;
             }
             constexpr double millicore_microseconds = 1e9;
-            consumed[task.start.team] += static_cast<double>(task.usage.millicores) * speed *
-                                         elapsed / millicore_microseconds;
-            task.left -= duration(static_cast<duration::rep>(elapsed * speed));
+            consumed[task.start.team] +=
+                static_cast<double>(task.wanted()) * speed * elapsed / millicore_microseconds;
+            task.left -= duration(static_cast<duration::rep>(elapsed * speed * task.percent / 100));
             if (fails_all) {
                 task.state = task_state::failed;
             } else if (task.left <= duration::zero()) {
@@ -113,7 +118,7 @@
             job_truth& real = truth[start.job];
             ++real.starts;
             tasks.emplace(start.id, model_task{start, task_state::running, real.usage, real.left,
-                                               now, instant::max()});
+                                               now, instant::max(), 100});
             on_start(*this, start);
         }
         for (const task_id& id : message.checkpoint) {
@@ -122,10 +127,19 @@
                 found->second.checkpointed_at = now + checkpoint_time;
             }
         }
+        for (const task_throttle& throttle : message.throttle) {
+            const auto found = tasks.find(throttle.id);
+            if (found != tasks.end()) {
+                found->second.percent = throttle.percent;
+            }
+        }
         sync_done answer{incarnation, listing.leaving, capacity, {}};
         for (const auto& [id, task] : tasks) {
             const bool measured = now - task.started_at >= usage_lag;
-            answer.tasks.push_back({id, task.state, measured ? task.usage : resources{}});
+            resources usage = task.usage;
+            usage.millicores =
+                static_cast<std::int64_t>(static_cast<double>(task.wanted()) * speed);
+            answer.tasks.push_back({id, task.state, measured ? usage : resources{}});
         }
         for (const task_id& id : forgotten) {
             tasks.erase(id);
