--- /dev/null
+++ b/tests/drain_test.cpp
@@ -0,0 +1,55 @@
+#include "test_support.h"
+
+#include "citronford/drain.h"
+
+using namespace citronford;
+
+namespace {
+
+constexpr duration drain_delay = milliseconds(5000);
+constexpr duration drain_timeout = milliseconds(30000);
+
+drain make_drain() {
+    auto created = drain::create(installed_chart("drain"), {drain_delay, drain_timeout});
+    cr_assert(created.ok(), "%s", created.status().ToString().c_str());
+    return *std::move(created);
+}
+
+template <class Effect> bool contains(const std::vector<drain_effect>& effects) {
+    for (const drain_effect& effect : effects) {
+        if (std::holds_alternative<Effect>(effect)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+// Guards against refusing connections that a load balancer with a lagging list still sends.
+Test(drain, fails_readiness_before_it_stops_listening) {
+    drain stop = make_drain();
+    cr_assert(stop.ready());
+    cr_assert(stop.handle(stop_requested{}, instant()).empty());
+    cr_assert(!stop.ready());
+    const instant early = instant() + drain_delay - milliseconds(1);
+    cr_assert(stop.handle(drain_tick{0}, early).empty());
+    const auto effects = stop.handle(drain_tick{0}, instant() + drain_delay);
+    cr_assert(contains<stop_listening>(effects));
+    cr_assert(contains<hand_over>(effects));
+}
+
+// Guards against cutting off requests, and against a repeated signal that restarts the delay.
+Test(drain, leaves_when_idle_and_at_the_latest_after_the_timeout) {
+    for (const bool finishes : {true, false}) {
+        drain stop = make_drain();
+        stop.handle(stop_requested{}, instant());
+        stop.handle(stop_requested{}, instant() + milliseconds(4000));
+        const instant closed = instant() + drain_delay;
+        stop.handle(drain_tick{3}, closed);
+        cr_assert(!contains<leave>(stop.handle(drain_tick{3}, closed + milliseconds(100))));
+        const auto effects = finishes ? stop.handle(drain_tick{0}, closed + milliseconds(200))
+                                      : stop.handle(drain_tick{3}, closed + drain_timeout);
+        cr_assert(contains<leave>(effects));
+    }
+}
