Commit the claims of a node in groups

Cause: every claim was a transaction of its own, a lost reply was answered as "table unavailable" ("not run") although the row might be written, and a claim granted after its caller had left stayed claimed for ever. group_commit keeps one conditional transaction in flight; it settles only the conflicting entry, repeats a transaction in doubt until its result is known, records "not_run" for abandoned claims and lets such an id be claimed again under the version of that record. Rows are purged after claim_retention by the node that wrote them. Ruled out: reading the row once after a lost reply, since the message may still arrive after the reading. Conclusion: the row of a claim now names node, incarnation and caller, so an own row is told from every other.

--- /dev/null
+++ b/include/citronford/group_commit.h
@@ -0,0 +1,186 @@
+#pragma once
+
+#include "citronford/caller_link.h"
+#include "citronford/identifier.h"
+#include "citronford/instant.h"
+#include "citronford/table_service.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace citronford {
+
+// Inputs of the group commit.
+
+/// A request id is to be claimed for a caller.
+struct claim_wanted {
+    caller_id caller{};
+    request_id request;
+};
+/// The caller was answered "not run" before its claim was settled.
+struct claim_abandoned {
+    caller_id caller{};
+};
+/// The outcome of a request whose claim this node was granted.
+struct outcome_learned {
+    request_id request;
+    std::string outcome; ///< "done" or "not_run".
+};
+/// The transaction in flight was committed.
+struct transaction_committed {
+    table_version version = 0;
+};
+/// The transaction in flight was not committed: the check of `key` failed.
+struct transaction_conflict {
+    std::string key;
+};
+/// The table refused the transaction and wrote nothing for this message.
+struct transaction_refused {};
+/// No reply came: the transaction may have been committed or may yet be.
+struct transaction_in_doubt {};
+/// Reply to `read_claim_row`; `row` is empty when the row does not exist.
+struct claim_row_read {
+    std::string key;
+    std::optional<table_row> row;
+};
+/// The row could not be read.
+struct claim_row_unread {
+    std::string key;
+};
+/// Time passed; pauses and retention are checked.
+struct commit_tick {};
+
+using group_commit_input =
+    std::variant<claim_wanted, claim_abandoned, outcome_learned, transaction_committed,
+                 transaction_conflict, transaction_refused, transaction_in_doubt, claim_row_read,
+                 claim_row_unread, commit_tick>;
+
+// Effects of the group commit.
+
+struct commit_transaction {
+    std::vector<table_check> checks;
+    std::vector<table_write> writes;
+};
+struct read_claim_row {
+    std::string key;
+};
+/// The claim is recorded and belongs to this caller.
+struct claim_recorded {
+    caller_id caller{};
+};
+/// Another caller claimed the request id before.
+struct claim_taken {
+    caller_id caller{};
+    std::string outcome; ///< Recorded outcome; empty while it is not known.
+};
+/// The claim was certainly not recorded.
+struct claim_refused {
+    caller_id caller{};
+};
+
+using group_commit_effect =
+    std::variant<commit_transaction, read_claim_row, claim_recorded, claim_taken, claim_refused>;
+
+struct group_commit_options {
+    node_id node;
+    std::string incarnation;            ///< Distinct for every start of the node; no spaces.
+    std::size_t batch_limit = 64;       ///< Rows of one transaction, at most.
+    std::size_t queue_limit = 512;      ///< Claims that wait for a transaction, at most.
+    std::size_t outcome_limit = 4096;   ///< Outcomes that wait, at most; more are not recorded.
+    duration retry_pause{50000};        ///< First pause before a repetition; doubles.
+    duration retry_pause_most{1000000}; ///< Longest pause before a repetition.
+    duration retention{86400000000};    ///< How long a claim row is kept.
+    std::size_t purge_limit = 32;       ///< Rows deleted by one transaction, at most.
+};
+
+/// Batches the claims, outcomes and deletions of a node's claim rows into one conditional
+/// transaction at a time. Every row of a transaction is checked, so repeating it is idempotent:
+/// a transaction in doubt is repeated until its result is known.
+class group_commit {
+  public:
+    explicit group_commit(group_commit_options options) : options_(std::move(options)) {}
+
+    std::vector<group_commit_effect> handle(const group_commit_input& input, instant now);
+
+    void set_retention(duration retention) { options_.retention = retention; }
+
+    /// Claims, outcomes and deletions that are not settled.
+    [[nodiscard]] std::size_t open_entries() const;
+
+    /// Claim rows of this incarnation that are kept for duplicates.
+    [[nodiscard]] std::size_t kept_claims() const { return kept_.size(); }
+
+  private:
+    struct claim_entry {
+        caller_id caller{};
+        bool abandoned = false;
+    };
+    struct outcome_entry {};
+    struct purge_entry {};
+    /// One row of a transaction.
+    struct entry {
+        std::variant<claim_entry, outcome_entry, purge_entry> kind;
+        std::string key;
+        table_version expected = absent_row;
+        std::optional<std::string> value; ///< Empty deletes the row.
+    };
+    struct kept_claim {
+        caller_id caller{};
+        table_version version = 0;
+        instant recorded_at;
+    };
+    /// What happens to the batch.
+    struct idle {};
+    struct in_flight {};
+    struct pausing {
+        instant until;
+    };
+    struct reading_own {}; ///< A repetition met a conflict: was the first message committed?
+    using effects_out = std::vector<group_commit_effect>&;
+
+    void take(const claim_wanted& event, instant now, effects_out effects);
+    void take(const claim_abandoned& event, instant now, effects_out effects);
+    void take(const outcome_learned& event, instant now, effects_out effects);
+    void take(const transaction_committed& event, instant now, effects_out effects);
+    void take(const transaction_conflict& event, instant now, effects_out effects);
+    void take(const transaction_refused& event, instant now, effects_out effects);
+    void take(const transaction_in_doubt& event, instant now, effects_out effects);
+    void take(const claim_row_read& event, instant now, effects_out effects);
+    void take(const claim_row_unread& event, instant now, effects_out effects);
+    void take(const commit_tick& event, instant now, effects_out effects);
+
+    [[nodiscard]] std::string claim_value(std::string_view state, caller_id caller) const;
+    [[nodiscard]] duration pause() const;
+    void fill_batch(instant now);
+    void send_batch(effects_out effects);
+    void settle_committed(table_version version, instant now, effects_out effects);
+    void settle_read(entry item, const std::optional<table_row>& row, instant now,
+                     effects_out effects);
+    void granted(const entry& item, const claim_entry& claim, table_version version, instant now,
+                 effects_out effects);
+    void refuse_waiting(effects_out effects);
+
+    group_commit_options options_;
+    std::deque<entry> claims_;   ///< Claims that wait for a transaction.
+    std::deque<entry> outcomes_; ///< Outcomes that wait for a transaction.
+    std::vector<entry> batch_;   ///< Entries of the transaction in flight.
+    std::variant<idle, in_flight, pausing, reading_own> state_;
+    bool in_doubt_ = false;                 ///< A message with this batch may have been committed.
+    int repetitions_ = 0;                   ///< Messages without a definite result in a row.
+    std::map<std::string, entry> reading_;  ///< Entries whose row is read after a conflict.
+    std::map<std::string, instant> unread_; ///< When a row that could not be read is read again.
+    std::map<std::string, kept_claim> kept_;
+    std::deque<std::pair<instant, std::string>> purge_at_; ///< Keys of `kept_`, by age.
+};
+
+/// Table key of the claim of `request`.
+std::string claim_key(const request_id& request);
+
+} // namespace citronford
--- a/include/citronford/request_router.h
+++ b/include/citronford/request_router.h
@@ -89,6 +89,10 @@
     caller_id caller{};
     request_id request;
 };
+/// The caller was answered "not run" before its claim was settled.
+struct abandon_claim {
+    caller_id caller{};
+};
 /// Record the outcome of a claimed request.
 struct record_outcome {
     request_id request;
@@ -112,8 +116,8 @@
     std::string body;
 };
 
-using router_effect =
-    std::variant<commit_claim, record_outcome, send_attempt, ask_outcome, answer_caller>;
+using router_effect = std::variant<commit_claim, abandon_claim, record_outcome, send_attempt,
+                                   ask_outcome, answer_caller>;
 
 struct router_options {
     zone_id zone;                   ///< Zone of the node; its executors are preferred.
--- /dev/null
+++ b/src/decide/group_commit.cpp
@@ -0,0 +1,305 @@
+#include "citronford/group_commit.h"
+
+#include "citronford/overloaded.h"
+
+#include <algorithm>
+#include <set>
+
+namespace citronford {
+namespace {
+
+constexpr std::string_view claimed = "claimed";
+constexpr std::string_view not_run_outcome = "not_run";
+
+/// First word of a claim row: "claimed" or the outcome.
+std::string_view state_of(std::string_view value) {
+    return value.substr(0, value.find(' '));
+}
+
+} // namespace
+
+std::string claim_key(const request_id& request) {
+    return "claim/" + request.str();
+}
+
+std::string group_commit::claim_value(std::string_view state, caller_id caller) const {
+    return std::string(state) + ' ' + options_.node.str() + ' ' + options_.incarnation + ' ' +
+           std::to_string(static_cast<std::uint64_t>(caller));
+}
+
+std::vector<group_commit_effect> group_commit::handle(const group_commit_input& input,
+                                                      instant now) {
+    std::vector<group_commit_effect> effects;
+    std::visit([&](const auto& event) { take(event, now, effects); }, input);
+    if (std::holds_alternative<idle>(state_)) {
+        fill_batch(now);
+        if (!batch_.empty()) {
+            send_batch(effects);
+        }
+    }
+    return effects;
+}
+
+std::size_t group_commit::open_entries() const {
+    return claims_.size() + outcomes_.size() + batch_.size() + reading_.size();
+}
+
+void group_commit::take(const claim_wanted& event, instant /*now*/, effects_out effects) {
+    // While the table is known not to answer, a claim could only wait for its deadline.
+    const bool table_out =
+        repetitions_ > 1 && (in_doubt_ || std::holds_alternative<pausing>(state_));
+    if (claims_.size() >= options_.queue_limit || table_out) {
+        effects.emplace_back(claim_refused{event.caller});
+        return;
+    }
+    claims_.push_back({claim_entry{event.caller}, claim_key(event.request), absent_row,
+                       claim_value(claimed, event.caller)});
+}
+
+void group_commit::take(const claim_abandoned& event, instant /*now*/, effects_out /*effects*/) {
+    const auto of_caller = [&](const entry& item) {
+        const auto* claim = std::get_if<claim_entry>(&item.kind);
+        return claim != nullptr && claim->caller == event.caller;
+    };
+    std::erase_if(claims_, of_caller);
+    std::erase_if(reading_, [&](const auto& item) { return of_caller(item.second); });
+    for (entry& item : batch_) {
+        if (of_caller(item)) {
+            std::get<claim_entry>(item.kind).abandoned = true;
+        }
+    }
+}
+
+void group_commit::take(const outcome_learned& event, instant /*now*/, effects_out /*effects*/) {
+    const std::string key = claim_key(event.request);
+    const auto kept = kept_.find(key);
+    if (kept == kept_.end() || outcomes_.size() >= options_.outcome_limit) {
+        return;
+    }
+    outcomes_.push_back({outcome_entry{}, key, kept->second.version,
+                         claim_value(event.outcome, kept->second.caller)});
+}
+
+void group_commit::take(const transaction_committed& event, instant now, effects_out effects) {
+    settle_committed(event.version, now, effects);
+}
+
+void group_commit::take(const transaction_conflict& event, instant /*now*/, effects_out effects) {
+    repetitions_ = 0;
+    const auto found = std::ranges::find(batch_, event.key, &entry::key);
+    if (in_doubt_ && found != batch_.end()) {
+        state_ = reading_own{};
+        effects.emplace_back(read_claim_row{event.key});
+        return;
+    }
+    state_ = idle{};
+    if (found != batch_.end()) {
+        effects.emplace_back(read_claim_row{event.key});
+        reading_.emplace(event.key, std::move(*found));
+        batch_.erase(found);
+    }
+}
+
+void group_commit::take(const transaction_refused& /*event*/, instant now, effects_out effects) {
+    refuse_waiting(effects);
+    ++repetitions_;
+    state_ = pausing{now + pause()};
+    if (in_doubt_) {
+        return;
+    }
+    for (entry& item : batch_) {
+        if (const auto* claim = std::get_if<claim_entry>(&item.kind)) {
+            effects.emplace_back(claim_refused{claim->caller});
+        }
+    }
+    std::erase_if(batch_,
+                  [](const entry& item) { return std::holds_alternative<claim_entry>(item.kind); });
+}
+
+void group_commit::take(const transaction_in_doubt& /*event*/, instant now, effects_out effects) {
+    in_doubt_ = true;
+    ++repetitions_;
+    if (repetitions_ > 1) {
+        refuse_waiting(effects);
+    }
+    state_ = pausing{now + pause()};
+}
+
+void group_commit::take(const claim_row_read& event, instant now, effects_out effects) {
+    if (std::holds_alternative<reading_own>(state_)) {
+        const auto found = std::ranges::find(batch_, event.key, &entry::key);
+        if (found != batch_.end()) {
+            in_doubt_ = false;
+            // A transaction writes all its rows or none, so one own row settles the whole batch.
+            const bool own = event.row ? event.row->value == found->value : !found->value;
+            if (own) {
+                settle_committed(event.row ? event.row->version : 0, now, effects);
+                return;
+            }
+            entry item = std::move(*found);
+            batch_.erase(found);
+            state_ = idle{};
+            settle_read(std::move(item), event.row, now, effects);
+            return;
+        }
+    }
+    const auto found = reading_.find(event.key);
+    if (found != reading_.end()) {
+        entry item = std::move(found->second);
+        reading_.erase(found);
+        settle_read(std::move(item), event.row, now, effects);
+    }
+}
+
+void group_commit::take(const claim_row_unread& event, instant now, effects_out /*effects*/) {
+    unread_[event.key] = now + options_.retry_pause;
+}
+
+void group_commit::take(const commit_tick& /*event*/, instant now, effects_out effects) {
+    for (auto item = unread_.begin(); item != unread_.end();) {
+        if (item->second > now) {
+            ++item;
+            continue;
+        }
+        effects.emplace_back(read_claim_row{item->first});
+        item = unread_.erase(item);
+    }
+    const auto* pause = std::get_if<pausing>(&state_);
+    if (pause == nullptr || pause->until > now) {
+        return;
+    }
+    state_ = idle{};
+    if (in_doubt_) {
+        send_batch(effects);
+    }
+}
+
+duration group_commit::pause() const {
+    constexpr int doublings_most = 16;
+    const int doublings = std::min(repetitions_ - 1, doublings_most);
+    return std::min(options_.retry_pause * (std::int64_t{1} << doublings),
+                    options_.retry_pause_most);
+}
+
+/// Adds waiting entries up to the batch limit: outcomes first, which free nothing by waiting, then
+/// claims, then deletions. A key appears once in a transaction, and not while its row is read.
+void group_commit::fill_batch(instant now) {
+    std::set<std::string> keys;
+    for (const entry& item : batch_) {
+        keys.insert(item.key);
+    }
+    const auto move_from = [&](std::deque<entry>& waiting) {
+        std::deque<entry> later;
+        while (!waiting.empty() && batch_.size() < options_.batch_limit) {
+            entry item = std::move(waiting.front());
+            waiting.pop_front();
+            if (reading_.contains(item.key) || !keys.insert(item.key).second) {
+                later.push_back(std::move(item));
+                continue;
+            }
+            batch_.push_back(std::move(item));
+        }
+        waiting.insert(waiting.begin(), std::make_move_iterator(later.begin()),
+                       std::make_move_iterator(later.end()));
+    };
+    move_from(outcomes_);
+    move_from(claims_);
+    for (std::size_t purged = 0; purged < options_.purge_limit && !purge_at_.empty() &&
+                                 purge_at_.front().first + options_.retention <= now &&
+                                 batch_.size() < options_.batch_limit;
+         ++purged) {
+        const auto [recorded_at, key] = std::move(purge_at_.front());
+        purge_at_.pop_front();
+        const auto kept = kept_.find(key);
+        // A row that was claimed again since has a later place in the queue.
+        if (kept == kept_.end() || kept->second.recorded_at != recorded_at) {
+            continue;
+        }
+        if (reading_.contains(key) || !keys.insert(key).second) {
+            kept->second.recorded_at = now;
+            purge_at_.emplace_back(now, key);
+            continue;
+        }
+        batch_.push_back({purge_entry{}, key, kept->second.version, std::nullopt});
+    }
+}
+
+void group_commit::send_batch(effects_out effects) {
+    commit_transaction transaction;
+    for (const entry& item : batch_) {
+        transaction.checks.push_back({item.key, item.expected});
+        transaction.writes.push_back({item.key, item.value});
+    }
+    state_ = in_flight{};
+    effects.emplace_back(std::move(transaction));
+}
+
+void group_commit::settle_committed(table_version version, instant now, effects_out effects) {
+    in_doubt_ = false;
+    repetitions_ = 0;
+    state_ = idle{};
+    const std::vector<entry> settled = std::exchange(batch_, {});
+    for (const entry& item : settled) {
+        std::visit(
+            overloaded{
+                [&](const claim_entry& claim) { granted(item, claim, version, now, effects); },
+                [&](const outcome_entry&) {
+                    const auto kept = kept_.find(item.key);
+                    if (kept != kept_.end()) {
+                        kept->second.version = version;
+                    }
+                },
+                [&](const purge_entry&) { kept_.erase(item.key); },
+            },
+            item.kind);
+    }
+}
+
+void group_commit::granted(const entry& item, const claim_entry& claim, table_version version,
+                           instant now, effects_out effects) {
+    kept_[item.key] = {claim.caller, version, now};
+    purge_at_.emplace_back(now, item.key);
+    if (claim.abandoned) {
+        outcomes_.push_back(
+            {outcome_entry{}, item.key, version, claim_value(not_run_outcome, claim.caller)});
+        return;
+    }
+    effects.emplace_back(claim_recorded{claim.caller});
+}
+
+/// Settles an entry whose check failed by what its row holds.
+void group_commit::settle_read(entry item, const std::optional<table_row>& row, instant now,
+                               effects_out effects) {
+    const auto* claim = std::get_if<claim_entry>(&item.kind);
+    if (claim == nullptr) {
+        // The row was changed by nobody but this incarnation or was deleted: nothing to record.
+        kept_.erase(item.key);
+        return;
+    }
+    if (row && row->value == item.value) {
+        granted(item, *claim, row->version, now, effects);
+        return;
+    }
+    if (claim->abandoned) {
+        return;
+    }
+    const std::string_view state = row ? state_of(*row->value) : std::string_view();
+    // An id that was refused as "not run" may be claimed again, under the version of that record.
+    if (!row || state == not_run_outcome) {
+        item.expected = row ? row->version : absent_row;
+        claims_.push_front(std::move(item));
+        return;
+    }
+    effects.emplace_back(
+        claim_taken{claim->caller, state == claimed ? std::string() : std::string(state)});
+}
+
+/// Refuses the claims that no message carried.
+void group_commit::refuse_waiting(effects_out effects) {
+    for (const entry& item : claims_) {
+        effects.emplace_back(claim_refused{std::get<claim_entry>(item.kind).caller});
+    }
+    claims_.clear();
+}
+
+} // namespace citronford
--- a/src/decide/request_router.cpp
+++ b/src/decide/request_router.cpp
@@ -352,6 +352,10 @@
              const auto& submission = context.request.submission;
              context.effects.emplace_back(commit_claim{submission.caller, submission.request});
          }},
+        {"abandon_claim",
+         [](step_context& context, const request_event&) {
+             context.effects.emplace_back(abandon_claim{context.request.submission.caller});
+         }},
         {"enqueue",
          [](step_context& context, const request_event&) {
              const auto& submission = context.request.submission;
--- a/src/node/request_driver.cpp
+++ b/src/node/request_driver.cpp
@@ -1,9 +1,9 @@
 #include "node/request_driver.h"
 
 #include "citronford/chart.h"
-#include "io/log.h"
+#include "io/digest.h"
 
-#include <span>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -13,8 +13,29 @@
 /// Pause between two checks of deadlines.
 constexpr duration tick_period = milliseconds(20);
 
-std::string claim_key(const request_id& request) {
-    return "claim/" + request.str();
+constexpr std::size_t incarnation_bytes = 8;
+
+/// The row `key` of a scan; empty when it is absent or deleted.
+std::optional<table_row> row_of(const table_scan& scan, std::string_view key) {
+    for (const table_row& row : scan.rows) {
+        if (row.key == key && row.value) {
+            return row;
+        }
+    }
+    return std::nullopt;
+}
+
+group_commit_input commit_result(const absl::StatusOr<table_commit>& commit) {
+    if (!commit.ok()) {
+        if (code_of(commit.status()) == result_code::commit_in_doubt) {
+            return transaction_in_doubt{};
+        }
+        return transaction_refused{};
+    }
+    if (commit->committed) {
+        return transaction_committed{commit->version};
+    }
+    return transaction_conflict{commit->conflict_key};
 }
 
 /// The executors of all services among the listed VMs.
@@ -52,10 +73,14 @@
 
 request_driver::request_driver(settings node_settings, node_links links,
                                std::unique_ptr<request_router> router)
-    : settings_(std::move(node_settings)), links_(links), router_(std::move(router)) {}
+    : settings_(std::move(node_settings)), links_(links), router_(std::move(router)),
+      commits_({.node = settings_.node, .incarnation = random_hex(incarnation_bytes)}) {}
 
 void request_driver::start() {
-    tick_timer_ = links_.timers.every(tick_period, [this](instant) { handle(router_tick{}); });
+    tick_timer_ = links_.timers.every(tick_period, [this](instant) {
+        handle(router_tick{});
+        handle_commit(commit_tick{});
+    });
     vm_timer_ = links_.timers.every(settings_.vm_list_poll, [this](instant) { poll_vms(); });
     poll_vms();
 }
@@ -63,6 +88,7 @@
 void request_driver::configure(const fleet_configuration& fleet) {
     fleet_ = fleet;
     router_->configure(fleet);
+    commits_.set_retention(fleet.defaults.claim_retention);
     poll_vms();
 }
 
@@ -73,39 +99,53 @@
     }
 }
 
+void request_driver::handle_commit(const group_commit_input& input) {
+    const std::vector<group_commit_effect> effects = commits_.handle(input, links_.timers.now());
+    for (const group_commit_effect& effect : effects) {
+        std::visit([this](const auto& item) { perform(item); }, effect);
+    }
+}
+
 void request_driver::perform(const commit_claim& effect) {
-    const table_check check{claim_key(effect.request), absent_row};
-    const table_write write{check.key, settings_.node.str()};
-    links_.table.commit(std::span(&check, 1), std::span(&write, 1),
-                        [this, effect](const absl::StatusOr<table_commit>& commit) {
-                            if (!commit.ok()) {
-                                handle(claim_unavailable{effect.caller});
-                            } else if (commit->committed) {
-                                handle(claim_granted{effect.caller});
-                            } else {
-                                read_claim(effect.caller, effect.request);
-                            }
+    handle_commit(claim_wanted{effect.caller, effect.request});
+}
+
+void request_driver::perform(const abandon_claim& effect) {
+    handle_commit(claim_abandoned{effect.caller});
+}
+
+void request_driver::perform(const record_outcome& effect) {
+    handle_commit(outcome_learned{effect.request, effect.outcome});
+}
+
+void request_driver::perform(const commit_transaction& effect) {
+    links_.table.commit(effect.checks, effect.writes,
+                        [this](const absl::StatusOr<table_commit>& commit) {
+                            handle_commit(commit_result(commit));
                         });
 }
 
-void request_driver::read_claim(caller_id caller, const request_id& request) {
-    links_.table.scan(claim_key(request), 0,
-                      [this, caller, request](const absl::StatusOr<table_scan>& scan) {
-                          std::string outcome;
+void request_driver::perform(const read_claim_row& effect) {
+    links_.table.scan(effect.key, 0,
+                      [this, key = effect.key](const absl::StatusOr<table_scan>& scan) {
                           if (scan.ok()) {
-                              for (const table_row& row : scan->rows) {
-                                  if (row.key == claim_key(request)) {
-                                      outcome = row.value.value_or("");
-                                  }
-                              }
+                              handle_commit(claim_row_read{key, row_of(*scan, key)});
+                          } else {
+                              handle_commit(claim_row_unread{key});
                           }
-                          handle(claim_duplicate{caller, outcome});
                       });
 }
 
-void request_driver::perform(const record_outcome& effect) {
-    const table_write write{claim_key(effect.request), effect.outcome};
-    links_.table.commit({}, std::span(&write, 1), [](const absl::StatusOr<table_commit>&) {});
+void request_driver::perform(const claim_recorded& effect) {
+    handle(claim_granted{effect.caller});
+}
+
+void request_driver::perform(const claim_taken& effect) {
+    handle(claim_duplicate{effect.caller, effect.outcome});
+}
+
+void request_driver::perform(const claim_refused& effect) {
+    handle(claim_unavailable{effect.caller});
 }
 
 void request_driver::perform(const send_attempt& effect) {
@@ -129,7 +169,13 @@
 }
 
 void request_driver::poll_vms() {
+    // One reading at a time, so that an older list cannot arrive after a newer one.
+    if (listing_vms_) {
+        return;
+    }
+    listing_vms_ = true;
     links_.vms.list([this](const absl::StatusOr<std::vector<vm_listing>>& vms) {
+        listing_vms_ = false;
         if (vms.ok()) {
             handle(executors_of(*vms, fleet_));
         }
--- a/src/node/request_driver.h
+++ b/src/node/request_driver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "citronford/group_commit.h"
 #include "citronford/request_router.h"
 #include "citronford/settings.h"
 #include "citronford/team_limits.h"
@@ -36,19 +37,28 @@
     request_driver(settings node_settings, node_links links,
                    std::unique_ptr<request_router> router);
 
+    void handle_commit(const group_commit_input& input);
+
     void perform(const commit_claim& effect);
+    void perform(const abandon_claim& effect);
     void perform(const record_outcome& effect);
     void perform(const send_attempt& effect);
     void perform(const ask_outcome& effect);
     void perform(const answer_caller& effect);
+    void perform(const commit_transaction& effect);
+    void perform(const read_claim_row& effect);
+    void perform(const claim_recorded& effect);
+    void perform(const claim_taken& effect);
+    void perform(const claim_refused& effect);
 
-    void read_claim(caller_id caller, const request_id& request);
     void poll_vms();
 
     settings settings_;
     node_links links_;
     std::unique_ptr<request_router> router_;
+    group_commit commits_;
     fleet_configuration fleet_;
+    bool listing_vms_ = false;
     timer_subscription tick_timer_;
     timer_subscription vm_timer_;
 };
