--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "citronford/result_code.h"
 #include "io/error_body.h"
+#include "io/http_response.h"
 
 #include <h2o.h>
 
@@ -135,14 +136,59 @@
     auto& server = *reinterpret_cast<server_handler*>(self)->server;
     const http_responder responder(guarded_exchange(request, server));
     if (request->entity.len > server.body_limit) {
-        const std::string body = error_body(result_code::body_too_large, "the body is too large");
-        responder.send({entry_of(result_code::body_too_large).http_status, {}, body});
+        send_error(responder, result_code::body_too_large, "the body is too large");
         return 0;
     }
     server.handle(request_view(request), responder);
     return 0;
 }
 
+/// Replaces the plain text of an error that h2o itself reports.
+struct error_stream {
+    h2o_ostream_t base;
+    h2o_iovec_t body;
+};
+
+void send_error_document(h2o_ostream_t* self, h2o_req_t* request, h2o_iovec_t* /*buffers*/,
+                         std::size_t /*count*/, h2o_send_state_t state) {
+    auto* stream = reinterpret_cast<error_stream*>(self);
+    h2o_ostream_send_next(&stream->base, request, &stream->body, 1, state);
+}
+
+/// h2o refuses malformed requests and bodies beyond the hard limit before a handler runs; those
+/// errors get a numbered result too.
+void number_error(h2o_filter_t* /*self*/, h2o_req_t* request, h2o_ostream_t** slot) {
+    constexpr int bad_request = 400;
+    constexpr int too_large = 413;
+    constexpr std::string_view plain_text = "text/plain; charset=utf-8";
+    h2o_headers_t& headers = request->res.headers;
+    const auto type = h2o_find_header(&headers, H2O_TOKEN_CONTENT_TYPE, -1);
+    const int status = request->res.status;
+    if ((status == bad_request || status == too_large) && type >= 0 &&
+        view_of(headers.entries[type].value) == plain_text) {
+        const result_code_entry& entry = entry_of(
+            status == too_large ? result_code::body_too_large : result_code::invalid_argument);
+        const std::string body =
+            error_body(entry.code, status == too_large ? "the body is too large"
+                                                       : "the request is not valid HTTP/1.1");
+        auto* stream =
+            reinterpret_cast<error_stream*>(h2o_add_ostream(request, sizeof(error_stream), slot));
+        stream->base.do_send = send_error_document;
+        stream->body = pooled_copy(request, body);
+        request->res.content_length = body.size();
+        headers.entries[type].value = h2o_iovec_init("application/json", 16);
+        const h2o_iovec_t number =
+            pooled_copy(request, std::to_string(static_cast<int>(entry.code)));
+        h2o_add_header_by_str(&request->pool, &headers, "result-code", 11, 1, nullptr, number.base,
+                              number.len);
+        const std::string_view state = name_of(entry.state);
+        h2o_add_header_by_str(&request->pool, &headers, "run-state", 9, 1, nullptr, state.data(),
+                              state.size());
+        slot = &stream->base.next;
+    }
+    h2o_setup_next_ostream(request, slot);
+}
+
 void accept_connection(uv_stream_t* listener, int status) {
     if (status != 0) {
         return;
@@ -252,6 +298,8 @@
         reinterpret_cast<server_handler*>(h2o_create_handler(path, sizeof(server_handler)));
     handler_entry->base.on_req = handle_request;
     handler_entry->server = body.get();
+    h2o_create_filter(&host->fallback_path, sizeof(h2o_filter_t))->on_setup_ostream = number_error;
+    h2o_create_filter(path, sizeof(h2o_filter_t))->on_setup_ostream = number_error;
     h2o_context_init(&body->context, loop, &body->config);
     body->accept.ctx = &body->context;
     body->accept.hosts = body->config.hosts;
--- /dev/null
+++ b/tools/demo_verdict.cpp
@@ -0,0 +1,165 @@
+// Compares what callers and executors each recorded. Its last line is the verdict of the demo:
+// `demo: sent=N answered=N lost=0 doubled=0 wrong=0`; it exits with 1 when a count is off.
+#include <boost/program_options.hpp>
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace {
+
+namespace po = boost::program_options;
+using nlohmann::json;
+
+/// One line of a record file of `citronford_load`.
+struct caller_record {
+    std::string id;
+    std::string state;
+    int code = -1;
+    std::string content;
+    std::string kind;
+};
+
+/// How often each request or task was started, summed over all backend servers.
+using run_counts = std::map<std::string, int>;
+
+struct verdict {
+    std::uint64_t sent = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t lost = 0;
+    std::uint64_t doubled = 0;
+    std::uint64_t wrong = 0;
+};
+
+bool read_records(const std::string& path, std::vector<caller_record>& records) {
+    std::ifstream file(path);
+    std::string line;
+    while (std::getline(file, line)) {
+        caller_record record;
+        std::istringstream fields(line);
+        if (!(fields >> record.id >> record.state >> record.code >> record.content >>
+              record.kind)) {
+            std::cerr << "demo_verdict: " << path << ": malformed line: " << line << '\n';
+            return false;
+        }
+        records.push_back(std::move(record));
+    }
+    return file.eof() && !records.empty();
+}
+
+/// Adds the requests in one document of `GET /stats` of an executor.
+bool add_stats(const std::string& path, run_counts& runs) {
+    std::ifstream file(path);
+    const json document = json::parse(file, nullptr, false);
+    if (!document.is_object() || !document.contains("requests") || !document.contains("doubled")) {
+        std::cerr << "demo_verdict: " << path << ": not the statistics of an executor\n";
+        return false;
+    }
+    for (const json& id : document["requests"]) {
+        ++runs[id.get<std::string>()];
+    }
+    for (const json& id : document["doubled"]) {
+        ++runs[id.get<std::string>()];
+    }
+    return true;
+}
+
+/// Adds one record to the counts. With `broken_allowed`, a request without an answer is not lost:
+/// its caller saw a broken connection and knows nothing about the execution.
+void judge(const caller_record& record, const run_counts& runs, bool broken_allowed,
+           verdict& total) {
+    const auto found = runs.find(record.id);
+    const int times = found == runs.end() ? 0 : found->second;
+    const auto show = [&](const char* fault) {
+        std::cout << fault << ": id=" << record.id << " state=" << record.state
+                  << " code=" << record.code << " content=" << record.content << " runs=" << times
+                  << '\n';
+    };
+    if (record.state == "unsent") {
+        return;
+    }
+    ++total.sent;
+    if (record.state != "none") {
+        ++total.answered;
+    } else if (!broken_allowed) {
+        ++total.lost;
+        show("lost");
+    }
+    if (record.state == "run" && times == 0) {
+        ++total.lost;
+        show("lost");
+    }
+    if (times > 1 && record.kind == "non-idempotent") {
+        ++total.doubled;
+        show("doubled");
+    }
+    if ((record.state == "not-run" && times > 0) || record.content == "other") {
+        ++total.wrong;
+        show("wrong");
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    std::vector<std::string> record_files;
+    std::vector<std::string> stats_files;
+    std::uint64_t least = 1;
+    std::uint64_t least_run = 1;
+    po::options_description description("demo_verdict");
+    auto add = description.add_options();
+    add("help", "show this text");
+    add("record", po::value(&record_files), "record file of citronford_load; repeat for several");
+    add("stats", po::value(&stats_files), "GET /stats of an executor; repeat for several");
+    add("broken-allowed", "requests without an answer do not count as lost");
+    add("least", po::value(&least)->default_value(least), "fewest requests that must be sent");
+    add("least-run", po::value(&least_run)->default_value(least_run),
+        "fewest requests that must be answered as run");
+    po::variables_map values;
+    try {
+        po::store(po::parse_command_line(argc, argv, description), values);
+        po::notify(values);
+    } catch (const po::error& error) {
+        std::cerr << "demo_verdict: " << error.what() << '\n';
+        return 2;
+    }
+    if (values.count("help") != 0) {
+        std::cout << description;
+        return EXIT_SUCCESS;
+    }
+    std::vector<caller_record> records;
+    run_counts runs;
+    bool complete = !record_files.empty() && !stats_files.empty();
+    for (const std::string& path : record_files) {
+        complete = read_records(path, records) && complete;
+    }
+    for (const std::string& path : stats_files) {
+        complete = add_stats(path, runs) && complete;
+    }
+    const bool broken_allowed = values.count("broken-allowed") != 0;
+    verdict total;
+    std::uint64_t run = 0;
+    for (const caller_record& record : records) {
+        judge(record, runs, broken_allowed, total);
+        run += record.state == "run" ? 1 : 0;
+    }
+    if (!complete) {
+        std::cout << "demo_verdict: a record or statistics file is missing or malformed\n";
+    }
+    if (total.sent < least || run < least_run) {
+        std::cout << "demo_verdict: too few requests: sent=" << total.sent << " of " << least
+                  << " run=" << run << " of " << least_run << '\n';
+        complete = false;
+    }
+    std::cout << "demo: sent=" << total.sent << " answered=" << total.answered
+              << " lost=" << total.lost << " doubled=" << total.doubled << " wrong=" << total.wrong
+              << std::endl;
+    const bool good = complete && (broken_allowed || total.sent == total.answered) &&
+                      total.lost == 0 && total.doubled == 0 && total.wrong == 0;
+    return good ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/tools/standins/standin.h
+++ b/tools/standins/standin.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "endpoint_text.h"
 #include "io/event_loop.h"
 #include "io/http_server.h"
 
@@ -14,16 +15,6 @@
 
 namespace citronford {
 
-/// Parses `ADDRESS:PORT`; port 0 when the text is not of this form.
-inline endpoint parse_endpoint(const std::string& text) {
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos) {
-        return {};
-    }
-    return {text.substr(0, colon),
-            static_cast<std::uint16_t>(std::strtoul(text.c_str() + colon + 1, nullptr, 10))};
-}
-
 /// Serves `handle` at `listen` until SIGTERM or SIGINT, then calls `report` and exits.
 inline int serve_standin(event_loop& loop, const std::string& listen, http_server::handler handle,
                          std::function<void()> report = {}) {
