Shed, choose and retry requests by load and health

Cause: a request that was lost once and then waited for its retry was refused as "not run" at its deadline; a team at its limit stayed in front of the queue; each input copied the whole queue and each tick read all requests; an executor of two services was counted twice; an executor that stopped answering kept receiving work; any list could bring a leaving one back. The router is split: executor_set (health by charts/connection.scxml, limit of 1 to 8 by additive increase and multiplicative decrease, choice of two), request_queue (one line per team in turn, estimate of the wait), retry_budget (per service, shared by retries and hedges). Deadlines, hedges and questions are due from one ordered index. Ids in answers are now checked in the decision instead of the HTTP link. Other zones serve only with the exception setting "spill" = "on"; so the fixture of the router tests names a zone. Ruled out: one budget for all services, whose successes would pay for the retries of one that is out; bringing an executor back by the list alone.

--- a/include/citronford/executor_link.h
+++ b/include/citronford/executor_link.h
@@ -24,11 +24,14 @@
     duration timeout{};
 };
 
-/// The executor answered this attempt; both ids were verified.
+/// A whole answer arrived on the connection of this attempt. Whether it belongs to the attempt is
+/// for the receiver to check by the ids that the executor returned.
 struct attempt_answered {
     int status = 0;
     std::string body;
     bool leaving = false;
+    request_id request;   ///< As returned by the executor.
+    attempt_id attempt{}; ///< As returned by the executor.
 };
 /// The executor refused before execution.
 struct attempt_refused {
--- a/include/citronford/request_router.h
+++ b/include/citronford/request_router.h
@@ -4,6 +4,7 @@
 #include "citronford/chart_machine.h"
 #include "citronford/endpoint.h"
 #include "citronford/executor_link.h"
+#include "citronford/executor_set.h"
 #include "citronford/fleet_configuration.h"
 #include "citronford/identifier.h"
 #include "citronford/instant.h"
@@ -12,13 +13,9 @@
 #include <absl/status/statusor.h>
 
 #include <cstdint>
-#include <deque>
-#include <map>
 #include <memory>
-#include <random>
-#include <set>
-#include <span>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -60,17 +57,6 @@
     caller_id caller{};
     outcome_result result;
 };
-/// The executors known at present; replaces the list before.
-struct executor_listing {
-    struct executor {
-        executor_id id;
-        service_id service;
-        zone_id zone;
-        endpoint address;
-        bool leaving = false;
-    };
-    std::vector<executor> executors;
-};
 struct caller_gone {
     static constexpr std::string_view event_name = "caller_gone";
     caller_id caller{};
@@ -78,9 +64,9 @@
 /// Time passed; deadlines are checked.
 struct router_tick {};
 
-using router_input =
-    std::variant<request_submission, claim_granted, claim_duplicate, claim_unavailable,
-                 attempt_report, outcome_report, executor_listing, caller_gone, router_tick>;
+using router_input = std::variant<request_submission, claim_granted, claim_duplicate,
+                                  claim_unavailable, attempt_report, outcome_report,
+                                  executor_listing, probe_report, caller_gone, router_tick>;
 
 // Effects of the router.
 
@@ -117,23 +103,35 @@
 };
 
 using router_effect = std::variant<commit_claim, abandon_claim, record_outcome, send_attempt,
-                                   ask_outcome, answer_caller>;
+                                   ask_outcome, probe_executor, answer_caller>;
 
 struct router_options {
-    zone_id zone;                   ///< Zone of the node; its executors are preferred.
-    std::size_t queue_limit = 256;  ///< Requests waiting per service, at most.
-    int executor_slots = 8;         ///< Requests that one executor runs at once.
-    duration outcome_retry{200000}; ///< Pause between two questions for an outcome.
-    duration unit_hold{30000000};   ///< How long a lost attempt may still be running.
-    std::uint32_t seed = 1;         ///< Seed of the random choice between executors.
+    executor_set_options executors;
+    std::size_t queue_limit = 128;   ///< Requests of one team waiting for one service, at most.
+    duration outcome_retry{200000};  ///< Pause between two questions for an outcome.
+    duration unit_hold{30000000};    ///< How long a lost attempt may still be running.
+    duration question_time{1000000}; ///< Most time kept back to ask for the outcome.
+};
+
+/// Charts that the router interprets.
+struct router_charts {
+    const chart& request;
+    const chart& connection;
+};
+
+/// What the router did since it was created.
+struct router_counters {
+    std::uint64_t retries = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t shed = 0; ///< Refused on arrival, since the deadline could not be met.
 };
 
 /// Routes requests to executors: queues, claims, attempts, retries and outcomes.
 class request_router {
   public:
-    /// `life_cycle` is the chart `request`. `limits` must outlive the router.
+    /// `limits` must outlive the router. Fails with `chart_invalid`.
     static absl::StatusOr<std::unique_ptr<request_router>>
-    create(const chart& life_cycle, router_options options, team_limits& limits);
+    create(router_charts charts, router_options options, team_limits& limits);
 
     request_router(const request_router&) = delete;
     request_router& operator=(const request_router&) = delete;
@@ -149,6 +147,9 @@
 
     [[nodiscard]] std::size_t open_requests() const;
     [[nodiscard]] std::size_t queued(const service_id& service) const;
+    [[nodiscard]] const router_counters& counters() const;
+    /// Name of the state of an executor in the chart `connection`; empty for an unknown one.
+    [[nodiscard]] std::string_view executor_state(const executor_id& executor) const;
 
   private:
     class implementation;
--- /dev/null
+++ b/src/decide/request_router_state.h
@@ -0,0 +1,228 @@
+#pragma once
+
+#include "citronford/request_router.h"
+
+#include "citronford/overloaded.h"
+#include "citronford/request_queue.h"
+#include "citronford/retry_budget.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <tuple>
+#include <utility>
+
+namespace citronford {
+
+/// State of a router; the guards and actions of its charts are in request_router_steps.cpp.
+class request_router::implementation {
+  public:
+    struct submitted {
+        static constexpr std::string_view event_name = "submitted";
+    };
+    struct dispatched {
+        static constexpr std::string_view event_name = "dispatched";
+    };
+    struct answered {
+        static constexpr std::string_view event_name = "answered";
+        const attempt_answered* answer = nullptr;
+    };
+    struct not_run {
+        static constexpr std::string_view event_name = "not_run";
+    };
+    struct lost {
+        static constexpr std::string_view event_name = "lost";
+    };
+    struct outcome_known {
+        static constexpr std::string_view event_name = "outcome_done";
+        const outcome_done* outcome = nullptr;
+    };
+    struct outcome_pending {
+        static constexpr std::string_view event_name = "outcome_pending";
+    };
+    struct deadline_passed {
+        static constexpr std::string_view event_name = "deadline_passed";
+    };
+
+    struct hedge_due {
+        static constexpr std::string_view event_name = "hedge_due";
+    };
+
+    using request_event =
+        std::variant<submitted, claim_granted, claim_duplicate, claim_unavailable, dispatched,
+                     hedge_due, answered, not_run, lost, outcome_known, outcome_pending,
+                     deadline_passed, caller_gone>;
+
+    /// What is due for a request at an instant.
+    enum class alarm_kind : std::uint8_t { deadline, hedge, ask };
+    using alarm = std::tuple<instant, caller_id, alarm_kind>;
+
+    struct request_entry {
+        request_submission submission;
+        service_definition service;
+        instant deadline;
+        chart_position position{};
+        executor_id executor; ///< Of the last attempt.
+        endpoint address;     ///< Of the last attempt.
+        attempt_id last_attempt{};
+        std::vector<attempt_id> open_attempts; ///< Without a report; two when hedged.
+        bool may_have_run = false;             ///< An attempt was lost.
+        request_queue::ticket place{};
+        bool waited_for_limit = false; ///< Its team was at its limit when it left the queue.
+        std::vector<alarm> alarms;
+    };
+
+    /// An attempt without a report.
+    struct open_attempt {
+        caller_id caller{};
+        request_id request;
+        executor_id executor;
+        team_id team;
+        service_id service;
+        instant sent_at;
+    };
+
+    /// What the router keeps for one service.
+    struct service_state {
+        service_definition definition;
+        bool configured = false; ///< Requests of a service that was removed are finished.
+        bool spill = false;      ///< Whether executors of other zones may be used.
+        request_queue queue;
+        retry_budget budget;
+    };
+
+    /// What the actions of one step work on.
+    struct step_context {
+        implementation& router;
+        request_entry& request;
+        instant now;
+        std::vector<router_effect>& effects;
+    };
+    using machine = chart_machine<step_context, request_event>;
+
+    implementation(machine life_cycle, executor_set executors, router_options options,
+                   team_limits& limits)
+        : machine_(std::move(life_cycle)), executors_(std::move(executors)),
+          options_(std::move(options)), limits_(limits) {}
+
+    static std::span<const machine::guard> guards();
+    static std::span<const machine::action> actions();
+
+    void configure(const fleet_configuration& fleet);
+
+    std::vector<router_effect> handle(const router_input& input, instant now);
+
+    [[nodiscard]] std::size_t open_requests() const { return requests_.size(); }
+    [[nodiscard]] std::size_t queued(const service_id& service) const {
+        const auto found = services_.find(service);
+        return found == services_.end() ? 0 : found->second.queue.size();
+    }
+    [[nodiscard]] const router_counters& counters() const { return counters_; }
+    [[nodiscard]] const executor_set& executors() const { return executors_; }
+
+  private:
+    using effects_out = std::vector<router_effect>&;
+
+    void take(const request_submission& submission, instant now, effects_out effects);
+
+    /// `ok`, or why the request is refused on arrival: an early refusal leaves the caller time to
+    /// try elsewhere and keeps the executors from work that nobody waits for.
+    result_code admission(const request_submission& submission, instant now);
+
+    /// Whether an attempt would most likely end after its deadline. A service that runs nothing is
+    /// always tried, so that an outdated estimate is corrected.
+    [[nodiscard]] bool cannot_finish(const service_state& service, duration remaining) const {
+        return service.queue.mean_run_time() > remaining &&
+               executors_.in_flight(service.definition.name) > 0;
+    }
+
+    void take(const claim_granted& event, instant now, effects_out effects) {
+        step(event.caller, event, now, effects);
+    }
+    void take(const claim_duplicate& event, instant now, effects_out effects) {
+        step(event.caller, event, now, effects);
+    }
+    void take(const claim_unavailable& event, instant now, effects_out effects) {
+        step(event.caller, event, now, effects);
+    }
+    void take(const caller_gone& event, instant now, effects_out effects) {
+        step(event.caller, event, now, effects);
+    }
+
+    void take(const attempt_report& report, instant now, effects_out effects);
+
+    /// The result of an attempt. An answer that names another request or attempt says nothing about
+    /// this one.
+    static attempt_result verified(const attempt_report& report, const open_attempt& attempt);
+
+    static request_event event_of(const attempt_result& result);
+
+    static void note_answer(service_state& service, const attempt_answered& answer,
+                            duration run_time);
+
+    void take(const outcome_report& report, instant now, effects_out effects);
+
+    void take(const executor_listing& listing, instant now, effects_out /*effects*/) {
+        executors_.update(listing, now);
+        dispatch_all();
+    }
+
+    void take(const probe_report& report, instant now, effects_out /*effects*/);
+
+    void take(const router_tick& /*tick*/, instant now, effects_out effects);
+
+    void set_alarm(request_entry& request, instant due, alarm_kind kind) {
+        request.alarms.emplace_back(due, request.submission.caller, kind);
+        alarms_.insert(request.alarms.back());
+    }
+
+    void step(caller_id caller, const request_event& event, instant now, effects_out effects);
+
+    /// The units of teams can change from outside, so blocked teams are tried again.
+    void dispatch_all();
+
+    void dispatch_queued(const service_id& name, instant now, effects_out effects);
+
+    void send(request_entry& request, instant now, effects_out effects);
+
+    void send_hedge(request_entry& request, instant now, effects_out effects);
+
+    static void refuse(const request_submission& submission, result_code code, effects_out effects);
+
+    static void answer_code(step_context& context, result_code code) {
+        refuse(context.request.submission, code, context.effects);
+    }
+
+    service_state& service_of(const request_entry& request) {
+        return services_[request.submission.service];
+    }
+    [[nodiscard]] bool retry_allowed(const request_entry& request, instant now) const {
+        return now < request.deadline &&
+               services_.at(request.submission.service).budget.available();
+    }
+
+    void release_unit(const team_id& team);
+
+    void release_held_unit(attempt_id attempt);
+
+    void release_held_units(instant now);
+
+    machine machine_;
+    executor_set executors_;
+    router_options options_;
+    team_limits& limits_;
+    std::map<service_id, service_state> services_;
+    std::map<caller_id, request_entry> requests_;
+    std::map<attempt_id, open_attempt> attempts_;
+    std::set<alarm> alarms_;
+    std::set<service_id> to_dispatch_;                ///< Services whose queue may move on.
+    std::map<team_id, std::set<service_id>> blocked_; ///< Queues that wait for units of a team.
+    std::map<attempt_id, team_id> held_units_;        ///< Units of lost attempts.
+    std::deque<std::pair<instant, attempt_id>> held_until_;
+    router_counters counters_;
+    std::uint64_t next_attempt_ = 1;
+};
+
+} // namespace citronford
--- a/src/io/http_executor_link.cpp
+++ b/src/io/http_executor_link.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <charconv>
 #include <string>
 #include <utility>
 
@@ -20,8 +21,16 @@
     return reply.header(header) == "true";
 }
 
-attempt_result attempt_result_of(http_result result, std::string_view request,
-                                 std::string_view attempt_number) {
+/// The attempt number in a header; 0, which no attempt has, when it is not a number.
+attempt_id attempt_in(const http_reply& reply) {
+    const std::string_view text = reply.header("attempt-id");
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool whole = error == std::errc() && end == text.data() + text.size();
+    return static_cast<attempt_id>(whole ? number : 0);
+}
+
+attempt_result attempt_result_of(http_result result, std::string_view request) {
     if (std::holds_alternative<http_unreachable>(result)) {
         return attempt_unreachable{};
     }
@@ -30,14 +39,17 @@
         return attempt_lost{};
     }
     const bool leaving = says(*reply, "leaving");
+    const std::string_view returned = reply->header("request-id");
     if (reply->status == status_unavailable && says(*reply, "not-run")) {
+        // A refusal of another request says nothing about this one.
+        if (!returned.empty() && returned != request) {
+            return attempt_lost{};
+        }
         return attempt_refused{leaving};
     }
-    // An answer to another request or attempt says nothing about this one.
-    if (reply->header("request-id") != request || reply->header("attempt-id") != attempt_number) {
-        return attempt_lost{};
-    }
-    return attempt_answered{reply->status, std::move(reply->body), leaving};
+    const attempt_id attempt = attempt_in(*reply);
+    return attempt_answered{reply->status, std::move(reply->body), leaving, request_id(returned),
+                            attempt};
 }
 
 outcome_result outcome_of(const http_result& result) {
@@ -74,8 +86,8 @@
     const std::pair<std::string_view, std::string_view> headers[] = {
         {"request-id", work.request.view()}, {"attempt-id", number}};
     client_.call(to, {"POST", path, headers, work.body, work.timeout},
-                 [done = std::move(done), request = work.request, number](http_result result) {
-                     done(attempt_result_of(std::move(result), request.view(), number));
+                 [done = std::move(done), request = work.request](http_result result) {
+                     done(attempt_result_of(std::move(result), request.view()));
                  });
 }
 
--- a/src/node/request_driver.cpp
+++ b/src/node/request_driver.cpp
@@ -57,13 +57,18 @@
 
 absl::StatusOr<std::unique_ptr<request_driver>>
 request_driver::create(const settings& node_settings, node_links links, team_limits& limits) {
-    const auto life_cycle = chart::load(node_settings.charts + "/request.scxml");
-    if (!life_cycle.ok()) {
-        return life_cycle.status();
+    const auto request_chart = chart::load(node_settings.charts + "/request.scxml");
+    if (!request_chart.ok()) {
+        return request_chart.status();
+    }
+    const auto connection_chart = chart::load(node_settings.charts + "/connection.scxml");
+    if (!connection_chart.ok()) {
+        return connection_chart.status();
     }
     router_options options;
-    options.zone = node_settings.zone;
-    auto router = request_router::create(*life_cycle, options, limits);
+    options.executors.zone = node_settings.zone;
+    auto router =
+        request_router::create({*request_chart, *connection_chart}, std::move(options), limits);
     if (!router.ok()) {
         return router.status();
     }
@@ -163,6 +168,13 @@
                                  });
 }
 
+void request_driver::perform(const probe_executor& effect) {
+    links_.executors.probe(effect.to,
+                           [this, executor = effect.executor](bool healthy, bool leaving) {
+                               handle(probe_report{executor, healthy, leaving});
+                           });
+}
+
 void request_driver::perform(const answer_caller& effect) {
     links_.callers.answer(effect.caller, {effect.status, effect.code, entry_of(effect.code).state,
                                           effect.request, effect.body});
--- a/tests/request_router_test.cpp
+++ b/tests/request_router_test.cpp
@@ -17,7 +17,10 @@
     instant now{};
 
     router_fixture() {
-        auto created = request_router::create(installed_chart("request"), {}, limits);
+        router_options options;
+        options.executors.zone = zone_id("a");
+        auto created = request_router::create(
+            {installed_chart("request"), installed_chart("connection")}, options, limits);
         cr_assert(created.ok(), "%s", created.status().ToString().c_str());
         router = *std::move(created);
         limits.set_units(sales, 2);
@@ -38,11 +41,19 @@
         return router->handle(input, now);
     }
 
-    std::vector<router_effect> submit(std::uint64_t caller, const std::string& service) {
+    std::vector<router_effect> submit(std::uint64_t caller, const std::string& service,
+                                      const team_id& team = sales) {
         return handle(request_submission{static_cast<caller_id>(caller),
-                                         request_id("r" + std::to_string(caller)), sales,
+                                         request_id("r" + std::to_string(caller)), team,
                                          service_id(service), "body", timeout});
     }
+
+    /// Reports the good answer to the attempt that `sent` contains.
+    std::vector<router_effect> answer(std::uint64_t caller, const send_attempt& sent) {
+        return handle(
+            attempt_report{static_cast<caller_id>(caller), sent.work.id,
+                           attempt_answered{200, "fine", false, sent.work.request, sent.work.id}});
+    }
 };
 
 template <class Effect> const Effect* effect_of(const std::vector<router_effect>& effects) {
@@ -111,3 +122,91 @@
     fixture.handle(router_fixture::listing(true));
     cr_assert(effect_of<send_attempt>(fixture.submit(1, "quote")) == nullptr);
 }
+
+// Guards against a false "not run" for a request that was lost and then waited for a retry.
+Test(request_router, a_lost_request_is_never_refused_as_not_run) {
+    router_fixture fixture;
+    const auto sent = fixture.submit(1, "quote");
+    const attempt_id attempt = effect_of<send_attempt>(sent)->work.id;
+    fixture.handle(attempt_report{static_cast<caller_id>(1), attempt, attempt_lost{}});
+    fixture.now += timeout;
+    const auto answer = fixture.handle(router_tick{});
+    cr_assert(effect_of<answer_caller>(answer)->code == result_code::outcome_unknown);
+}
+
+// Guards against the answer to another request, which arrives on a connection of this one.
+Test(request_router, a_crossed_answer_counts_as_lost) {
+    router_fixture fixture;
+    fixture.submit(1, "booking");
+    const auto sent = fixture.handle(claim_granted{static_cast<caller_id>(1)});
+    const attempt_id attempt = effect_of<send_attempt>(sent)->work.id;
+    const auto crossed = fixture.handle(
+        attempt_report{static_cast<caller_id>(1), attempt,
+                       attempt_answered{200, "other", false, request_id("r9"), attempt}});
+    cr_assert(effect_of<answer_caller>(crossed) == nullptr);
+    cr_assert(effect_of<ask_outcome>(crossed) != nullptr);
+}
+
+// Guards against a team at its limit that keeps the requests of other teams waiting.
+Test(request_router, a_team_at_its_limit_blocks_no_other) {
+    router_fixture fixture;
+    fixture.limits.set_units(sales, 1);
+    const team_id stock("stock");
+    fixture.limits.set_units(stock, 1);
+    const auto first = fixture.submit(1, "quote");
+    cr_assert(effect_of<send_attempt>(fixture.submit(2, "quote")) == nullptr);
+    cr_assert(effect_of<send_attempt>(fixture.submit(3, "quote", stock)) != nullptr);
+    const auto next = fixture.answer(1, *effect_of<send_attempt>(first));
+    cr_assert(effect_of<send_attempt>(next)->caller == static_cast<caller_id>(2));
+}
+
+// Guards against a stale list that brings back an executor after its own announcement.
+Test(request_router, a_stale_list_does_not_revive_a_leaving_executor) {
+    router_fixture fixture;
+    fixture.handle(probe_report{executor_id("q"), true, true});
+    fixture.handle(router_fixture::listing(false));
+    fixture.now += milliseconds(50000);
+    fixture.handle(router_tick{});
+    fixture.handle(probe_report{executor_id("q"), true, false});
+    const auto refused = fixture.submit(1, "quote");
+    cr_assert(effect_of<answer_caller>(refused)->code == result_code::no_backend_server);
+    fixture.now += milliseconds(11000);
+    cr_assert(effect_of<probe_executor>(fixture.handle(router_tick{})) != nullptr);
+    fixture.handle(probe_report{executor_id("q"), true, false});
+    cr_assert(effect_of<send_attempt>(fixture.submit(2, "quote")) != nullptr);
+}
+
+// Guards against an executor that is given up for a silent connection, and against work for one
+// that is dead.
+Test(request_router, a_probe_tells_a_silent_connection_from_a_dead_executor) {
+    for (const bool alive : {true, false}) {
+        router_fixture fixture;
+        const auto sent = fixture.submit(1, "quote");
+        const attempt_id attempt = effect_of<send_attempt>(sent)->work.id;
+        const auto lost =
+            fixture.handle(attempt_report{static_cast<caller_id>(1), attempt, attempt_lost{}});
+        cr_assert(effect_of<probe_executor>(lost) != nullptr);
+        cr_assert(effect_of<send_attempt>(lost) == nullptr);
+        const auto probed = fixture.handle(probe_report{executor_id("q"), alive, false});
+        cr_assert((effect_of<send_attempt>(probed) != nullptr) == alive);
+    }
+}
+
+// Guards against requests that wait in the queue although they cannot be answered in time.
+Test(request_router, refuses_early_what_cannot_meet_its_deadline) {
+    router_fixture fixture;
+    fixture.limits.set_units(sales, 1000);
+    const auto first = fixture.submit(1, "quote");
+    fixture.now += milliseconds(600);
+    fixture.answer(1, *effect_of<send_attempt>(first));
+    for (std::uint64_t caller = 2; caller < 10; ++caller) {
+        cr_assert(effect_of<send_attempt>(fixture.submit(caller, "quote")) != nullptr);
+    }
+    std::uint64_t waiting = 10;
+    while (effect_of<answer_caller>(fixture.submit(waiting, "quote")) == nullptr) {
+        ++waiting;
+    }
+    // 8 slots finish one request each 75 ms; 400 ms remain before the last start in time.
+    cr_assert(waiting >= 14 && waiting <= 17, "%llu", static_cast<unsigned long long>(waiting));
+    cr_assert_eq(fixture.router->counters().shed, 1);
+}
