Move and maintain the VMs of pools under fenced leases

Cause: pools had a definition in the configuration and nothing that carried it out; the pool of a VM was whatever the platform's list said. Ruled out: orders to VMs without a number, since a paused controller could then drain a VM that its successor has already brought back; a lease by wall clock, since the clocks of nodes are not compared. Before: no rows for VMs. Conclusion: one transaction of a pool carries the lease and all row changes; orders carry a number that rises with each order to the VM.

--- a/daemons/citronfordd.cpp
+++ b/daemons/citronfordd.cpp
@@ -7,6 +7,7 @@
 #include "io/http_executor_link.h"
 #include "io/http_platform.h"
 #include "io/http_server.h"
+#include "io/http_vm_control.h"
 #include "io/log.h"
 #include "io/operator_front.h"
 #include "node/node.h"
@@ -52,11 +53,12 @@
     }
     http_client client((*loop)->handle(), **loop);
     http_platform platform(client, own.platform, own.platform_timeout);
+    http_vm_control machines(client, own.platform, own.platform_timeout);
     http_executor_link executors(client);
     caller_front callers;
     std::unique_ptr<http_server> caller_server;
     auto created = node::create(
-        own, {**loop, platform, platform, platform, executors, callers},
+        own, {**loop, platform, platform, platform, executors, callers, machines},
         [&] { caller_server->stop_accepting(); }, [&] { leave_process(own); });
     if (!created.ok()) {
         return fail(created.status());
--- /dev/null
+++ b/include/citronford/pool_steps.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "citronford/availability_budget.h"
+#include "citronford/rebalancer.h"
+#include "citronford/spare_lending.h"
+
+#include <span>
+#include <vector>
+
+namespace citronford {
+
+/// What all pools want and lack, by the rows that one node knows.
+struct fleet_demand {
+    std::vector<pool_demand> demands;
+    std::vector<pool_shortage> shortages; ///< Pools with VMs in a removed zone.
+};
+
+/// The demand of every configured pool. Visits every VM once.
+fleet_demand demand_of(const vm_table& vms, const fleet_configuration& fleet);
+
+/// One pool at the moment its next steps are planned.
+struct pool_situation {
+    pool_id pool;
+    std::span<const vm_entry> members;
+    const fleet_configuration& fleet;
+    const fleet_demand& demand;
+    table_version roll_out = 0; ///< Number of the last roll-out of the pool.
+    bool steps_held = false;    ///< A zone removal is in progress or the list is too old.
+    bool giving_back = false;
+};
+
+/// The VM `vm` is to be drained for `step`.
+struct pool_step {
+    vm_id vm;
+    vm_step step = vm_step::none;
+    pool_id target; ///< Empty for maintenance, and for a move that the row already orders.
+};
+
+/// The steps to begin now. Lending to pools that lost a zone is part of the operator's order and
+/// not bound by the budget; all others together never exceed what the budget leaves.
+std::vector<pool_step> planned_steps(const pool_situation& situation);
+
+} // namespace citronford
--- /dev/null
+++ b/src/io/http_vm_control.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "citronford/vm_control.h"
+#include "io/http_client.h"
+
+namespace citronford {
+
+/// Orders to VMs through the platform: `POST /vms/{id}/drain` and `/reboot` with {"order":N},
+/// `GET /vms/{id}` with {"state","order"}.
+class http_vm_control final : public vm_control {
+  public:
+    http_vm_control(http_client& client, endpoint address, duration timeout);
+
+    void drain(const vm_id& vm, vm_order order, order_callback done) override;
+    void reboot(const vm_id& vm, vm_order order, order_callback done) override;
+    void state(const vm_id& vm, state_callback done) override;
+
+  private:
+    void send_order(const vm_id& vm, std::string_view verb, vm_order order, order_callback done);
+
+    http_client& client_;
+    endpoint address_;
+    duration timeout_;
+};
+
+} // namespace citronford
--- a/src/io/operator_front.cpp
+++ b/src/io/operator_front.cpp
@@ -4,6 +4,7 @@
 #include "io/configuration_codec.h"
 #include "io/digest.h"
 #include "io/http_response.h"
+#include "io/operator_pools.h"
 #include "io/url.h"
 #include "node/node.h"
 
@@ -170,6 +171,9 @@
         return;
     }
     path.erase(path.begin());
+    if (!path.empty() && handle_pool_request(node_, request, responder, path)) {
+        return;
+    }
     bool path_known = false;
     for (const route& candidate : routes) {
         if (!matches_path(candidate, path)) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -27,7 +27,13 @@
         return stop.status();
     }
     std::unique_ptr<node> created(new node(node_settings, links, *std::move(stop)));
-    auto requests = request_driver::create(node_settings, links, created->limits_);
+    auto pools = pool_driver::create(node_settings, links);
+    if (!pools.ok()) {
+        return pools.status();
+    }
+    created->pools_ = *std::move(pools);
+    auto requests =
+        request_driver::create(node_settings, links, created->limits_, *created->pools_);
     if (!requests.ok()) {
         return requests.status();
     }
@@ -44,6 +50,7 @@
 void node::start() {
     configuration_->subscribe([this](const fleet_configuration& fleet) { apply(fleet); });
     configuration_->start();
+    pools_->start();
     requests_->start();
 }
 
@@ -51,6 +58,7 @@
     for (const team_definition& team : fleet.defaults.teams) {
         limits_.set_units(team.name, team.limit);
     }
+    pools_->configure(fleet);
     requests_->configure(fleet);
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -5,6 +5,7 @@
 #include "citronford/team_limits.h"
 #include "node/configuration_driver.h"
 #include "node/node_links.h"
+#include "node/pool_driver.h"
 #include "node/request_driver.h"
 
 #include <absl/status/statusor.h>
@@ -55,6 +56,7 @@
     void request_stop();
 
     [[nodiscard]] configuration_driver& configuration() { return *configuration_; }
+    [[nodiscard]] pool_driver& pools() { return *pools_; }
     [[nodiscard]] const team_limits& limits() const { return limits_; }
     [[nodiscard]] std::size_t open_requests() const { return requests_->open_requests(); }
     [[nodiscard]] const settings& node_settings() const { return settings_; }
@@ -71,6 +73,7 @@
     team_limits limits_;
     drain drain_;
     std::unique_ptr<configuration_driver> configuration_;
+    std::unique_ptr<pool_driver> pools_;
     std::unique_ptr<request_driver> requests_;
     std::function<void()> on_stop_listening_;
     std::function<void()> on_leave_;
--- a/src/node/node_links.h
+++ b/src/node/node_links.h
@@ -5,6 +5,7 @@
 #include "citronford/object_store.h"
 #include "citronford/table_service.h"
 #include "citronford/timer_service.h"
+#include "citronford/vm_control.h"
 #include "citronford/vm_list.h"
 
 namespace citronford {
@@ -17,6 +18,7 @@
     vm_list& vms;
     executor_link& executors;
     caller_link& callers;
+    vm_control& machines;
 };
 
 } // namespace citronford
--- /dev/null
+++ b/src/node/pool_driver.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "citronford/pool_controller.h"
+#include "citronford/settings.h"
+#include "node/node_links.h"
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace citronford {
+
+/// Performs the effects of the pool controller through the interfaces of the node.
+class pool_driver {
+  public:
+    using change_callback = std::function<void(absl::StatusOr<table_version>)>;
+
+    /// Fails with `chart_invalid`.
+    static absl::StatusOr<std::unique_ptr<pool_driver>> create(const settings& node_settings,
+                                                               node_links links);
+
+    pool_driver(const pool_driver&) = delete;
+    pool_driver& operator=(const pool_driver&) = delete;
+    pool_driver(pool_driver&&) = delete;
+    pool_driver& operator=(pool_driver&&) = delete;
+    ~pool_driver() = default;
+
+    /// Begins to read rows and the VM list and to decide.
+    void start();
+
+    void configure(const fleet_configuration& fleet);
+
+    /// Takes in the live nodes; until the first call the node counts itself only.
+    void set_members(std::span<const node_id> nodes);
+
+    /// Orders a move. Fails as `pool_controller::move_order`, with `conflict` naming the version
+    /// that was committed first, `table_unavailable` or `commit_in_doubt`.
+    void move(const vm_id& vm, const pool_id& target, std::string_view reason,
+              change_callback done);
+
+    /// Starts a roll-out over a pool. Fails like `move`.
+    void maintain(const pool_id& pool, std::string_view reason, change_callback done);
+
+    /// The pool of a VM by its row; empty while it has none.
+    [[nodiscard]] std::optional<pool_id> pool_of(const vm_id& vm) const;
+
+    /// Whether the row of a VM lets it accept work; true while it has none.
+    [[nodiscard]] bool in_service(const vm_id& vm) const;
+
+    [[nodiscard]] const pool_controller& controller() const { return *controller_; }
+
+  private:
+    /// Rows of one read; it counts only when every prefix was scanned.
+    struct row_read {
+        pool_rows_read rows;
+        std::vector<table_version> scanned; ///< Versions of the prefixes scanned so far.
+    };
+
+    pool_driver(settings node_settings, node_links links,
+                std::unique_ptr<pool_controller> controller);
+
+    void handle(const pool_input& input);
+    void perform(const commit_pool& effect);
+    void perform(const order_drain& effect);
+    void perform(const order_reboot& effect);
+    void perform(const ask_vm_status& effect);
+    void perform(const read_pool_rows& effect);
+
+    void commit_order(const table_check& check, const table_write& write, change_callback done);
+    void poll_rows();
+    void scan_next(const std::shared_ptr<row_read>& read);
+    static void take_scan(const table_scan& scan, row_read& read);
+    void end_poll();
+    void poll_vms();
+
+    settings settings_;
+    node_links links_;
+    std::unique_ptr<pool_controller> controller_;
+    std::vector<table_version> scanned_; ///< Versions of the last whole read; empty before it.
+    bool polling_ = false;
+    bool poll_again_ = false;
+    timer_subscription tick_timer_;
+    timer_subscription row_timer_;
+    timer_subscription read_timer_;
+    timer_subscription vm_timer_;
+};
+
+} // namespace citronford
--- a/src/node/request_driver.cpp
+++ b/src/node/request_driver.cpp
@@ -17,13 +17,18 @@
     return "claim/" + request.str();
 }
 
-/// The executors of all services among the listed VMs.
-executor_listing executors_of(const std::vector<vm_listing>& vms,
-                              const fleet_configuration& fleet) {
+/// The executors of all services among the listed VMs. The pool of the row counts; the list gives
+/// only the first pool. A VM that is drained or rebooted is not an executor.
+executor_listing executors_of(const std::vector<vm_listing>& vms, const fleet_configuration& fleet,
+                              const pool_driver& pools) {
     executor_listing listing;
     for (const vm_listing& vm : vms) {
+        if (!pools.in_service(vm.id)) {
+            continue;
+        }
+        const pool_id pool = pools.pool_of(vm.id).value_or(vm.pool);
         for (const service_definition& service : fleet.defaults.services) {
-            if (service.pool == vm.pool) {
+            if (service.pool == pool) {
                 listing.executors.push_back(
                     {executor_id(vm.id.view()), service.name, vm.zone, vm.address, vm.leaving});
             }
@@ -35,7 +40,8 @@
 } // namespace
 
 absl::StatusOr<std::unique_ptr<request_driver>>
-request_driver::create(const settings& node_settings, node_links links, team_limits& limits) {
+request_driver::create(const settings& node_settings, node_links links, team_limits& limits,
+                       const pool_driver& pools) {
     const auto life_cycle = chart::load(node_settings.charts + "/request.scxml");
     if (!life_cycle.ok()) {
         return life_cycle.status();
@@ -47,12 +53,13 @@
         return router.status();
     }
     return std::unique_ptr<request_driver>(
-        new request_driver(node_settings, links, *std::move(router)));
+        new request_driver(node_settings, links, pools, *std::move(router)));
 }
 
-request_driver::request_driver(settings node_settings, node_links links,
+request_driver::request_driver(settings node_settings, node_links links, const pool_driver& pools,
                                std::unique_ptr<request_router> router)
-    : settings_(std::move(node_settings)), links_(links), router_(std::move(router)) {}
+    : settings_(std::move(node_settings)), links_(links), pools_(pools),
+      router_(std::move(router)) {}
 
 void request_driver::start() {
     tick_timer_ = links_.timers.every(tick_period, [this](instant) { handle(router_tick{}); });
@@ -131,7 +138,7 @@
 void request_driver::poll_vms() {
     links_.vms.list([this](const absl::StatusOr<std::vector<vm_listing>>& vms) {
         if (vms.ok()) {
-            handle(executors_of(*vms, fleet_));
+            handle(executors_of(*vms, fleet_, pools_));
         }
     });
 }
--- a/src/node/request_driver.h
+++ b/src/node/request_driver.h
@@ -4,6 +4,7 @@
 #include "citronford/settings.h"
 #include "citronford/team_limits.h"
 #include "node/node_links.h"
+#include "node/pool_driver.h"
 
 #include <absl/status/statusor.h>
 
@@ -14,9 +15,11 @@
 /// Performs the effects of the request router through the interfaces of the node.
 class request_driver {
   public:
-    /// Fails with `chart_invalid`.
-    static absl::StatusOr<std::unique_ptr<request_driver>>
-    create(const settings& node_settings, node_links links, team_limits& limits);
+    /// Fails with `chart_invalid`. `pools` says to which pool a VM belongs.
+    static absl::StatusOr<std::unique_ptr<request_driver>> create(const settings& node_settings,
+                                                                  node_links links,
+                                                                  team_limits& limits,
+                                                                  const pool_driver& pools);
 
     request_driver(const request_driver&) = delete;
     request_driver& operator=(const request_driver&) = delete;
@@ -33,7 +36,7 @@
     [[nodiscard]] std::size_t open_requests() const { return router_->open_requests(); }
 
   private:
-    request_driver(settings node_settings, node_links links,
+    request_driver(settings node_settings, node_links links, const pool_driver& pools,
                    std::unique_ptr<request_router> router);
 
     void perform(const commit_claim& effect);
@@ -47,6 +50,7 @@
 
     settings settings_;
     node_links links_;
+    const pool_driver& pools_;
     std::unique_ptr<request_router> router_;
     fleet_configuration fleet_;
     timer_subscription tick_timer_;
--- a/tools/standins/standin_platform.cpp
+++ b/tools/standins/standin_platform.cpp
@@ -1,5 +1,5 @@
-// Stand-in for the platform: table service, object store and VM list in memory, with switchable
-// faults. For tests and demonstrations only.
+// Stand-in for the platform: table service, object store, VM list and orders to VMs in memory, with
+// switchable faults. For tests and demonstrations only.
 #include "standins/standin.h"
 
 #include "io/url.h"
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace {
 
@@ -27,6 +28,16 @@
     std::int64_t delay_ms = 0;
     std::int64_t lose_replies = 0; ///< Replies to transactions that are still to be lost.
     std::int64_t vm_lag_ms = 0;
+    std::int64_t drain_ms = 1000;
+    std::int64_t reboot_ms = 3000;
+    std::set<std::string> stuck_vms; ///< VMs that do not come back from a reboot.
+};
+
+/// One VM as the platform runs it.
+struct machine {
+    std::string state = "serving";
+    std::uint64_t order = 0;
+    timer_subscription timer;
 };
 
 class platform {
@@ -87,6 +98,10 @@
                                                    : http_response{200, {}, found->second});
         } else if (path.size() == 1 && path[0] == "vms" && method == "PUT") {
             set_vms(json::parse(body, nullptr, false), responder);
+        } else if (path.size() == 2 && path[0] == "vms") {
+            show_machine(path[1], responder);
+        } else if (path.size() == 3 && path[0] == "vms") {
+            order_machine(path[1], path[2], json::parse(body, nullptr, false), responder);
         } else if (path.size() == 1 && path[0] == "vms") {
             responder.send({200, {}, json{{"vms", listed_vms()}}.dump()});
         } else {
@@ -151,9 +166,53 @@
         responder.send({200, {}, json{{"rows", rows}, {"version", version_}}.dump()});
     }
 
+    void show_machine(const std::string& id, const http_responder& responder) {
+        if (!running_.contains(id)) {
+            responder.send({404, {}, R"({"error":"unknown VM"})"});
+            return;
+        }
+        const machine& vm = machines_[id];
+        responder.send({200, {}, json{{"state", vm.state}, {"order", vm.order}}.dump()});
+    }
+
+    /// Carries out an order once; one with a lower number than the last is rejected.
+    void order_machine(const std::string& id, const std::string& verb, const json& document,
+                       const http_responder& responder) {
+        if (!running_.contains(id) || (verb != "drain" && verb != "reboot")) {
+            responder.send({404, {}, R"({"error":"unknown VM or order"})"});
+            return;
+        }
+        const std::uint64_t order = document.is_object() ? document.value("order", 0ULL) : 0;
+        machine& vm = machines_[id];
+        if (order < vm.order) {
+            responder.send({409, {}, json{{"order", vm.order}}.dump()});
+            return;
+        }
+        if (order > vm.order) {
+            vm.order = order;
+            begin(id, vm, verb);
+        }
+        responder.send({200, {}, json{{"order", vm.order}}.dump()});
+    }
+
+    void begin(const std::string& id, machine& vm, const std::string& verb) {
+        const bool drain = verb == "drain";
+        vm.state = drain ? "draining" : "rebooting";
+        if (!drain && faults_.stuck_vms.contains(id)) {
+            vm.timer.cancel();
+            return;
+        }
+        vm.timer = loop_.after(milliseconds(drain ? faults_.drain_ms : faults_.reboot_ms),
+                               [&vm, drain](instant) { vm.state = drain ? "drained" : "serving"; });
+    }
+
     /// Replaces the VM list; readers see it after the lag in force.
     void set_vms(const json& document, const http_responder& responder) {
         vm_history_.emplace_back(loop_.now(), document.value("vms", json::array()));
+        running_.clear();
+        for (const json& vm : vm_history_.back().second) {
+            running_.insert(vm.value("id", ""));
+        }
         responder.send({200, {}, "{}"});
     }
 
@@ -173,12 +232,17 @@
         faults_.delay_ms = document.value("delay_ms", faults_.delay_ms);
         faults_.lose_replies = document.value("lose_replies", faults_.lose_replies);
         faults_.vm_lag_ms = document.value("vm_lag_ms", faults_.vm_lag_ms);
+        faults_.drain_ms = document.value("drain_ms", faults_.drain_ms);
+        faults_.reboot_ms = document.value("reboot_ms", faults_.reboot_ms);
+        faults_.stuck_vms = document.value("stuck_vms", faults_.stuck_vms);
     }
 
     event_loop& loop_;
     std::map<std::string, stored_row> rows_;
     std::map<std::string, std::string> objects_;
     std::deque<std::pair<instant, json>> vm_history_;
+    std::set<std::string> running_; ///< VMs of the present list, without the lag.
+    std::map<std::string, machine> machines_;
     std::vector<http_responder> lost_; ///< Requests whose reply is never sent.
     std::uint64_t version_ = 0;
     std::uint64_t transactions_ = 0;
