--- a/daemons/citronfordd.cpp
+++ b/daemons/citronfordd.cpp
@@ -8,6 +8,7 @@
 #include "io/http_platform.h"
 #include "io/http_server.h"
 #include "io/http_vm_control.h"
+#include "io/http_worker_link.h"
 #include "io/log.h"
 #include "io/operator_front.h"
 #include "node/node.h"
@@ -55,10 +56,11 @@
     http_platform platform(client, own.platform, own.platform_timeout);
     http_vm_control machines(client, own.platform, own.platform_timeout);
     http_executor_link executors(client);
+    http_worker_link workers(client);
     caller_front callers;
     std::unique_ptr<http_server> caller_server;
     auto created = node::create(
-        own, {**loop, platform, platform, platform, executors, callers, machines},
+        own, {**loop, platform, platform, platform, executors, callers, workers, machines},
         [&] { caller_server->stop_accepting(); }, [&] { leave_process(own); });
     if (!created.ok()) {
         return fail(created.status());
--- a/include/citronford/pool_controller.h
+++ b/include/citronford/pool_controller.h
@@ -47,7 +47,7 @@
     instant begun;
 };
 /// The live nodes of the fleet.
-struct member_listing {
+struct pool_node_listing {
     std::vector<node_id> nodes;
 };
 /// How the transaction `number` of a pool ended.
@@ -66,7 +66,7 @@
 /// Time passed.
 struct pools_tick {};
 
-using pool_input = std::variant<pool_rows_read, vms_listed, member_listing, pool_commit_report,
+using pool_input = std::variant<pool_rows_read, vms_listed, pool_node_listing, pool_commit_report,
                                 vm_status_report, pools_tick>;
 
 // Effects of the controller.
--- a/src/decide/pool_controller.cpp
+++ b/src/decide/pool_controller.cpp
@@ -100,7 +100,7 @@
             if (item.deleted) {
                 vms_.erase(item.row.id, item.version);
             } else {
-                vms_.apply(item.row, item.version);
+                take_row(item);
             }
         }
         for (const auto& item : rows.pools) {
@@ -113,11 +113,22 @@
         rows_begun_ = std::max(rows_begun_, rows.begun);
     }
 
+    void take_row(const pool_rows_read::vm_row& item) {
+        const vm_entry* known = vms_.find(item.row.id);
+        // The row of a moving VM carries the epoch of the pool that it left.
+        const bool comparable =
+            known != nullptr && known->version < item.version && known->row.pool == item.row.pool &&
+            known->row.state != vm_states::moving && item.row.state != vm_states::moving;
+        invariant_monitor::check(!comparable || known->row.epoch <= item.row.epoch, "one-pool",
+                                 "a controller wrote a VM row after its successor");
+        vms_.apply(item.row, item.version);
+    }
+
     void take(const vms_listed& list, instant /*now*/, effects_out /*effects*/) {
         vms_.apply_list(list.vms, list.begun);
     }
 
-    void take(const member_listing& listing, instant /*now*/, effects_out /*effects*/) {
+    void take(const pool_node_listing& listing, instant /*now*/, effects_out /*effects*/) {
         members_ = listing.nodes;
     }
 
@@ -147,7 +158,7 @@
             pool.lease.renewed(commit.lease, report.version, commit.sent_at);
         }
         if (report.result == committed || ignores_conflict) {
-            take_committed(commit, report.version);
+            take_committed(commit, ignores_conflict ? seen_ + 1 : report.version);
             if (commit.takes_lease) {
                 pool.follows.clear();
                 pool.read_after = now;
@@ -372,13 +383,27 @@
                                        list_too_old ||
                                            any_zone(&zone_situation::planned_steps_held),
                                        any_zone(&zone_situation::giving_back)};
-        for (const pool_step& planned : planned_steps(situation)) {
+        const std::vector<pool_step> steps = planned_steps(situation);
+        check_budget(situation, steps);
+        for (const pool_step& planned : steps) {
             const auto found = std::ranges::find(
                 members, planned.vm, [](const member& item) { return item.entry.row.id; });
             step(*found, step_planned{planned.step, planned.target});
         }
     }
 
+    static void check_budget(const pool_situation& situation, std::span<const pool_step> steps) {
+        pool_availability before;
+        for (const vm_entry& vm : situation.members) {
+            before.count(availability_of(vm, situation.fleet));
+        }
+        const auto bound = std::ranges::count_if(
+            steps, [](const pool_step& planned) { return planned.step != vm_step::lend; });
+        const std::int64_t budget = budget_of(situation.fleet, situation.pool);
+        invariant_monitor::check(bound == 0 || before.unavailable() + bound <= budget, "budgets",
+                                 "planned steps exceed the availability budget");
+    }
+
     void write_changes(const pool_id& name, pool_state& pool, const std::vector<member>& members,
                        instant now, effects_out effects) {
         std::vector<vm_write> writes;
--- a/src/node/node_links.h
+++ b/src/node/node_links.h
@@ -7,6 +7,7 @@
 #include "citronford/timer_service.h"
 #include "citronford/vm_control.h"
 #include "citronford/vm_list.h"
+#include "citronford/worker_link.h"
 
 namespace citronford {
 
@@ -18,6 +19,7 @@
     vm_list& vms;
     executor_link& executors;
     caller_link& callers;
+    worker_link& workers;
     vm_control& machines;
 };
 
--- a/src/node/pool_driver.cpp
+++ b/src/node/pool_driver.cpp
@@ -76,7 +76,7 @@
 }
 
 void pool_driver::set_members(std::span<const node_id> nodes) {
-    handle(member_listing{{nodes.begin(), nodes.end()}});
+    handle(pool_node_listing{{nodes.begin(), nodes.end()}});
 }
 
 std::optional<pool_id> pool_driver::pool_of(const vm_id& vm) const {
