--- a/daemons/citronfordd.cpp
+++ b/daemons/citronfordd.cpp
@@ -22,17 +22,11 @@
 namespace po = boost::program_options;
 using namespace citronford;
 
-int exit_code_of(const absl::Status& status) {
-    // Exit codes have one byte; each hundred of the result codes keeps its last two digits.
-    constexpr int usable = 125;
-    return 1 + static_cast<int>(code_of(status)) % usable;
-}
-
 int fail(const absl::Status& status) {
     log_event(
         log_level::error, "start_failed",
         {{"code", static_cast<std::int64_t>(code_of(status))}, {"reason", message_of(status)}});
-    return exit_code_of(status);
+    return exit_code_of(code_of(status));
 }
 
 /// Logs the end of a planned stop and leaves. h2o keeps open connections in the loop, which a
@@ -117,7 +111,7 @@
     if (!own.ok()) {
         std::cerr << "citronfordd: code=" << static_cast<int>(code_of(own.status())) << '\n'
                   << own.status().message() << '\n';
-        return exit_code_of(own.status());
+        return exit_code_of(code_of(own.status()));
     }
     if (values.count("check-settings") != 0) {
         std::cout << "settings are valid\n";
--- a/include/citronford/result_code.h
+++ b/include/citronford/result_code.h
@@ -74,6 +74,10 @@
 
 std::string_view name_of(run_state state);
 
+/// The exit code of a program that ends because of `code`, from 0 to 125; distinct for each code.
+/// 2 is wrong usage and 3 a missing answer (docs/errors.md).
+int exit_code_of(result_code code);
+
 /// A status that carries `code`. `ok` gives an OK status and drops the message.
 absl::Status make_status(result_code code, std::string_view message);
 
--- a/src/decide/result_code.cpp
+++ b/src/decide/result_code.cpp
@@ -132,6 +132,19 @@
     return "unknown";
 }
 
+int exit_code_of(result_code code) {
+    // Shells use the exit codes from 126 on. Each of the six hundreds of the table gets 17 codes
+    // from 4 on.
+    constexpr int hundred = 100;
+    constexpr int codes_per_hundred = 17;
+    constexpr int first = 4;
+    const int number = static_cast<int>(entry_of(code).code);
+    if (number < hundred) {
+        return number;
+    }
+    return first + (number / hundred - 1) * codes_per_hundred + number % hundred;
+}
+
 absl::Status make_status(result_code code, std::string_view message) {
     if (code == result_code::ok) {
         return absl::OkStatus();
--- a/src/io/operator_front.cpp
+++ b/src/io/operator_front.cpp
@@ -34,7 +34,26 @@
     void (*function)(const operation& parameters);
 };
 
+/// Answers a change that is only to be previewed (`?dry_run=1`); false when it is to be made.
+bool previewed(const operation& parameters, const configuration_change& change) {
+    if (query_value(parameters.request.query, "dry_run") != "1") {
+        return false;
+    }
+    const fleet_configuration& fleet = parameters.target.configuration().fleet();
+    const absl::Status status = validated(change, fleet);
+    if (status.ok()) {
+        send_json(parameters.responder,
+                  json{{"dry_run", true}, {"version", fleet.version + 1}}.dump());
+    } else {
+        send_error(parameters.responder, status);
+    }
+    return true;
+}
+
 void apply_change(const operation& parameters, const configuration_change& change) {
+    if (previewed(parameters, change)) {
+        return;
+    }
     parameters.target.configuration().change(
         change, [responder = parameters.responder](absl::StatusOr<configuration_version> version) {
             if (!version.ok()) {
@@ -102,6 +121,9 @@
     const std::string id = random_hex(id_bytes);
     const std::string key = random_hex(key_bytes);
     const team_key item{key_id(id), digest_of_key(key), team_id(body_text(parameters, "team"))};
+    if (previewed(parameters, give_key{item})) {
+        return;
+    }
     parameters.target.configuration().change(
         give_key{item},
         [responder = parameters.responder, id, key](absl::StatusOr<configuration_version> version) {
@@ -113,6 +135,15 @@
         });
 }
 
+/// Ids and teams only: digests stay inside.
+void list_keys(const operation& parameters) {
+    json document = json::array();
+    for (const team_key& key : parameters.target.configuration().fleet().keys) {
+        document.push_back({{"id", key.id.str()}, {"team", key.team.str()}});
+    }
+    send_json(parameters.responder, document.dump());
+}
+
 void delete_key(const operation& parameters) {
     apply_change(parameters, withdraw_key{key_id(parameters.path[1])});
 }
@@ -151,6 +182,7 @@
     {"DELETE", "exceptions", 2, "", delete_exception},
     {"POST", "zones", 3, "out", take_zone_out},
     {"POST", "zones", 3, "in", bring_zone_in},
+    {"GET", "keys", 1, "", list_keys},
     {"POST", "keys", 1, "", create_key},
     {"DELETE", "keys", 2, "", delete_key},
     {"GET", "state", 1, "", show_state},
