Add service levels, burn rates, metrics and rate-limited logs

Ruled out: counting a caller's own errors (4xx), and histograms per team, whose label sets grow with teams times services. Fault found by the reports test: a raised level hid its own log line; it is now always written. Before: no reports.

--- a/daemons/citronfordd.cpp
+++ b/daemons/citronfordd.cpp
@@ -2,6 +2,7 @@
 #include "citronford/invariant.h"
 #include "citronford/settings.h"
 #include "io/caller_front.h"
+#include "io/counted_table.h"
 #include "io/event_loop.h"
 #include "io/http_client.h"
 #include "io/http_executor_link.h"
@@ -9,6 +10,8 @@
 #include "io/http_server.h"
 #include "io/http_worker_link.h"
 #include "io/log.h"
+#include "io/metrics.h"
+#include "io/node_metrics.h"
 #include "io/operator_front.h"
 #include "node/node.h"
 
@@ -47,18 +50,23 @@
     }
     http_client client((*loop)->handle(), **loop);
     http_platform platform(client, own.platform, own.platform_timeout);
+    metrics registry;
+    counted_table table(platform, registry);
     http_executor_link executors(client);
     http_worker_link workers(client);
     caller_front callers;
     std::unique_ptr<http_server> caller_server;
     auto created = node::create(
-        own, {**loop, platform, platform, platform, executors, callers, workers},
+        own, {**loop, table, platform, platform, executors, callers, workers},
         [&] { caller_server->stop_accepting(); }, [&] { leave_process(own); });
     if (!created.ok()) {
         return fail(created.status());
     }
     node& target = **created;
-    operator_front operators(target);
+    target.levels().subscribe(
+        [&](const answer_given& answer) { count_answer(target, answer, registry); });
+    operator_front operators(target,
+                             {registry, **loop, [&] { return caller_server->open_connections(); }});
     auto listening =
         http_server::create((*loop)->handle(), own.callers, own.body_limit,
                             [&](const http_request& request, const http_responder& responder) {
--- a/scripts/fleet_functions.sh
+++ b/scripts/fleet_functions.sh
@@ -163,8 +163,12 @@
 give_key() {
     wait_for 10 http -f -o "$work/key.json" -X POST "http://${operators[$1]}/v1/keys" \
         -d "{\"team\":\"$2\"}" || fail "no key for the team $2"
-    key_id=$(sed -E 's/.*"id":"([^"]*)".*/\1/' "$work/key.json")
-    key=$(sed -E 's/.*"key":"([^"]*)".*/\1/' "$work/key.json")
+    local document
+    document=$(<"$work/key.json")
+    [[ $document =~ \"id\":\"([^\"]*)\" ]] || fail "no key id in $document"
+    key_id=${BASH_REMATCH[1]}
+    [[ $document =~ \"key\":\"([^\"]*)\" ]] || fail "no key in the answer"
+    key=${BASH_REMATCH[1]}
 }
 
 # wait_key DAEMON KEY: until the daemon accepts the key.
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -61,6 +61,7 @@
     uv_tcp_t* listener = nullptr;
     std::size_t body_limit = 0;
     std::size_t open = 0;
+    std::size_t connections = 0;
     bool stopping = false;
     std::uint16_t port = 0;
     handler handle;
@@ -189,21 +190,34 @@
     h2o_setup_next_ostream(request, slot);
 }
 
+/// A connection that its server counts until it is closed.
+struct counted_connection {
+    uv_tcp_t handle; ///< First member, since libuv and h2o pass on its address only.
+    http_server::implementation* server;
+};
+
+void release_connection(uv_handle_t* handle) {
+    auto* connection = reinterpret_cast<counted_connection*>(handle);
+    --connection->server->connections;
+    free(connection);
+}
+
 void accept_connection(uv_stream_t* listener, int status) {
     if (status != 0) {
         return;
     }
     auto* server = static_cast<http_server::implementation*>(listener->data);
-    auto* connection = static_cast<uv_tcp_t*>(h2o_mem_alloc(sizeof(uv_tcp_t)));
-    uv_tcp_init(listener->loop, connection);
-    const uv_close_cb release = [](uv_handle_t* handle) { free(handle); };
-    if (uv_accept(listener, reinterpret_cast<uv_stream_t*>(connection)) != 0) {
-        uv_close(reinterpret_cast<uv_handle_t*>(connection), release);
+    auto* connection = static_cast<counted_connection*>(h2o_mem_alloc(sizeof(counted_connection)));
+    connection->server = server;
+    ++server->connections;
+    uv_tcp_init(listener->loop, &connection->handle);
+    auto* stream = reinterpret_cast<uv_stream_t*>(&connection->handle);
+    if (uv_accept(listener, stream) != 0) {
+        uv_close(reinterpret_cast<uv_handle_t*>(stream), release_connection);
         return;
     }
-    uv_tcp_nodelay(connection, 1);
-    h2o_socket_t* socket =
-        h2o_uv_socket_create(reinterpret_cast<uv_stream_t*>(connection), release);
+    uv_tcp_nodelay(&connection->handle, 1);
+    h2o_socket_t* socket = h2o_uv_socket_create(stream, release_connection);
     h2o_accept(&server->accept, socket);
 }
 
@@ -329,6 +343,10 @@
     h2o_context_request_shutdown(&body_->context);
 }
 
+std::size_t http_server::open_connections() const {
+    return body_->connections;
+}
+
 std::size_t http_server::open_requests() const {
     return body_->open;
 }
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -78,6 +78,9 @@
     /// Closes the listening socket. Open connections are closed after their present request.
     void stop_accepting();
 
+    /// Connections of clients, also idle ones.
+    [[nodiscard]] std::size_t open_connections() const;
+
     /// Requests received and not yet fully answered.
     [[nodiscard]] std::size_t open_requests() const;
 
--- a/src/io/log.cpp
+++ b/src/io/log.cpp
@@ -7,6 +7,7 @@
 
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace citronford {
 namespace {
@@ -88,7 +89,10 @@
     return false;
 }
 
-void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields) {
+namespace {
+
+void write_line(log_level level, std::string_view event, std::span<const log_field> fields,
+                std::int64_t suppressed) {
     spdlog::logger& logger = event_logger();
     if (!logger.should_log(spdlog_level(level))) {
         return;
@@ -106,7 +110,33 @@
                    },
                    value);
     }
+    if (suppressed > 0) {
+        line += " suppressed=" + std::to_string(suppressed);
+    }
     logger.log(spdlog_level(level), "{}", line);
 }
 
+} // namespace
+
+void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields) {
+    write_line(level, event, {fields.begin(), fields.size()}, 0);
+}
+
+bool log_limiter::log_repeated(log_level level, std::string_view event, std::string_view kind,
+                               instant now, std::initializer_list<log_field> fields) {
+    const std::string key = std::string(event) + '/' + std::string(kind);
+    const auto [place, first] = repetitions_.try_emplace(key, repetition{now});
+    repetition& seen = place->second;
+    if (now - seen.begun_at >= period) {
+        seen = {now, 0, seen.suppressed};
+    }
+    if (seen.written >= burst) {
+        ++seen.suppressed;
+        return false;
+    }
+    ++seen.written;
+    write_line(level, event, {fields.begin(), fields.size()}, std::exchange(seen.suppressed, 0));
+    return true;
+}
+
 } // namespace citronford
--- a/src/io/operator_front.cpp
+++ b/src/io/operator_front.cpp
@@ -1,9 +1,12 @@
 #include "io/operator_front.h"
 
 #include "citronford/invariant.h"
+#include "io/burn_page.h"
 #include "io/configuration_codec.h"
 #include "io/digest.h"
 #include "io/http_response.h"
+#include "io/log.h"
+#include "io/node_metrics.h"
 #include "io/url.h"
 #include "node/node.h"
 
@@ -24,6 +27,7 @@
     const http_request& request;
     const http_responder& responder;
     std::vector<std::string> path; ///< Without the leading "v1".
+    const process_view& own;
 };
 
 struct route {
@@ -174,6 +178,39 @@
     send_json(parameters.responder, document.dump());
 }
 
+void show_burn(const operation& parameters) {
+    const service_level_driver& levels = parameters.target.levels();
+    const std::vector<burn_report> reports = levels.reports();
+    const std::string_view name = parameters.target.node_settings().node.view();
+    if (parameters.request.header("accept").find("text/html") != std::string_view::npos) {
+        const std::string page = burn_html(name, reports, levels.covered());
+        parameters.responder.send({200, {}, page, "text/html; charset=utf-8"});
+    } else {
+        send_json(parameters.responder, burn_json(name, reports, levels.covered()));
+    }
+}
+
+void change_log_level(const operation& parameters) {
+    const std::string name = body_text(parameters, "level");
+    log_level level{};
+    if (!parse_log_level(name, level)) {
+        send_error(parameters.responder, result_code::invalid_argument,
+                   "level must be debug, info, warning or error");
+        return;
+    }
+    // Written whatever the levels before and after are.
+    set_log_level(log_level::info);
+    log_event(log_level::info, "log_level_changed", {{"level", name}});
+    set_log_level(level);
+    send_json(parameters.responder, json{{"level", name}}.dump());
+}
+
+void show_metrics(node& target, const process_view& own, const http_responder& responder) {
+    collect_gauges(target, own.open_connections(), own.timers.now(), own.registry);
+    const std::string text = own.registry.text();
+    responder.send({200, {}, text, "text/plain; version=0.0.4; charset=utf-8"});
+}
+
 constexpr route routes[] = {
     {"GET", "defaults", 1, "", show_defaults},
     {"PUT", "defaults", 1, "", replace_defaults},
@@ -186,6 +223,8 @@
     {"POST", "keys", 1, "", create_key},
     {"DELETE", "keys", 2, "", delete_key},
     {"GET", "state", 1, "", show_state},
+    {"GET", "burn", 1, "", show_burn},
+    {"POST", "log-level", 1, "", change_log_level},
 };
 
 bool matches_path(const route& candidate, const std::vector<std::string>& path) {
@@ -197,7 +236,11 @@
 
 void operator_front::handle(const http_request& request, const http_responder& responder) {
     std::vector<std::string> path = path_segments(request.path);
-    if (path.empty() || path[0] != "v1") {
+    if (path == std::vector<std::string>{"metrics"} && request.method == "GET") {
+        show_metrics(node_, own_, responder);
+        return;
+    }
+    if (path.size() < 2 || path[0] != "v1") {
         send_error(responder, result_code::unknown_path, "no resource has this path");
         return;
     }
@@ -209,7 +252,7 @@
         }
         path_known = true;
         if (candidate.method == request.method) {
-            candidate.function({node_, request, responder, path});
+            candidate.function({node_, request, responder, path, own_});
             return;
         }
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -47,12 +47,17 @@
 
 node::node(settings node_settings, node_links links, drain stop)
     : settings_(std::move(node_settings)), links_(links), drain_(std::move(stop)),
-      configuration_(std::make_unique<configuration_driver>(settings_, links)) {}
+      configuration_(std::make_unique<configuration_driver>(settings_, links)),
+      levels_(std::make_unique<service_level_driver>(links.timers)) {}
 
 void node::start() {
     configuration_->subscribe([this](const fleet_configuration& fleet) { apply(fleet); });
     configuration_->start();
+    requests_->on_answer([this](const answer_caller& answer) {
+        levels_->answered(answer.caller, answer.request, answer.code, answer.status);
+    });
     requests_->start();
+    levels_->start();
     tasks_->start();
 }
 
@@ -61,6 +66,7 @@
         limits_.set_units(team.name, team.limit);
     }
     requests_->configure(fleet);
+    levels_->configure(fleet);
     tasks_->configure(fleet);
 }
 
@@ -88,17 +94,20 @@
     }
     const duration timeout =
         request.timeout > duration::zero() ? request.timeout : fleet.defaults.request_timeout;
+    levels_->received(request.caller, service->name, *team);
     requests_->handle(request_submission{request.caller, request.request, *team, request.service,
                                          std::string(request.body), timeout});
 }
 
 void node::refuse(const caller_request& request, const absl::Status& status) {
     const result_code_entry& entry = entry_of(code_of(status));
+    levels_->refused(request.service, request.request, entry.code);
     links_.callers.answer(request.caller, {entry.http_status, entry.code, entry.state,
                                            request.request, message_of(status)});
 }
 
 void node::caller_left(caller_id caller) {
+    levels_->left(caller);
     requests_->handle(caller_gone{caller});
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -6,6 +6,7 @@
 #include "node/configuration_driver.h"
 #include "node/node_links.h"
 #include "node/request_driver.h"
+#include "node/service_level_driver.h"
 #include "node/task_driver.h"
 
 #include <absl/status/statusor.h>
@@ -62,9 +63,14 @@
     void request_stop();
 
     [[nodiscard]] configuration_driver& configuration() { return *configuration_; }
+    [[nodiscard]] const configuration_driver& configuration() const { return *configuration_; }
     [[nodiscard]] const team_limits& limits() const { return limits_; }
     [[nodiscard]] std::size_t open_requests() const { return requests_->open_requests(); }
     [[nodiscard]] const task_scheduler& tasks() const { return tasks_->scheduler(); }
+    [[nodiscard]] std::size_t queued(const service_id& service) const {
+        return requests_->queued(service);
+    }
+    [[nodiscard]] service_level_driver& levels() { return *levels_; }
     [[nodiscard]] const settings& node_settings() const { return settings_; }
 
   private:
@@ -80,6 +86,7 @@
     team_limits limits_;
     drain drain_;
     std::unique_ptr<configuration_driver> configuration_;
+    std::unique_ptr<service_level_driver> levels_;
     std::unique_ptr<request_driver> requests_;
     std::unique_ptr<task_driver> tasks_;
     std::function<void()> on_stop_listening_;
--- a/src/node/request_driver.cpp
+++ b/src/node/request_driver.cpp
@@ -164,6 +164,9 @@
 }
 
 void request_driver::perform(const answer_caller& effect) {
+    if (on_answer_) {
+        on_answer_(effect);
+    }
     links_.callers.answer(effect.caller, {effect.status, effect.code, entry_of(effect.code).state,
                                           effect.request, effect.body});
 }
--- a/src/node/request_driver.h
+++ b/src/node/request_driver.h
@@ -8,6 +8,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <functional>
 #include <memory>
 
 namespace citronford {
@@ -28,10 +29,18 @@
     /// Begins to check deadlines and to read the VM list.
     void start();
 
+    /// Calls `function` for every answer, before the caller receives it.
+    void on_answer(std::function<void(const answer_caller&)> function) {
+        on_answer_ = std::move(function);
+    }
+
     void configure(const fleet_configuration& fleet);
     void handle(const router_input& input);
 
     [[nodiscard]] std::size_t open_requests() const { return router_->open_requests(); }
+    [[nodiscard]] std::size_t queued(const service_id& service) const {
+        return router_->queued(service);
+    }
 
   private:
     request_driver(settings node_settings, node_links links,
@@ -59,6 +68,7 @@
     group_commit commits_;
     fleet_configuration fleet_;
     bool listing_vms_ = false;
+    std::function<void(const answer_caller&)> on_answer_;
     timer_subscription tick_timer_;
     timer_subscription vm_timer_;
 };
