--- a/daemons/citronfordd.cpp
+++ b/daemons/citronfordd.cpp
@@ -2,6 +2,7 @@
 #include "citronford/invariant.h"
 #include "citronford/settings.h"
 #include "io/caller_front.h"
+#include "io/counted_table.h"
 #include "io/event_loop.h"
 #include "io/http_client.h"
 #include "io/http_executor_link.h"
@@ -10,6 +11,8 @@
 #include "io/http_vm_control.h"
 #include "io/http_worker_link.h"
 #include "io/log.h"
+#include "io/metrics.h"
+#include "io/node_metrics.h"
 #include "io/operator_front.h"
 #include "node/node.h"
 
@@ -24,17 +27,11 @@
 namespace po = boost::program_options;
 using namespace citronford;
 
-int exit_code_of(const absl::Status& status) {
-    // Exit codes have one byte; each hundred of the result codes keeps its last two digits.
-    constexpr int usable = 125;
-    return 1 + static_cast<int>(code_of(status)) % usable;
-}
-
 int fail(const absl::Status& status) {
     log_event(
         log_level::error, "start_failed",
         {{"code", static_cast<std::int64_t>(code_of(status))}, {"reason", message_of(status)}});
-    return exit_code_of(status);
+    return exit_code_of(code_of(status));
 }
 
 /// Logs the end of a planned stop and leaves. h2o keeps open connections in the loop, which a
@@ -54,19 +51,24 @@
     }
     http_client client((*loop)->handle(), **loop);
     http_platform platform(client, own.platform, own.platform_timeout);
-    http_vm_control machines(client, own.platform, own.platform_timeout);
+    http_vm_control vm_controls(client, own.platform, own.platform_timeout);
+    metrics registry;
+    counted_table table(platform, registry);
     http_executor_link executors(client);
     http_worker_link workers(client);
     caller_front callers;
     std::unique_ptr<http_server> caller_server;
     auto created = node::create(
-        own, {**loop, platform, platform, platform, executors, callers, workers, machines},
+        own, {**loop, table, platform, platform, executors, callers, workers, vm_controls},
         [&] { caller_server->stop_accepting(); }, [&] { leave_process(own); });
     if (!created.ok()) {
         return fail(created.status());
     }
     node& target = **created;
-    operator_front operators(target);
+    target.levels().subscribe(
+        [&](const answer_given& answer) { count_answer(target, answer, registry); });
+    operator_front operators(target,
+                             {registry, **loop, [&] { return caller_server->open_connections(); }});
     auto listening =
         http_server::create((*loop)->handle(), own.callers, own.body_limit,
                             [&](const http_request& request, const http_responder& responder) {
@@ -121,7 +123,7 @@
     if (!own.ok()) {
         std::cerr << "citronfordd: code=" << static_cast<int>(code_of(own.status())) << '\n'
                   << own.status().message() << '\n';
-        return exit_code_of(own.status());
+        return exit_code_of(code_of(own.status()));
     }
     if (values.count("check-settings") != 0) {
         std::cout << "settings are valid\n";
