--- a/include/citronford/executor_set.h
+++ b/include/citronford/executor_set.h
@@ -85,7 +85,7 @@
     /// The less loaded of two random executors of `service` with a free slot in the zone of the
     /// node; with `spill`, one of another zone at less than half of its limit when the own zone
     /// has none. Never `excluded`.
-    std::optional<choice> choose(const service_id& service, bool spill,
+    std::optional<choice> choose(const service_id& service, bool spill, instant now,
                                  const executor_id& excluded = {});
 
     /// An attempt was sent to `id`.
@@ -158,6 +158,7 @@
         int in_flight = 0;
         double limit = 0; ///< Requests that may run at once; from 1 to the slots.
         instant lowered_at;
+        instant full_until;
         int failures = 0;   ///< Failed answers and lost attempts since the last good answer.
         int ejections = 0;  ///< Since the last good answer.
         instant probe_from; ///< When an ejected executor may be probed.
--- a/src/decide/executor_set.cpp
+++ b/src/decide/executor_set.cpp
@@ -9,7 +9,12 @@
 namespace citronford {
 namespace {
 
+/// Added to the limit by as many answers as the limit. Nodes that share an executor meet a refusal
+/// for each whole step, so it is small against the retry budget.
+constexpr double limit_increase = 0.2;
 constexpr double limit_decrease = 0.7;
+/// After a refusal, an executor gets no new request for this time.
+constexpr duration refusal_pause = milliseconds(10);
 /// Several attempts of one overload or fault lower the limit once.
 constexpr duration lower_period = milliseconds(100);
 /// Failures in a row after which an executor is ejected.
@@ -82,7 +87,14 @@
          [](step_context& context, const event&) {
              executor& subject = context.subject;
              const double slots = context.set.options_.slots;
-             subject.limit = std::min(subject.limit + 1 / subject.limit, slots);
+             subject.limit = std::min(subject.limit + limit_increase / subject.limit, slots);
+         }},
+        // The slots that the executor refuses are taken by other nodes.
+        {"limit_to_accepted",
+         [](step_context& context, const event&) {
+             executor& subject = context.subject;
+             subject.limit = std::max(static_cast<double>(subject.in_flight), 1.0);
+             subject.full_until = context.now + refusal_pause;
          }},
         {"lower_limit",
          [](step_context& context, const event&) {
@@ -210,12 +222,12 @@
 }
 
 std::optional<executor_set::choice> executor_set::choose(const service_id& service, bool spill,
-                                                         const executor_id& excluded) {
+                                                         instant now, const executor_id& excluded) {
     std::vector<const executor*> local;
     std::vector<const executor*> remote;
     for (const executor* candidate : members(service)) {
         if (!takes_work(*candidate) || !within_reach(*candidate, spill) ||
-            candidate->id == excluded ||
+            candidate->id == excluded || candidate->full_until > now ||
             candidate->in_flight >= static_cast<int>(candidate->limit)) {
             continue;
         }
--- a/src/decide/request_router.cpp
+++ b/src/decide/request_router.cpp
@@ -226,7 +226,7 @@
                                                      effects_out effects) {
     service_state& service = services_[name];
     while (service.queue.size() > 0) {
-        const auto executor = executors_.choose(name, service.spill);
+        const auto executor = executors_.choose(name, service.spill, now);
         const auto caller = executor ? service.queue.next() : std::nullopt;
         if (!caller) {
             return;
@@ -269,7 +269,12 @@
                                                 effects_out effects) {
     const auto& submission = request.submission;
     service_state& service = services_[submission.service];
-    const auto executor = executors_.choose(submission.service, service.spill, request.executor);
+    // While requests wait, a hedge would take the slot of one that has not run at all.
+    if (service.queue.size() > 0) {
+        return;
+    }
+    const auto executor =
+        executors_.choose(submission.service, service.spill, now, request.executor);
     if (!executor || !limits_.acquire(submission.team)) {
         return;
     }
--- a/src/decide/request_router_state.h
+++ b/src/decide/request_router_state.h
@@ -134,7 +134,7 @@
     /// Whether an attempt would most likely end after its deadline. A service that runs nothing is
     /// always tried, so that an outdated estimate is corrected.
     [[nodiscard]] bool cannot_finish(const service_state& service, duration remaining) const {
-        return service.queue.mean_run_time() > remaining &&
+        return service.queue.high_run_time() > remaining &&
                executors_.in_flight(service.definition.name) > 0;
     }
 
