--- a/src/node/node_links.h
+++ b/src/node/node_links.h
@@ -5,7 +5,9 @@
 #include "citronford/object_store.h"
 #include "citronford/table_service.h"
 #include "citronford/timer_service.h"
+#include "citronford/vm_control.h"
 #include "citronford/vm_list.h"
+#include "citronford/worker_link.h"
 
 namespace citronford {
 
@@ -17,6 +19,8 @@
     vm_list& vms;
     executor_link& executors;
     caller_link& callers;
+    worker_link& workers;
+    vm_control& machines;
 };
 
 } // namespace citronford
