--- a/include/citronford/result_code.h
+++ b/include/citronford/result_code.h
@@ -45,6 +45,7 @@
     outcome_unknown = 402,
     lease_lost = 403,
     commit_in_doubt = 404,
+    node_joining = 405,
 
     setting_invalid = 500,
     chart_invalid = 501,
--- /dev/null
+++ b/src/decide/escrow.cpp
@@ -0,0 +1,531 @@
+#include "citronford/escrow.h"
+
+#include "citronford/invariant.h"
+#include "citronford/planted_fault.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace citronford {
+namespace {
+
+/// Rows in one transaction, at most; a conflict on one row fails them all.
+constexpr std::size_t rows_per_write = 16;
+/// Peers asked for units in one round.
+constexpr std::size_t peers_per_round = 4;
+/// Units asked for at first; afterwards as many as the node has.
+constexpr std::int64_t first_request = 8;
+/// Part of the recent peak that is kept from one tick to the next.
+constexpr double peak_decay = 0.8;
+/// Longest pause after a lost race for a row, in milliseconds.
+constexpr unsigned conflict_pause_ms = 200;
+/// How long a giver waits for the acknowledgement before it records a transfer itself.
+constexpr duration acknowledgement_wait = milliseconds(500);
+
+std::int64_t value_of(const std::map<member_id, std::int64_t>& map, const member_id& key) {
+    const auto found = map.find(key);
+    return found == map.end() ? 0 : found->second;
+}
+
+std::int64_t moved_of(const escrow_row& row, const member_id& from, const member_id& to) {
+    const auto found = row.moved.find({from, to});
+    return found == row.moved.end() ? 0 : found->second;
+}
+
+/// What `id` may keep of a row that exceeds its limit: its even part, or more when that is enough
+/// to end the excess.
+std::int64_t part_of(const escrow_row& row, const member_id& id) {
+    const std::int64_t own = value_of(row.units, id);
+    const std::int64_t excess = sum_of(row) - row.limit;
+    const auto holders = std::max<std::int64_t>(1, static_cast<std::int64_t>(row.units.size()));
+    return excess <= 0 ? own : std::min(own, std::max(row.limit / holders, own - excess));
+}
+
+/// Records that `total` units were moved in all.
+void record(escrow_row& row, const member_id& from, const member_id& to, std::int64_t total) {
+    const std::int64_t added = total - moved_of(row, from, to);
+    if (added > 0) {
+        row.units[from] -= added;
+        row.units[to] += added;
+        row.moved[{from, to}] = total;
+    }
+}
+
+} // namespace
+
+std::int64_t sum_of(const escrow_row& row) {
+    std::int64_t sum = 0;
+    for (const auto& [id, units] : row.units) {
+        sum += units;
+    }
+    return sum;
+}
+
+escrow::escrow(const membership& members, team_limits& limits, escrow_options options)
+    : members_(members), limits_(limits), options_(options), random_(options.seed),
+      incarnation_(members.self()) {}
+
+std::vector<escrow_effect> escrow::handle(const escrow_input& input, instant now) {
+    std::vector<escrow_effect> effects;
+    if (incarnation_ != self()) {
+        begin_incarnation();
+    }
+    std::visit([&](const auto& item) { take(item, now, effects); }, input);
+    update_units();
+    return effects;
+}
+
+/// The part of the incarnation before is left in the rows; its work may still be running.
+void escrow::begin_incarnation() {
+    incarnation_ = self();
+    write_under_way_ = false;
+    for (auto& [team, item] : accounts_) {
+        item.given.clear();
+        item.received.clear();
+        item.acknowledged.clear();
+        item.releasing = 0;
+    }
+}
+
+bool escrow::holds(instant now) const {
+    return members_.registered() && now <= members_.held_until();
+}
+
+bool escrow::is_member(const member_id& id) const {
+    const auto found = members_.members().find(id.node);
+    return id == self() || (found != members_.members().end() &&
+                            found->second.registration.member == id && !found->second.left);
+}
+
+/// A row written by a node with a newer configuration has the newer limit.
+std::int64_t escrow::limit_of(const account& item) const {
+    return item.row.configuration > version_ ? item.row.limit : item.limit;
+}
+
+/// Whether the row must be written for the limit of this node's configuration. That is so even for
+/// an equal limit if another one was in force between: a write under that one may be on its way.
+bool escrow::outdated(const account& item) const {
+    return version_ > item.row.configuration &&
+           (item.limit != item.row.limit || item.row.configuration < item.limit_version);
+}
+
+std::int64_t escrow::recorded(const account& item) const {
+    return value_of(item.row.units, self());
+}
+
+std::int64_t escrow::given_unrecorded(const account& item) const {
+    std::int64_t sum = 0;
+    for (const auto& [to, total] : item.given) {
+        sum += std::max<std::int64_t>(0, total - moved_of(item.row, self(), to));
+    }
+    return sum;
+}
+
+std::int64_t escrow::received_unrecorded(const account& item) const {
+    std::int64_t sum = 0;
+    for (const auto& [from, total] : item.received) {
+        sum += std::max<std::int64_t>(0, total - moved_of(item.row, from, self()));
+    }
+    return sum;
+}
+
+/// This node's part of a limit that the row exceeds.
+std::int64_t escrow::target_of(const account& item) const {
+    escrow_row row = item.row;
+    row.limit = limit_of(item);
+    return part_of(row, self());
+}
+
+std::int64_t escrow::covered_of(const account& item) const {
+    return recorded(item) - given_unrecorded(item) + received_unrecorded(item) - item.releasing;
+}
+
+std::int64_t escrow::units_of(const account& item) const {
+    const std::int64_t units = covered_of(item);
+    const bool exceeded = sum_of(item.row) > limit_of(item);
+    return std::max<std::int64_t>(0, exceeded ? std::min(units, target_of(item)) : units);
+}
+
+void escrow::update_units() {
+    for (const auto& [team, item] : accounts_) {
+        limits_.set_units(team, units_of(item), covered_of(item));
+    }
+    limits_.set_held_until(members_.held_until());
+}
+
+std::vector<member_id> escrow::unrecorded() const {
+    std::set<member_id> givers;
+    for (const auto& [team, item] : accounts_) {
+        for (const auto& [from, total] : item.received) {
+            if (total > moved_of(item.row, from, self())) {
+                givers.insert(from);
+            }
+        }
+    }
+    return {givers.begin(), givers.end()};
+}
+
+std::set<node_id> escrow::above_limit(configuration_version version) const {
+    std::set<node_id> nodes;
+    if (version_ < version) {
+        nodes.insert(self().node);
+    }
+    for (const auto& [team, item] : accounts_) {
+        const std::int64_t sum = sum_of(item.row);
+        if (outdated(item)) {
+            nodes.insert(self().node);
+        }
+        if (sum <= limit_of(item)) {
+            continue;
+        }
+        escrow_row row = item.row;
+        row.limit = limit_of(item);
+        for (const auto& [id, units] : item.row.units) {
+            if (units > part_of(row, id)) {
+                nodes.insert(id.node);
+            }
+        }
+    }
+    return nodes;
+}
+
+bool escrow::returned() const {
+    return std::ranges::all_of(accounts_, [this](const auto& entry) {
+        return recorded(entry.second) <= 0 && received_unrecorded(entry.second) == 0;
+    });
+}
+
+void escrow::adopt(account& item, const escrow_row& row) {
+    if (row.version <= item.row.version) {
+        return;
+    }
+    // Pairs leave the row with the units of a lost node; their totals begin anew.
+    const auto forget = [&](std::map<member_id, std::int64_t>& totals, bool from_self) {
+        std::erase_if(totals, [&](const auto& entry) {
+            const auto pair =
+                from_self ? std::pair(self(), entry.first) : std::pair(entry.first, self());
+            return item.row.moved.contains(pair) && !row.moved.contains(pair);
+        });
+    };
+    forget(item.given, true);
+    forget(item.received, false);
+    item.row = row;
+    if (row.version > item.release_check) {
+        item.releasing = 0;
+    }
+    for (const auto& [pair, total] : row.moved) {
+        if (pair.second == self()) {
+            std::int64_t& known = item.received[pair.first];
+            known = std::max(known, total);
+        }
+    }
+}
+
+void escrow::take(const escrow_read& input, instant now, effects_out /*effects*/) {
+    for (const auto& [team, row] : input.rows) {
+        adopt(accounts_[team], row);
+    }
+    note_absent(now);
+}
+
+void escrow::take(const escrow_limits& input, instant /*now*/, effects_out /*effects*/) {
+    const bool first = version_ == 0;
+    version_ = input.version;
+    for (const auto& [team, limit] : input.limits) {
+        accounts_.try_emplace(team);
+    }
+    for (auto& [team, item] : accounts_) {
+        const auto found = input.limits.find(team);
+        const std::int64_t limit = found == input.limits.end() ? 0 : found->second;
+        if (limit != item.limit && !first) {
+            item.limit_version = version_;
+        }
+        item.limit = limit;
+    }
+}
+
+void escrow::take(const escrow_written& input, instant now, effects_out /*effects*/) {
+    if (!write_under_way_ || input.number != write_number_) {
+        return;
+    }
+    write_under_way_ = false;
+    for (auto& [team, row] : writing_) {
+        account& item = accounts_[team];
+        if (input.outcome == write_outcome::committed) {
+            row.version = input.version;
+            adopt(item, row);
+        }
+    }
+    if (input.outcome == write_outcome::conflict) {
+        // Nodes that lost the same race retry at different times.
+        written_at_ = now - options_.write_pause + milliseconds(random_() % conflict_pause_ms);
+    }
+    writing_.clear();
+}
+
+void escrow::note_absent(instant now) {
+    std::set<member_id> holders;
+    for (const auto& [team, item] : accounts_) {
+        for (const auto& [id, units] : item.row.units) {
+            if (!is_member(id)) {
+                holders.insert(id);
+            }
+        }
+        for (const auto& [pair, total] : item.row.moved) {
+            for (const member_id& id : {pair.first, pair.second}) {
+                if (!is_member(id)) {
+                    holders.insert(id);
+                }
+            }
+        }
+    }
+    std::erase_if(absent_since_, [&](const auto& entry) { return !holders.contains(entry.first); });
+    for (const member_id& id : holders) {
+        absent_since_.try_emplace(id, now);
+    }
+}
+
+/// Units of lost nodes return once their work has ended, and once no node has units from them that
+/// the table does not show.
+bool escrow::may_reclaim(instant now) const {
+    if (absent_since_.empty() || !members_.established() || !holds(now)) {
+        return false;
+    }
+    instant last{};
+    for (const auto& [id, since] : absent_since_) {
+        last = std::max(last, since);
+    }
+    for (const auto& [id, since] : members_.ended()) {
+        last = std::max(last, since);
+    }
+    if (members_.read_at() < last + options_.backend_lease) {
+        return false;
+    }
+    return std::ranges::all_of(members_.members(), [&](const auto& entry) {
+        const member& item = entry.second;
+        return item.acknowledged && item.clean_probe >= last + options_.transfer_window * 2 &&
+               std::ranges::none_of(item.last.unrecorded, [&](const member_id& giver) {
+                   return absent_since_.contains(giver);
+               });
+    });
+}
+
+/// Writes all transfers from and to this node into the row.
+void escrow::fold(const account& item, escrow_row& row) const {
+    for (const auto& [to, total] : item.given) {
+        record(row, self(), to, total);
+    }
+    for (const auto& [from, total] : item.received) {
+        record(row, from, self(), total);
+    }
+}
+
+/// Takes units that no node holds: the node's even part, or more when a unit was refused lately.
+void escrow::claim(const account& item, escrow_row& row) const {
+    const std::int64_t free = row.limit - sum_of(row);
+    const std::int64_t own = value_of(row.units, self());
+    const auto nodes = static_cast<std::int64_t>(members_.members().size()) + 1;
+    std::int64_t wanted = row.limit / nodes - own;
+    if (item.refused_at != instant() && written_at_ - item.refused_at < seconds(1)) {
+        wanted = std::max(wanted, std::max(first_request, own));
+    }
+    const std::int64_t claimed = std::min(free, wanted);
+    if (claimed > 0) {
+        row.units[self()] += claimed;
+    }
+}
+
+bool escrow::unrecorded_with_absent(const account& item) const {
+    return std::ranges::any_of(item.given,
+                               [&](const auto& entry) {
+                                   return absent_since_.contains(entry.first) &&
+                                          entry.second > moved_of(item.row, self(), entry.first);
+                               }) ||
+           std::ranges::any_of(item.received, [&](const auto& entry) {
+               return absent_since_.contains(entry.first) &&
+                      entry.second > moved_of(item.row, entry.first, self());
+           });
+}
+
+/// Removes what lost nodes hold; false when they hold nothing.
+bool escrow::drop_absent(escrow_row& row) const {
+    const auto absent = [this](const member_id& id) { return absent_since_.contains(id); };
+    const auto units =
+        std::erase_if(row.units, [&](const auto& entry) { return absent(entry.first); });
+    const auto pairs = std::erase_if(row.moved, [&](const auto& entry) {
+        return absent(entry.first.first) || absent(entry.first.second);
+    });
+    return units + pairs > 0;
+}
+
+/// The row as this node wants it; equal to the present row when nothing is to be written.
+escrow_row escrow::planned(const team_id& team, account& item, instant now) {
+    escrow_row row = item.row;
+    const bool unacknowledged = std::ranges::any_of(item.given, [&](const auto& entry) {
+        return entry.second > std::max(value_of(item.acknowledged, entry.first),
+                                       moved_of(item.row, self(), entry.first));
+    });
+    if (outdated(item)) {
+        row.limit = item.limit;
+        row.configuration = version_;
+    }
+    // Transfers from and to lost nodes are recorded first, so that their pairs can be dropped.
+    const bool transfers_lost = unrecorded_with_absent(item);
+    if (!transfers_lost && may_reclaim(now) && drop_absent(row)) {
+        return row;
+    }
+    const bool shrinks = stopping_ || sum_of(row) > row.limit;
+    if (shrinks || transfers_lost || received_unrecorded(item) > 0 ||
+        (unacknowledged && now - item.given_at > acknowledgement_wait)) {
+        fold(item, row);
+    }
+    const std::int64_t own = value_of(row.units, self());
+    if (shrinks) {
+        const std::int64_t part = stopping_ ? 0 : part_of(row, self());
+        const std::int64_t kept = std::min(own, std::max(part, limits_.running(team)));
+        if (kept < own) {
+            row.units[self()] = kept;
+            item.releasing = std::max(item.releasing, own - kept);
+            item.release_check = item.row.version;
+        }
+    } else if (holds(now) && version_ >= row.configuration) {
+        claim(item, row);
+    }
+    std::erase_if(row.units, [](const auto& entry) { return entry.second == 0; });
+    return row;
+}
+
+void escrow::write(instant now, effects_out effects) {
+    if (write_under_way_ || now - written_at_ < options_.write_pause || !members_.registered()) {
+        return;
+    }
+    written_at_ = now;
+    note_absent(now);
+    write_escrow effect;
+    auto next = accounts_.upper_bound(first_);
+    for (std::size_t count = 0; count < accounts_.size() && effect.rows.size() < rows_per_write;
+         ++count) {
+        if (next == accounts_.end()) {
+            next = accounts_.begin();
+        }
+        auto& [team, item] = *next++;
+        escrow_row row = planned(team, item, now);
+        // A write that gave up units may still be on its way until the row has changed.
+        if (row != item.row || item.releasing > 0) {
+            invariant_monitor::check(sum_of(row) <= std::max(row.limit, sum_of(item.row)), "limits",
+                                     "a write raises a row above its limit");
+            effect.rows.emplace(team, std::move(row));
+            first_ = team;
+        }
+    }
+    if (!effect.rows.empty()) {
+        write_under_way_ = true;
+        writing_ = effect.rows;
+        effect.number = ++write_number_;
+        effects.emplace_back(std::move(effect));
+    }
+}
+
+void escrow::ask(const team_id& team, account& item, instant now, effects_out effects) {
+    if (now < item.ask_at || !holds(now) || stopping_ || sum_of(item.row) > limit_of(item)) {
+        return;
+    }
+    item.ask_pause =
+        std::clamp(item.ask_pause * 2, options_.request_pause, options_.request_pause_limit);
+    item.ask_at = now + item.ask_pause;
+    std::vector<std::pair<std::int64_t, const member*>> peers;
+    for (const auto& [node, peer] : members_.members()) {
+        const std::int64_t units = value_of(item.row.units, peer.registration.member);
+        if (units > 0 && peer.acknowledged && !peer.left && !peer.refused) {
+            // A random part spreads the requests of several nodes over peers with similar units.
+            peers.emplace_back(units * 4 + static_cast<std::int64_t>(random_() % (units * 4)),
+                               &peer);
+        }
+    }
+    std::ranges::sort(peers, std::greater<>(), &std::pair<std::int64_t, const member*>::first);
+    const std::int64_t wanted = std::max(first_request, units_of(item));
+    for (std::size_t index = 0; index < std::min(peers.size(), peers_per_round); ++index) {
+        const node_registration& to = peers[index].second->registration;
+        effects.emplace_back(send_peer{to.member.node, to.address,
+                                       unit_request{team, wanted, now.time_since_epoch().count()}});
+    }
+}
+
+void escrow::take(const escrow_tick& /*input*/, instant now, effects_out effects) {
+    for (auto& [team, item] : accounts_) {
+        item.peak = std::max(static_cast<double>(limits_.running(team)), item.peak * peak_decay);
+        if (limits_.take_refused(team)) {
+            item.refused_at = now;
+            ask(team, item, now, effects);
+        }
+    }
+    write(now, effects);
+}
+
+void escrow::take(const unit_request_heard& input, instant now, effects_out effects) {
+    const unit_request& request = input.message;
+    const auto found = accounts_.find(request.team);
+    if (found == accounts_.end() || !is_member(input.from) || !holds(now) || stopping_) {
+        return;
+    }
+    account& item = found->second;
+    if (sum_of(item.row) > limit_of(item) || outdated(item)) {
+        return;
+    }
+    const auto busy = static_cast<std::int64_t>(std::ceil(item.peak));
+    const std::int64_t idle =
+        units_of(item) - std::max(limits_.running(request.team), item.peak < 1 ? 0 : busy);
+    // Received units are passed on only once they are recorded, so that no part falls below zero.
+    const std::int64_t passable = recorded(item) - given_unrecorded(item) - item.releasing;
+    const std::int64_t units = std::min({request.wanted, idle, passable});
+    if (units <= 0) {
+        return;
+    }
+    std::int64_t& total = item.given[input.from];
+    total = std::max(total, moved_of(item.row, self(), input.from));
+    total += fault_planted("limits") ? 0 : units;
+    item.given_at = now;
+    const std::int64_t told = fault_planted("limits") ? total + units : total;
+    const endpoint& address = members_.members().at(input.from.node).registration.address;
+    effects.emplace_back(
+        send_peer{input.from.node, address, unit_transfer{request.team, told, request.asked_us}});
+}
+
+void escrow::take(const unit_transfer_heard& input, instant now, effects_out effects) {
+    const unit_transfer& transfer = input.message;
+    const instant asked(microseconds(transfer.asked_us));
+    const auto found = accounts_.find(transfer.team);
+    // A later transfer could reach this node after the units of a lost giver were returned.
+    if (found == accounts_.end() || !is_member(input.from) || asked > now ||
+        now - asked > options_.transfer_window || asked < members_.registered_since()) {
+        return;
+    }
+    account& item = found->second;
+    std::int64_t& known = item.received[input.from];
+    known = std::max(known, moved_of(item.row, input.from, self()));
+    if (transfer.total > known) {
+        known = transfer.total;
+        item.received_at = now;
+        item.ask_pause = duration::zero();
+        item.ask_at = now + options_.request_pause / 2;
+    }
+    const endpoint& address = members_.members().at(input.from.node).registration.address;
+    effects.emplace_back(
+        send_peer{input.from.node, address, unit_transfer_ack{transfer.team, transfer.total}});
+}
+
+void escrow::take(const unit_transfer_ack_heard& input, instant /*now*/, effects_out /*effects*/) {
+    const auto found = accounts_.find(input.message.team);
+    if (found != accounts_.end()) {
+        std::int64_t& total = found->second.acknowledged[input.from];
+        total = std::max(total, input.message.total);
+    }
+}
+
+void escrow::take(const escrow_stop& /*input*/, instant now, effects_out effects) {
+    stopping_ = true;
+    written_at_ = instant();
+    write(now, effects);
+}
+
+} // namespace citronford
--- a/src/decide/result_code.cpp
+++ b/src/decide/result_code.cpp
@@ -65,6 +65,8 @@
                       "This entry VM lost the lease that the operation needs."},
     result_code_entry{result_code::commit_in_doubt, "commit_in_doubt", 503, unknown,
                       "The reply to a table write was lost; read the object again."},
+    result_code_entry{result_code::node_joining, "node_joining", 503, not_run,
+                      "This entry VM is not known to every other one yet; ask another one."},
     result_code_entry{result_code::setting_invalid, "setting_invalid", 500, not_run,
                       "A setting is unknown, missing or out of range."},
     result_code_entry{result_code::chart_invalid, "chart_invalid", 500, not_run,
--- a/src/decide/team_limits.cpp
+++ b/src/decide/team_limits.cpp
@@ -2,10 +2,19 @@
 
 #include "citronford/invariant.h"
 
+#include <utility>
+
 namespace citronford {
 
-void team_limits::set_units(const team_id& team, std::int64_t units) {
-    accounts_[team].units = units;
+void team_limits::set_units(const team_id& team, std::int64_t units, std::int64_t covered) {
+    account& entry = accounts_[team];
+    entry.units = units;
+    entry.covered = covered;
+}
+
+std::int64_t team_limits::renewable(const team_id& team) const {
+    const auto found = accounts_.find(team);
+    return found == accounts_.end() || !held() ? 0 : found->second.covered;
 }
 
 bool team_limits::acquire(const team_id& team) {
@@ -13,7 +22,8 @@
         return true;
     }
     account& entry = accounts_[team];
-    if (entry.running >= entry.units) {
+    if (!held() || entry.running >= entry.units) {
+        entry.refused = true;
         return false;
     }
     ++entry.running;
@@ -30,6 +40,11 @@
     }
 }
 
+bool team_limits::take_refused(const team_id& team) {
+    const auto found = accounts_.find(team);
+    return found != accounts_.end() && std::exchange(found->second.refused, false);
+}
+
 std::int64_t team_limits::units(const team_id& team) const {
     const auto found = accounts_.find(team);
     return found == accounts_.end() ? 0 : found->second.units;
