--- a/tools/capacity/router_probe.cpp
+++ b/tools/capacity/router_probe.cpp
@@ -14,8 +14,10 @@
 class loaded_router {
   public:
     explicit loaded_router(std::size_t executors) {
-        const auto life_cycle = chart::load(std::string(CITRONFORD_CHARTS) + "/request.scxml");
-        router_ = *request_router::create(*life_cycle, {}, limits_);
+        const std::string charts = CITRONFORD_CHARTS;
+        const auto request_chart = chart::load(charts + "/request.scxml");
+        const auto connection_chart = chart::load(charts + "/connection.scxml");
+        router_ = *request_router::create({*request_chart, *connection_chart}, {}, limits_);
         limits_.set_units(team_, static_cast<std::int64_t>(executors) * 2);
         fleet_configuration fleet;
         service_definition service;
@@ -40,14 +42,15 @@
     /// Submits one request and answers it.
     void serve_one() {
         const auto [caller, attempt] = submit();
-        handle(attempt_report{caller, attempt, attempt_answered{200, "ok", false}});
+        handle(
+            attempt_report{caller, attempt, attempt_answered{200, "ok", false, request, attempt}});
     }
 
   private:
     std::pair<caller_id, attempt_id> submit() {
         const auto caller = static_cast<caller_id>(next_caller_++);
-        const auto effects = handle(request_submission{caller, request_id("r"), team_,
-                                                       service_id("quote"), "body", seconds(10)});
+        const auto effects = handle(
+            request_submission{caller, request, team_, service_id("quote"), "body", seconds(10)});
         attempt_id attempt{};
         for (const router_effect& effect : effects) {
             if (const auto* sent = std::get_if<send_attempt>(&effect)) {
@@ -61,6 +64,7 @@
         return router_->handle(input, instant());
     }
 
+    const request_id request{"request"};
     team_limits limits_;
     team_id team_{"team"};
     std::unique_ptr<request_router> router_;
