--- a/src/decide/result_code.cpp
+++ b/src/decide/result_code.cpp
@@ -65,6 +65,8 @@
                       "This entry VM lost the lease that the operation needs."},
     result_code_entry{result_code::commit_in_doubt, "commit_in_doubt", 503, unknown,
                       "The reply to a table write was lost; read the object again."},
+    result_code_entry{result_code::node_joining, "node_joining", 503, not_run,
+                      "This entry VM is not known to every other one yet; ask another one."},
     result_code_entry{result_code::setting_invalid, "setting_invalid", 500, not_run,
                       "A setting is unknown, missing or out of range."},
     result_code_entry{result_code::chart_invalid, "chart_invalid", 500, not_run,
@@ -132,6 +134,19 @@
     return "unknown";
 }
 
+int exit_code_of(result_code code) {
+    // Shells use the exit codes from 126 on. Each of the six hundreds of the table gets 17 codes
+    // from 4 on.
+    constexpr int hundred = 100;
+    constexpr int codes_per_hundred = 17;
+    constexpr int first = 4;
+    const int number = static_cast<int>(entry_of(code).code);
+    if (number < hundred) {
+        return number;
+    }
+    return first + (number / hundred - 1) * codes_per_hundred + number % hundred;
+}
+
 absl::Status make_status(result_code code, std::string_view message) {
     if (code == result_code::ok) {
         return absl::OkStatus();
--- a/src/node/node_links.h
+++ b/src/node/node_links.h
@@ -5,6 +5,7 @@
 #include "citronford/object_store.h"
 #include "citronford/table_service.h"
 #include "citronford/timer_service.h"
+#include "citronford/vm_control.h"
 #include "citronford/vm_list.h"
 #include "citronford/worker_link.h"
 
@@ -19,6 +20,7 @@
     executor_link& executors;
     caller_link& callers;
     worker_link& workers;
+    vm_control& machines;
 };
 
 } // namespace citronford
--- a/src/node/request_driver.h
+++ b/src/node/request_driver.h
@@ -1,12 +1,15 @@
 #pragma once
 
+#include "citronford/group_commit.h"
 #include "citronford/request_router.h"
 #include "citronford/settings.h"
 #include "citronford/team_limits.h"
 #include "node/node_links.h"
+#include "node/pool_driver.h"
 
 #include <absl/status/statusor.h>
 
+#include <functional>
 #include <memory>
 
 namespace citronford {
@@ -14,9 +17,11 @@
 /// Performs the effects of the request router through the interfaces of the node.
 class request_driver {
   public:
-    /// Fails with `chart_invalid`.
-    static absl::StatusOr<std::unique_ptr<request_driver>>
-    create(const settings& node_settings, node_links links, team_limits& limits);
+    /// Fails with `chart_invalid`. `pools` says to which pool a VM belongs.
+    static absl::StatusOr<std::unique_ptr<request_driver>> create(const settings& node_settings,
+                                                                  node_links links,
+                                                                  team_limits& limits,
+                                                                  const pool_driver& pools);
 
     request_driver(const request_driver&) = delete;
     request_driver& operator=(const request_driver&) = delete;
@@ -27,28 +32,48 @@
     /// Begins to check deadlines and to read the VM list.
     void start();
 
+    /// Calls `function` for every answer, before the caller receives it.
+    void on_answer(std::function<void(const answer_caller&)> function) {
+        on_answer_ = std::move(function);
+    }
+
     void configure(const fleet_configuration& fleet);
     void handle(const router_input& input);
 
     [[nodiscard]] std::size_t open_requests() const { return router_->open_requests(); }
+    [[nodiscard]] std::size_t queued(const service_id& service) const {
+        return router_->queued(service);
+    }
 
   private:
-    request_driver(settings node_settings, node_links links,
+    request_driver(settings node_settings, node_links links, const pool_driver& pools,
                    std::unique_ptr<request_router> router);
 
+    void handle_commit(const group_commit_input& input);
+
     void perform(const commit_claim& effect);
+    void perform(const abandon_claim& effect);
     void perform(const record_outcome& effect);
     void perform(const send_attempt& effect);
     void perform(const ask_outcome& effect);
+    void perform(const probe_executor& effect);
     void perform(const answer_caller& effect);
+    void perform(const commit_transaction& effect);
+    void perform(const read_claim_row& effect);
+    void perform(const claim_recorded& effect);
+    void perform(const claim_taken& effect);
+    void perform(const claim_refused& effect);
 
-    void read_claim(caller_id caller, const request_id& request);
     void poll_vms();
 
     settings settings_;
     node_links links_;
+    const pool_driver& pools_;
     std::unique_ptr<request_router> router_;
+    group_commit commits_;
     fleet_configuration fleet_;
+    bool listing_vms_ = false;
+    std::function<void(const answer_caller&)> on_answer_;
     timer_subscription tick_timer_;
     timer_subscription vm_timer_;
 };
