--- a/src/io/operator_front.cpp
+++ b/src/io/operator_front.cpp
@@ -7,6 +7,7 @@
 #include "io/http_response.h"
 #include "io/log.h"
 #include "io/node_metrics.h"
+#include "io/operator_pools.h"
 #include "io/url.h"
 #include "node/node.h"
 
@@ -245,6 +246,9 @@
         return;
     }
     path.erase(path.begin());
+    if (!path.empty() && handle_pool_request(node_, request, responder, path)) {
+        return;
+    }
     bool path_known = false;
     for (const route& candidate : routes) {
         if (!matches_path(candidate, path)) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -27,7 +27,13 @@
         return stop.status();
     }
     std::unique_ptr<node> created(new node(node_settings, links, *std::move(stop)));
-    auto requests = request_driver::create(node_settings, links, created->limits_);
+    auto pools = pool_driver::create(node_settings, links);
+    if (!pools.ok()) {
+        return pools.status();
+    }
+    created->pools_ = *std::move(pools);
+    auto requests =
+        request_driver::create(node_settings, links, created->limits_, *created->pools_);
     if (!requests.ok()) {
         return requests.status();
     }
@@ -56,6 +62,7 @@
     requests_->on_answer([this](const answer_caller& answer) {
         levels_->answered(answer.caller, answer.request, answer.code, answer.status);
     });
+    pools_->start();
     requests_->start();
     levels_->start();
     tasks_->start();
@@ -65,6 +72,7 @@
     for (const team_definition& team : fleet.defaults.teams) {
         limits_.set_units(team.name, team.limit);
     }
+    pools_->configure(fleet);
     requests_->configure(fleet);
     levels_->configure(fleet);
     tasks_->configure(fleet);
--- a/src/node/request_driver.cpp
+++ b/src/node/request_driver.cpp
@@ -38,13 +38,18 @@
     return transaction_conflict{commit->conflict_key};
 }
 
-/// The executors of all services among the listed VMs.
-executor_listing executors_of(const std::vector<vm_listing>& vms,
-                              const fleet_configuration& fleet) {
+/// The executors of all services among the listed VMs. The pool of the row counts; the list gives
+/// only the first pool. A VM that is drained or rebooted is not an executor.
+executor_listing executors_of(const std::vector<vm_listing>& vms, const fleet_configuration& fleet,
+                              const pool_driver& pools) {
     executor_listing listing;
     for (const vm_listing& vm : vms) {
+        if (!pools.in_service(vm.id)) {
+            continue;
+        }
+        const pool_id pool = pools.pool_of(vm.id).value_or(vm.pool);
         for (const service_definition& service : fleet.defaults.services) {
-            if (service.pool == vm.pool) {
+            if (service.pool == pool) {
                 listing.executors.push_back(
                     {executor_id(vm.id.view()), service.name, vm.zone, vm.address, vm.leaving});
             }
@@ -56,7 +61,8 @@
 } // namespace
 
 absl::StatusOr<std::unique_ptr<request_driver>>
-request_driver::create(const settings& node_settings, node_links links, team_limits& limits) {
+request_driver::create(const settings& node_settings, node_links links, team_limits& limits,
+                       const pool_driver& pools) {
     const auto request_chart = chart::load(node_settings.charts + "/request.scxml");
     if (!request_chart.ok()) {
         return request_chart.status();
@@ -73,12 +79,12 @@
         return router.status();
     }
     return std::unique_ptr<request_driver>(
-        new request_driver(node_settings, links, *std::move(router)));
+        new request_driver(node_settings, links, pools, *std::move(router)));
 }
 
-request_driver::request_driver(settings node_settings, node_links links,
+request_driver::request_driver(settings node_settings, node_links links, const pool_driver& pools,
                                std::unique_ptr<request_router> router)
-    : settings_(std::move(node_settings)), links_(links), router_(std::move(router)),
+    : settings_(std::move(node_settings)), links_(links), pools_(pools), router_(std::move(router)),
       commits_({.node = settings_.node, .incarnation = random_hex(incarnation_bytes)}) {}
 
 void request_driver::start() {
@@ -192,7 +198,7 @@
     links_.vms.list([this](const absl::StatusOr<std::vector<vm_listing>>& vms) {
         listing_vms_ = false;
         if (vms.ok()) {
-            handle(executors_of(*vms, fleet_));
+            handle(executors_of(*vms, fleet_, pools_));
         }
     });
 }
