--- a/scripts/fleet_functions.sh
+++ b/scripts/fleet_functions.sh
@@ -5,7 +5,7 @@
 declare -A pids=()      # process id of each program by name
 declare -A callers=()   # caller endpoint of each daemon
 declare -A operators=() # operator endpoint of each daemon
-declare -A executors=() # endpoint of each executor
+declare -A executors=() # endpoint of each executor and worker
 vm_rows=()              # rows of the VM list
 fleet_secret="loopback-fleet-secret"
 
@@ -93,6 +93,17 @@
     add_vm "$name" "$zone" "$pool" "$REPLY"
 }
 
+# start_worker NAME ZONE [OPTION...]
+start_worker() {
+    local name=$1 zone=$2
+    shift 2
+    free_port
+    executors[$name]=127.0.0.1:$REPLY
+    start "$name" "$bin/standin_worker" --listen "127.0.0.1:$REPLY" "$@"
+    wait_for 10 answers "127.0.0.1:$REPLY/stats" || fail "$name does not answer"
+    add_vm "$name" "$zone" tasks "$REPLY"
+}
+
 # add_vm NAME ZONE POOL PORT
 add_vm() {
     vm_rows+=("{\"id\":\"$1\",\"zone\":\"$2\",\"rack\":\"rack-$2\",\"pool\":\"$3\",\"address\":\"127.0.0.1\",\"port\":$4}")
@@ -150,7 +161,8 @@
   {"name":"quote","pool":"quotes","idempotent":true},
   {"name":"booking","pool":"bookings"}],
  "teams":[{"name":"sales","limit":64},{"name":"works","limit":64},{"name":"accounts","limit":64}],
- "pools":[{"name":"quotes","wanted":2},{"name":"bookings","wanted":2}],
+ "pools":[{"name":"quotes","wanted":2},{"name":"bookings","wanted":2},
+  {"name":"tasks","wanted":2,"workers":true}],
  "request_timeout_ms":5000}'
 
 # set_defaults DAEMON: retries, since another change may have been committed first.
--- a/tools/demo_verdict.cpp
+++ b/tools/demo_verdict.cpp
@@ -52,12 +52,47 @@
     return file.eof() && !records.empty();
 }
 
-/// Adds the requests in one document of `GET /stats` of an executor.
+/// What the submitter of a job may conclude from the last document that it was shown.
+std::string run_state_of(const json& job) {
+    const std::string state = job.value("state", "");
+    if (state == "done" || state == "failed") {
+        return "run";
+    }
+    if (state == "cannot_run" || (state == "cancelled" && job.value("attempt", 0) == 0)) {
+        return "not-run";
+    }
+    return state == "unknown" || state == "cancelled" ? "unknown" : "none";
+}
+
+/// Reads the last shown documents of jobs, one a line, with the submitted id before each.
+bool read_jobs(const std::string& path, std::vector<caller_record>& records) {
+    std::ifstream file(path);
+    std::string id;
+    std::string line;
+    while (file >> id && std::getline(file, line)) {
+        const json job = json::parse(line, nullptr, false);
+        if (!job.is_object()) {
+            records.push_back({id, "none", -1, "none", "non-idempotent"});
+            continue;
+        }
+        records.push_back({id, run_state_of(job), 0, job.value("id", "") == id ? "own" : "other",
+                           job.value("restartable", false) ? "idempotent" : "non-idempotent"});
+    }
+    return !records.empty();
+}
+
+/// Adds the runs in one document of `GET /stats` of an executor or a worker.
 bool add_stats(const std::string& path, run_counts& runs) {
     std::ifstream file(path);
     const json document = json::parse(file, nullptr, false);
+    if (document.is_object() && document.contains("starts")) {
+        for (const auto& [id, count] : document["starts"].items()) {
+            runs[id] += count.get<int>();
+        }
+        return true;
+    }
     if (!document.is_object() || !document.contains("requests") || !document.contains("doubled")) {
-        std::cerr << "demo_verdict: " << path << ": not the statistics of an executor\n";
+        std::cerr << "demo_verdict: " << path << ": not the statistics of a backend server\n";
         return false;
     }
     for (const json& id : document["requests"]) {
@@ -108,6 +143,7 @@
 
 int main(int argc, char** argv) {
     std::vector<std::string> record_files;
+    std::vector<std::string> job_files;
     std::vector<std::string> stats_files;
     std::uint64_t least = 1;
     std::uint64_t least_run = 1;
@@ -115,7 +151,9 @@
     auto add = description.add_options();
     add("help", "show this text");
     add("record", po::value(&record_files), "record file of citronford_load; repeat for several");
-    add("stats", po::value(&stats_files), "GET /stats of an executor; repeat for several");
+    add("jobs", po::value(&job_files), "file with one line a job: its id and its last document");
+    add("stats", po::value(&stats_files),
+        "GET /stats of an executor or worker; repeat for several");
     add("broken-allowed", "requests without an answer do not count as lost");
     add("least", po::value(&least)->default_value(least), "fewest requests that must be sent");
     add("least-run", po::value(&least_run)->default_value(least_run),
@@ -138,6 +176,9 @@
     for (const std::string& path : record_files) {
         complete = read_records(path, records) && complete;
     }
+    for (const std::string& path : job_files) {
+        complete = read_jobs(path, records) && complete;
+    }
     for (const std::string& path : stats_files) {
         complete = add_stats(path, runs) && complete;
     }
