--- a/tests/process/command_line.sh
+++ b/tests/process/command_line.sh
@@ -59,6 +59,14 @@
 succeeds key withdraw "$key_id"
 shows none key list
 
+shows bookings pool list
+shows booking-a vm list
+shows bookings vm show booking-a
+exits 11 pool show nothing
+exits 11 vm show nothing
+exits 2 vm move booking-a --pool quotes
+exits 2 vm move booking-a --pool quotes --reason r --dry-run
+
 exits 0 --help
 exits 0 zone --help
 exits 2
--- a/tools/cli/command.cpp
+++ b/tools/cli/command.cpp
@@ -97,7 +97,21 @@
 
 composed move_vm(const command_values& values) {
     return command_request{
-        "POST", object_path("vms", values, "/move"), json{{"pool", values.get("pool")}}.dump(), {}};
+        "POST",
+        object_path("vms", values, "/move"),
+        json{{"pool", values.get("pool")}, {"reason", values.get("reason")}}.dump(),
+        {}};
+}
+
+composed maintain_pool(const command_values& values) {
+    return command_request{"POST",
+                           object_path("pools", values, "/maintain"),
+                           json{{"reason", values.get("reason")}}.dump(),
+                           {}};
+}
+
+composed list_vms(const command_values& /*values*/) {
+    return command_request{"GET", "/v1/vms", {}, {}};
 }
 
 composed show_vm(const command_values& values) {
@@ -236,13 +250,21 @@
         {"zone", "in", "ZONE", "Bring an availability zone back.", {}, true, bring_zone_in},
         {"pool", "list", "", "List the pools.", {}, false, list_pools},
         {"pool", "show", "POOL", "Show a pool and its VMs.", {}, false, show_pool},
+        {"pool",
+         "maintain",
+         "POOL",
+         "Reboot every VM of a pool in waves, within its budget.",
+         {{"reason", "why the pool is maintained", true}},
+         false,
+         maintain_pool},
         {"vm",
          "move",
          "VM",
          "Move a VM to another pool, after a drain.",
-         {{"pool", "pool to move to", true}},
-         true,
+         {{"pool", "pool to move to", true}, {"reason", "why the VM is moved", true}},
+         false,
          move_vm},
+        {"vm", "list", "", "List the VMs.", {}, false, list_vms},
         {"vm", "show", "VM", "Show a VM.", {}, false, show_vm},
         {"team", "list", "", "List the teams.", {}, false, list_teams},
         {"team", "show", "TEAM", "Show a team.", {}, false, show_team},
