--- a/daemons/citronfordd.cpp
+++ b/daemons/citronfordd.cpp
@@ -51,9 +51,9 @@
     }
     http_client client((*loop)->handle(), **loop);
     http_platform platform(client, own.platform, own.platform_timeout);
-    http_vm_control vm_controls(client, own.platform, own.platform_timeout);
     metrics registry;
     counted_table table(platform, registry);
+    http_vm_control vm_controls(client, own.platform, own.platform_timeout);
     http_executor_link executors(client);
     http_worker_link workers(client);
     caller_front callers;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -64,8 +64,8 @@
     void request_stop();
 
     [[nodiscard]] configuration_driver& configuration() { return *configuration_; }
-    [[nodiscard]] pool_driver& pools() { return *pools_; }
     [[nodiscard]] const configuration_driver& configuration() const { return *configuration_; }
+    [[nodiscard]] pool_driver& pools() { return *pools_; }
     [[nodiscard]] const team_limits& limits() const { return limits_; }
     [[nodiscard]] std::size_t open_requests() const { return requests_->open_requests(); }
     [[nodiscard]] const task_scheduler& tasks() const { return tasks_->scheduler(); }
@@ -88,8 +88,8 @@
     team_limits limits_;
     drain drain_;
     std::unique_ptr<configuration_driver> configuration_;
-    std::unique_ptr<pool_driver> pools_;
     std::unique_ptr<service_level_driver> levels_;
+    std::unique_ptr<pool_driver> pools_;
     std::unique_ptr<request_driver> requests_;
     std::unique_ptr<task_driver> tasks_;
     std::function<void()> on_stop_listening_;
