Test the request driver with mocks at the interfaces

Cause: no test covered the path from the router through group_commit to the table, executor and caller interfaces.

--- /dev/null
+++ b/tests/mocks.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "citronford/caller_link.h"
+#include "citronford/executor_link.h"
+#include "citronford/object_store.h"
+#include "citronford/table_service.h"
+#include "citronford/vm_control.h"
+#include "citronford/vm_list.h"
+#include "citronford/worker_link.h"
+
+#include <trompeloeil.hpp>
+
+namespace citronford {
+
+// Mocks of the interfaces in node_links.h; a call without an expectation fails the test.
+
+struct mock_table_service final : table_service {
+    MAKE_MOCK3(commit,
+               void(std::span<const table_check>, std::span<const table_write>, commit_callback),
+               override);
+    MAKE_MOCK3(scan, void(std::string_view, table_version, scan_callback), override);
+};
+
+struct mock_executor_link final : executor_link {
+    MAKE_MOCK3(send, void(const endpoint&, const attempt&, attempt_callback), override);
+    MAKE_MOCK3(ask_outcome, void(const endpoint&, const request_id&, outcome_callback), override);
+    MAKE_MOCK2(probe, void(const endpoint&, probe_callback), override);
+};
+
+struct mock_caller_link final : caller_link {
+    MAKE_MOCK2(answer, void(caller_id, const caller_answer&), override);
+};
+
+struct mock_vm_list final : vm_list {
+    MAKE_MOCK1(list, void(list_callback), override);
+};
+
+struct mock_object_store final : object_store {
+    MAKE_MOCK3(put, void(std::string_view, std::string_view, put_callback), override);
+    MAKE_MOCK2(get, void(std::string_view, get_callback), override);
+};
+struct mock_worker_link final : worker_link {
+    MAKE_MOCK4(sync, void(const endpoint&, const sync_request&, duration, sync_callback), override);
+};
+
+struct mock_vm_control final : vm_control {
+    MAKE_MOCK3(drain, void(const vm_id&, vm_order, order_callback), override);
+    MAKE_MOCK3(reboot, void(const vm_id&, vm_order, order_callback), override);
+    MAKE_MOCK2(state, void(const vm_id&, state_callback), override);
+};
+
+} // namespace citronford
