--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -59,10 +59,10 @@
 void node::start() {
     configuration_->subscribe([this](const fleet_configuration& fleet) { apply(fleet); });
     configuration_->start();
-    pools_->start();
     requests_->on_answer([this](const answer_caller& answer) {
         levels_->answered(answer.caller, answer.request, answer.code, answer.status);
     });
+    pools_->start();
     requests_->start();
     levels_->start();
     tasks_->start();
