Measure roll-outs, moves, buffers and zone outages; test the pool controller

(2) A refused write was repeated at once, without a pause, for as long as the platform refused; it now waits for the next tick.

--- a/src/decide/pool_controller.cpp
+++ b/src/decide/pool_controller.cpp
@@ -163,7 +163,10 @@
                 pool.follows.clear();
                 pool.read_after = now;
             }
-        } else if (report.result != not_written) {
+        } else if (report.result == not_written) {
+            // The next tick tries again; at once would load a platform that refuses.
+            return;
+        } else {
             pool.read_after = now;
         }
         if (pool.read_after && rows_begun_ <= *pool.read_after) {
--- a/src/decide/pool_steps.cpp
+++ b/src/decide/pool_steps.cpp
@@ -194,7 +194,13 @@
     }
     fleet_demand result;
     for (const pool_definition& pool : fleet.defaults.pools) {
-        const pool_count& count = counts[pool.name];
+        pool_count& count = counts[pool.name];
+        // A listed VM belongs to its first pool before its row is written. Without it a pool looks
+        // short while the rows of a new fleet are written, and VMs move for nothing.
+        for (const vm_listing& vm : vms.without_row(pool.name)) {
+            ++count.members;
+            count.remaining += zone_removed(fleet, vm.zone) ? 0 : 1;
+        }
         result.demands.push_back({pool.name, pool.wanted, count.members});
         if (count.lost_zone) {
             result.shortages.push_back({pool.name, pool.wanted, count.remaining});
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -27,7 +27,8 @@
         return stop.status();
     }
     std::unique_ptr<node> created(new node(node_settings, links, *std::move(stop)));
-    auto pools = pool_driver::create(node_settings, links);
+    auto pools =
+        pool_driver::create(node_settings, {links.timers, links.table, links.vms, links.machines});
     if (!pools.ok()) {
         return pools.status();
     }
--- a/src/node/pool_driver.cpp
+++ b/src/node/pool_driver.cpp
@@ -37,7 +37,7 @@
 } // namespace
 
 absl::StatusOr<std::unique_ptr<pool_driver>> pool_driver::create(const settings& node_settings,
-                                                                 node_links links) {
+                                                                 pool_links links) {
     const auto vm_chart = chart::load(node_settings.charts + "/vm.scxml");
     if (!vm_chart.ok()) {
         return vm_chart.status();
@@ -57,7 +57,7 @@
         new pool_driver(node_settings, links, *std::move(controller)));
 }
 
-pool_driver::pool_driver(settings node_settings, node_links links,
+pool_driver::pool_driver(settings node_settings, pool_links links,
                          std::unique_ptr<pool_controller> controller)
     : settings_(std::move(node_settings)), links_(links), controller_(std::move(controller)) {}
 
--- a/src/node/pool_driver.h
+++ b/src/node/pool_driver.h
@@ -2,7 +2,10 @@
 
 #include "citronford/pool_controller.h"
 #include "citronford/settings.h"
-#include "node/node_links.h"
+#include "citronford/table_service.h"
+#include "citronford/timer_service.h"
+#include "citronford/vm_control.h"
+#include "citronford/vm_list.h"
 
 #include <absl/status/statusor.h>
 
@@ -15,6 +18,14 @@
 
 namespace citronford {
 
+/// The interfaces that pools need; all outlive the driver.
+struct pool_links {
+    timer_service& timers;
+    table_service& table;
+    vm_list& vms;
+    vm_control& machines;
+};
+
 /// Performs the effects of the pool controller through the interfaces of the node.
 class pool_driver {
   public:
@@ -22,7 +33,7 @@
 
     /// Fails with `chart_invalid`.
     static absl::StatusOr<std::unique_ptr<pool_driver>> create(const settings& node_settings,
-                                                               node_links links);
+                                                               pool_links links);
 
     pool_driver(const pool_driver&) = delete;
     pool_driver& operator=(const pool_driver&) = delete;
@@ -61,7 +72,7 @@
         std::vector<table_version> scanned; ///< Versions of the prefixes scanned so far.
     };
 
-    pool_driver(settings node_settings, node_links links,
+    pool_driver(settings node_settings, pool_links links,
                 std::unique_ptr<pool_controller> controller);
 
     void handle(const pool_input& input);
@@ -79,7 +90,7 @@
     void poll_vms();
 
     settings settings_;
-    node_links links_;
+    pool_links links_;
     std::unique_ptr<pool_controller> controller_;
     std::vector<table_version> scanned_; ///< Versions of the last whole read; empty before it.
     bool polling_ = false;
--- /dev/null
+++ b/tests/pool_driver_test.cpp
@@ -0,0 +1,172 @@
+#include "mocks.h"
+
+#include "citronford/manual_timer_service.h"
+#include "citronford/result_code.h"
+#include "io/vm_codec.h"
+#include "node/pool_driver.h"
+
+#include <algorithm>
+#include <map>
+
+using namespace citronford;
+using trompeloeil::_;
+
+namespace {
+
+const pool_id quote("quote");
+const pool_id ledger("ledger");
+const vm_id first("v0");
+
+/// A driver over mocks of its interfaces; the table keeps rows and checks versions.
+struct driver_fixture {
+    manual_timer_service timers;
+    mock_table_service table;
+    mock_vm_list vms;
+    mock_vm_control machines;
+    std::map<std::string, table_row> rows;
+    table_version version = 0;
+    bool outage = false;
+    std::vector<std::vector<table_check>> checked;
+    std::vector<std::unique_ptr<trompeloeil::expectation>> expectations;
+    std::unique_ptr<pool_driver> driver;
+
+    driver_fixture() {
+        expectations.push_back(
+            NAMED_ALLOW_CALL(table, scan(_, _, _)).SIDE_EFFECT(scan(_1, _2, _3)));
+        expectations.push_back(
+            NAMED_ALLOW_CALL(table, commit(_, _, _)).SIDE_EFFECT(commit(_1, _2, _3)));
+        expectations.push_back(NAMED_ALLOW_CALL(vms, list(_)).SIDE_EFFECT(_1(listing())));
+        expectations.push_back(
+            NAMED_ALLOW_CALL(machines, state(_, _))
+                .SIDE_EFFECT(_2(make_status(result_code::table_unavailable, ""))));
+        settings own;
+        own.node = node_id("n");
+        own.charts = CITRONFORD_CHARTS;
+        auto created = pool_driver::create(own, {timers, table, vms, machines});
+        cr_assert(created.ok());
+        driver = *std::move(created);
+        fleet_configuration fleet;
+        fleet.defaults.pools = {{quote, 2, 1, ledger}, {ledger, 0, 1, pool_id()}};
+        driver->configure(fleet);
+        driver->start();
+        timers.advance(seconds(4));
+    }
+
+    static std::vector<vm_listing> listing() {
+        return {{first, zone_id("a"), rack_id("r"), quote, {}, false},
+                {vm_id("v1"), zone_id("b"), rack_id("s"), quote, {}, false}};
+    }
+
+    void scan(std::string_view prefix, table_version since,
+              const table_service::scan_callback& done) {
+        if (outage) {
+            done(make_status(result_code::table_unavailable, "outage"));
+            return;
+        }
+        table_scan result{{}, version};
+        for (const auto& [key, row] : rows) {
+            if (key.starts_with(prefix) && row.version > since) {
+                result.rows.push_back(row);
+            }
+        }
+        done(result);
+    }
+
+    void commit(std::span<const table_check> checks, std::span<const table_write> writes,
+                const table_service::commit_callback& done) {
+        if (outage) {
+            done(make_status(result_code::table_unavailable, "outage"));
+            return;
+        }
+        checked.emplace_back(checks.begin(), checks.end());
+        for (const table_check& check : checks) {
+            const table_version present = rows[check.key].version;
+            if (present != check.version) {
+                done(table_commit{false, 0, check.key, present});
+                return;
+            }
+        }
+        ++version;
+        for (const table_write& write : writes) {
+            rows[write.key] = {write.key, write.value, version};
+        }
+        done(table_commit{true, version, {}, 0});
+    }
+
+    absl::StatusOr<table_version> move(const vm_id& vm, const pool_id& target) {
+        absl::StatusOr<table_version> result = absl::UnknownError("no answer");
+        driver->move(vm, target, "load",
+                     [&](absl::StatusOr<table_version> answer) { result = std::move(answer); });
+        return result;
+    }
+};
+
+} // namespace
+
+// Guards against writes of a VM row that check neither the lease nor the version of the row.
+Test(pool_driver, checks_the_lease_and_every_row_it_writes) {
+    driver_fixture fixture;
+    cr_assert(fixture.driver->pool_of(first) == quote);
+    const auto expectation = NAMED_ALLOW_CALL(fixture.machines, drain(first, _, _));
+    cr_assert(fixture.move(first, ledger).ok());
+    fixture.checked.clear();
+    fixture.timers.advance(seconds(1));
+    const auto writes_first = std::ranges::find_if(fixture.checked, [](const auto& checks) {
+        return checks.size() == 2 && checks[1].key == "vm/v0";
+    });
+    cr_assert(writes_first != fixture.checked.end());
+    cr_assert((*writes_first)[0].key == "lease/pool/quote" && (*writes_first)[0].version != 0);
+    cr_assert((*writes_first)[1].version != absent_row);
+    cr_assert(!fixture.driver->in_service(first));
+}
+
+// Guards against two operators who both believe that their move was accepted.
+Test(pool_driver, answers_the_loser_of_a_race_with_the_winning_version) {
+    driver_fixture fixture;
+    // Another node commits a move that this node has not read yet.
+    pool_rows_read read;
+    cr_assert(add_row(fixture.rows.at("vm/v0"), read).ok());
+    vm_record winner = read.vms.at(0).row;
+    winner.target = ledger;
+    const table_write write = vm_row_write(winner);
+    fixture.rows[write.key] = {write.key, write.value, ++fixture.version};
+    const auto answer = fixture.move(first, ledger);
+    cr_assert(code_of(answer.status()) == result_code::conflict);
+    cr_assert(message_of(answer.status()).find(std::to_string(fixture.version)) !=
+              std::string_view::npos);
+}
+
+// Guards against orders that go out although their row could not be written.
+Test(pool_driver, orders_nothing_during_a_platform_outage) {
+    driver_fixture fixture;
+    cr_assert(fixture.move(first, ledger).ok());
+    fixture.outage = true;
+    cr_assert(code_of(fixture.move(vm_id("v1"), ledger).status()) ==
+              result_code::table_unavailable);
+    FORBID_CALL(fixture.machines, drain(_, _, _));
+    fixture.timers.advance(seconds(30));
+}
+
+// Guards against a member of a row that is lost on the way through the table.
+Test(pool_driver, keeps_every_member_of_a_vm_row) {
+    vm_record row;
+    row.id = first;
+    row.pool = quote;
+    row.zone = zone_id("a");
+    row.rack = rack_id("r");
+    row.state = vm_states::moving;
+    row.step = vm_step::lend;
+    row.target = ledger;
+    row.home = pool_id("home");
+    row.reason = "load";
+    row.maintained = 7;
+    row.order = 8;
+    row.epoch = 9;
+    const table_write write = vm_row_write(row);
+    pool_rows_read read;
+    cr_assert(add_row({write.key, write.value, 3}, read).ok());
+    const vm_record& copy = read.vms.at(0).row;
+    expect_equal(*vm_row_write(copy).value, *write.value);
+    cr_assert(copy.id == first && copy.step == vm_step::lend && copy.order == 8);
+    cr_assert(code_of(add_row({"vm/v0", "{", 3}, read)) == result_code::malformed_body);
+}
--- /dev/null
+++ b/tests/pool_planners_test.cpp
@@ -0,0 +1,145 @@
+#include "test_support.h"
+
+#include "citronford/availability_budget.h"
+#include "citronford/buffer_planner.h"
+#include "citronford/maintenance_planner.h"
+#include "citronford/pool_owner.h"
+#include "citronford/rebalancer.h"
+#include "citronford/spare_lending.h"
+
+#include <map>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace citronford;
+
+namespace {
+
+placed_vm vm_at(const std::string& id, const std::string& zone, const std::string& rack) {
+    return {vm_id(id), zone_id(zone), rack_id(rack)};
+}
+
+vm_entry entry_in(std::string_view state, bool listed) {
+    vm_entry entry;
+    entry.row.zone = zone_id("a");
+    entry.row.state = state;
+    entry.listed = listed;
+    return entry;
+}
+
+} // namespace
+
+// Guards against a VM that counts as available although the list or the configuration says
+// otherwise.
+Test(pool_planners, counts_vms_pessimistically) {
+    fleet_configuration fleet;
+    cr_assert(availability_of(entry_in("serving", true), fleet) == vm_availability::available);
+    cr_assert(availability_of(entry_in("serving", false), fleet) == vm_availability::declared);
+    cr_assert(availability_of(entry_in("failed", true), fleet) == vm_availability::failed);
+    cr_assert(availability_of(entry_in("rebooting", true), fleet) == vm_availability::draining);
+    fleet.removals = {{zone_id("a"), "power"}};
+    cr_assert(availability_of(entry_in("serving", true), fleet) == vm_availability::removed_zone);
+}
+
+// Guards against an exception to the budget that is not applied.
+Test(pool_planners, takes_the_budget_from_the_exception) {
+    fleet_configuration fleet;
+    fleet.defaults.pools = {{pool_id("quote"), 4, 2, pool_id()}};
+    cr_assert(budget_of(fleet, pool_id("quote")) == 2);
+    fleet.exceptions = {{exception_id("e"), "pool/quote", "unavailable", "0", "sale"}};
+    cr_assert(budget_of(fleet, pool_id("quote")) == 0);
+}
+
+// Guards against a wave that is spread over racks, so that the loss of one rack adds to it.
+Test(pool_planners, packs_a_wave_into_the_rack_that_is_under_way) {
+    const placed_vm due[] = {vm_at("1", "a", "a1"), vm_at("2", "b", "b1"), vm_at("3", "b", "b1"),
+                             vm_at("4", "b", "b1"), vm_at("5", "a", "a1")};
+    const auto wave = next_wave(due, {}, 3);
+    cr_assert(wave == std::vector({vm_id("2"), vm_id("3"), vm_id("4")}));
+    const placed_vm under_way[] = {vm_at("6", "a", "a1")};
+    cr_assert(next_wave(due, under_way, 1) == std::vector({vm_id("1")}));
+}
+
+// Guards against more moves than the demand needs, and against plans that change when a part of
+// them is carried out, which would make two controllers fill the same gap.
+Test(pool_planners, rebalances_with_the_fewest_moves) {
+    const bool held = rc::check([](const std::vector<std::uint8_t>& sizes) {
+        std::vector<pool_demand> demands;
+        std::int64_t lacking = 0;
+        std::int64_t surplus = 0;
+        for (const std::uint8_t size : sizes) {
+            const std::int64_t wanted = size % 16;
+            const std::int64_t members = size / 16;
+            demands.push_back({pool_id("p" + std::to_string(demands.size())), wanted, members});
+            lacking += std::max<std::int64_t>(0, wanted - members);
+            surplus += std::max<std::int64_t>(0, members - wanted);
+        }
+        const auto plan = planned_transfers(demands);
+        std::int64_t moves = 0;
+        std::map<std::pair<pool_id, pool_id>, std::int64_t> counts;
+        for (const pool_transfer& transfer : plan) {
+            moves += transfer.count;
+            counts[{transfer.from, transfer.to}] += transfer.count;
+        }
+        RC_ASSERT(moves == std::min(lacking, surplus));
+        if (plan.empty()) {
+            return;
+        }
+        // One move of the last transfer is carried out first.
+        for (pool_demand& demand : demands) {
+            demand.members += demand.pool == plan.back().to ? 1 : 0;
+            demand.members -= demand.pool == plan.back().from ? 1 : 0;
+        }
+        --counts[{plan.back().from, plan.back().to}];
+        for (const pool_transfer& transfer : planned_transfers(demands)) {
+            counts[{transfer.from, transfer.to}] -= transfer.count;
+        }
+        for (const auto& [pools, count] : counts) {
+            RC_ASSERT(count == 0);
+        }
+    });
+    cr_assert(held);
+}
+
+// Guards against a loan beyond the demand and against one pool that gets all while another starves.
+Test(pool_planners, lends_to_the_neediest_pool_first) {
+    const pool_shortage shortages[] = {
+        {pool_id("a"), 12, 8}, {pool_id("b"), 4, 2}, {pool_id("c"), 3, 3}};
+    const auto loans = planned_loans(pool_id("spare"), 3, shortages);
+    cr_assert(loans.size() == 2);
+    cr_assert(loans[0].to == pool_id("a") && loans[0].count == 2);
+    cr_assert(loans[1].to == pool_id("b") && loans[1].count == 1);
+    std::int64_t lent = 0;
+    for (const pool_transfer& loan : planned_loans(pool_id("spare"), 100, shortages)) {
+        lent += loan.count;
+    }
+    cr_assert(lent == 6);
+}
+
+// Guards against a loss of a node that moves the pools of the nodes that remain.
+Test(pool_planners, keeps_the_other_owners_when_a_node_leaves) {
+    const std::vector<node_id> all = {node_id("a"), node_id("b"), node_id("c")};
+    const std::vector<node_id> rest = {node_id("a"), node_id("c")};
+    std::set<node_id> owners;
+    for (int index = 0; index < 60; ++index) {
+        const pool_id pool("p" + std::to_string(index));
+        const node_id before = pool_owner(pool, all);
+        owners.insert(before);
+        cr_assert(before == node_id("b") || pool_owner(pool, rest) == before);
+    }
+    cr_assert(owners.size() == 3);
+}
+
+// Guards against a buffer that does not survive the loss of a zone, or that adds up bursts that do
+// not coincide.
+Test(pool_planners, pools_the_buffer_of_queues_that_peak_apart) {
+    const std::vector<double> early = {10, 0, 0, 0};
+    const std::vector<double> late = {0, 0, 0, 10};
+    const queue_demand apart[] = {{early}, {late}};
+    const queue_demand together[] = {{early}, {early}};
+    const vm_placement placement;
+    const buffer_plan shared = planned_buffer(apart, placement, {1, 0});
+    cr_assert(shared.burst == 10 && shared.total == 15 && shared.largest_loss == 5);
+    cr_assert(planned_buffer(together, placement, {1, 0}).burst == 20);
+    cr_assert(largest_single_loss(6, placement) == 4, "a rack is larger than a third here");
+}
--- a/tools/measure/pool_model.h
+++ b/tools/measure/pool_model.h
@@ -167,7 +167,7 @@
     std::deque<node>& nodes() { return nodes_; }
 
   private:
-    std::vector<node_id> live_nodes() const {
+    [[nodiscard]] std::vector<node_id> live_nodes() const {
         std::vector<node_id> names;
         for (std::size_t index = 0; index < values_.nodes; ++index) {
             if (live_.empty() || live_.contains(index)) {
@@ -188,7 +188,7 @@
         }
     }
 
-    std::vector<vm_listing> listed() const {
+    [[nodiscard]] std::vector<vm_listing> listed() const {
         std::vector<vm_listing> list;
         for (const auto& [id, vm] : machines) {
             if (vm.state != vm_status::condition::gone) {
@@ -231,7 +231,7 @@
     }
 
     /// A message to the node; it is lost when the node restarts before it arrives.
-    void tell(node& target, pool_input input, duration delay = {}) {
+    void tell(node& target, const pool_input& input, duration delay = {}) {
         later(delay, [this, &target, input, incarnation = target.incarnation] {
             if (target.incarnation != incarnation) {
                 return;
@@ -273,7 +273,7 @@
         for (const auto& [id, item] : leases) {
             rows.leases.push_back({item.row, item.version});
         }
-        tell(target, std::move(rows), random_span(values_.reply));
+        tell(target, rows, random_span(values_.reply));
     }
 
     /// Writes the rows of one transaction, then shows each change.
