--- a/tests/mocks.h
+++ b/tests/mocks.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "test_support.h"
+
 #include "citronford/caller_link.h"
 #include "citronford/executor_link.h"
 #include "citronford/object_store.h"
@@ -8,8 +10,6 @@
 #include "citronford/vm_list.h"
 #include "citronford/worker_link.h"
 
-#include <trompeloeil.hpp>
-
 namespace citronford {
 
 // Mocks of the interfaces in node_links.h; a call without an expectation fails the test.
--- a/tests/request_driver_test.cpp
+++ b/tests/request_driver_test.cpp
@@ -71,7 +71,7 @@
         own.zone = zone_id("a");
         own.charts = CITRONFORD_CHARTS;
         const node_links links{timers, table, objects, vms, executors, callers, workers, machines};
-        pools = *pool_driver::create(own, links);
+        pools = *pool_driver::create(own, {timers, table, vms, machines});
         driver = *request_driver::create(own, links, limits, *pools);
         fleet_configuration fleet;
         fleet.defaults.services = {{.name = service_id("booking"), .pool = pool_id("book")}};
