Wait for the record of outcomes in a planned stop

Cause: a stopping node left as soon as its callers were answered; an outcome that was not yet written left the claim row without one, so that a repeated booking was answered "unknown" although it was done. The planned stop now waits for open entries of the group commit as well; the drain timeout bounds it while the table is out. A test of hedging is added.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -171,7 +171,7 @@
     handle(stop_requested{});
     if (!drain_timer_.active()) {
         drain_timer_ = links_.timers.every(
-            drain_tick_period, [this](instant) { handle(drain_tick{requests_->open_requests()}); });
+            drain_tick_period, [this](instant) { handle(drain_tick{requests_->open_work()}); });
     }
 }
 
--- a/src/node/request_driver.h
+++ b/src/node/request_driver.h
@@ -41,6 +41,11 @@
     void handle(const router_input& input);
 
     [[nodiscard]] std::size_t open_requests() const { return router_->open_requests(); }
+
+    /// What a planned stop waits for: open requests, and outcomes that are not recorded.
+    [[nodiscard]] std::size_t open_work() const {
+        return router_->open_requests() + commits_.open_entries();
+    }
     [[nodiscard]] std::size_t queued(const service_id& service) const {
         return router_->queued(service);
     }
--- a/tests/request_driver_test.cpp
+++ b/tests/request_driver_test.cpp
@@ -147,6 +147,9 @@
     fixture.questions.at(0)(outcome_done{200, "booked"});
     expect_equal(fixture.answers.at(0).body, "booked");
     cr_assert(fixture.last_write().starts_with("done n1 "));
+    cr_assert_eq(fixture.driver->open_work(), 1, "a planned stop waits for the record");
+    fixture.reply(table_commit{true, 8, "", 0});
+    cr_assert_eq(fixture.driver->open_work(), 0);
 }
 
 // Guards against a "not run" for a booking whose outcome cannot be learned.
--- a/tests/request_router_test.cpp
+++ b/tests/request_router_test.cpp
@@ -210,3 +210,26 @@
     cr_assert(waiting >= 14 && waiting <= 17, "%llu", static_cast<unsigned long long>(waiting));
     cr_assert_eq(fixture.router->counters().shed, 1);
 }
+
+// Guards against a hedge without spare capacity, and against two answers to a hedged request.
+Test(request_router, hedges_a_slow_idempotent_request_once) {
+    router_fixture fixture;
+    executor_listing two = router_fixture::listing(false);
+    two.executors.push_back(
+        {executor_id("q2"), service_id("quote"), zone_id("a"), {"127.0.0.1", 3}, false});
+    fixture.handle(two);
+    const auto first = fixture.submit(1, "quote");
+    fixture.now += milliseconds(50);
+    fixture.answer(1, *effect_of<send_attempt>(first));
+    const auto slow = fixture.submit(2, "quote");
+    fixture.now += milliseconds(60);
+    const auto hedged = fixture.handle(router_tick{});
+    const auto* hedge = effect_of<send_attempt>(hedged);
+    cr_assert(hedge != nullptr && hedge->to != effect_of<send_attempt>(slow)->to);
+    cr_assert(effect_of<send_attempt>(fixture.submit(3, "quote")) == nullptr,
+              "the hedge takes a unit of the team");
+    cr_assert(effect_of<answer_caller>(fixture.answer(2, *hedge)) != nullptr);
+    const auto late = fixture.answer(2, *effect_of<send_attempt>(slow));
+    cr_assert(effect_of<answer_caller>(late) == nullptr);
+    cr_assert_eq(fixture.router->counters().hedges, 1);
+}
