Store the state of each zone for operators when its entry VMs are lost

Cause: with all entry VMs of a zone lost, its last state could not be read. Each node looks at the object state-ZONE every minute and writes only if nobody else has since its last look, so one node per zone writes and another takes over without a clock or an election. One object per zone bounds it. Ruled out: every node writing its own object, whose number grows with every replaced entry VM.

--- a/daemons/citronfordd.cpp
+++ b/daemons/citronfordd.cpp
@@ -14,7 +14,9 @@
 #include "io/metrics.h"
 #include "io/node_metrics.h"
 #include "io/operator_front.h"
+#include "io/state_report.h"
 #include "node/node.h"
+#include "node/state_snapshot.h"
 
 #include <boost/program_options.hpp>
 
@@ -89,6 +91,9 @@
     (*loop)->on_signal(SIGTERM, [&] { target.request_stop(); });
     (*loop)->on_signal(SIGINT, [&] { target.request_stop(); });
     target.start();
+    state_snapshot snapshot(own.zone.view(), platform, **loop,
+                            [&](std::uint64_t sequence) { return state_json(target, sequence); });
+    snapshot.start();
     log_event(log_level::info, "started",
               {{"node", own.node.view()},
                {"zone", own.zone.view()},
--- a/src/io/operator_front.cpp
+++ b/src/io/operator_front.cpp
@@ -1,6 +1,5 @@
 #include "io/operator_front.h"
 
-#include "citronford/invariant.h"
 #include "io/burn_page.h"
 #include "io/configuration_codec.h"
 #include "io/digest.h"
@@ -8,6 +7,7 @@
 #include "io/log.h"
 #include "io/node_metrics.h"
 #include "io/operator_pools.h"
+#include "io/state_report.h"
 #include "io/url.h"
 #include "node/node.h"
 
@@ -154,29 +154,7 @@
 }
 
 void show_state(const operation& parameters) {
-    node& target = parameters.target;
-    const fleet_configuration& fleet = target.configuration().fleet();
-    json teams = json::array();
-    for (const team_definition& team : fleet.defaults.teams) {
-        teams.push_back({{"name", team.name.str()},
-                         {"share", team.share},
-                         {"limit", team.limit},
-                         {"units", target.limits().units(team.name)},
-                         {"running", target.limits().running(team.name)}});
-    }
-    json removals = json::array();
-    for (const zone_removal& removal : fleet.removals) {
-        removals.push_back({{"zone", removal.zone.str()}, {"reason", removal.reason}});
-    }
-    const json document = {{"node", target.node_settings().node.str()},
-                           {"zone", target.node_settings().zone.str()},
-                           {"ready", target.ready()},
-                           {"configuration_version", fleet.version},
-                           {"open_requests", target.open_requests()},
-                           {"teams", teams},
-                           {"removed_zones", removals},
-                           {"invariant_violations", invariant_monitor::violations()}};
-    send_json(parameters.responder, document.dump());
+    send_json(parameters.responder, state_json(parameters.target, 0));
 }
 
 void show_burn(const operation& parameters) {
--- /dev/null
+++ b/src/io/state_report.cpp
@@ -0,0 +1,39 @@
+#include "io/state_report.h"
+
+#include "citronford/invariant.h"
+#include "node/node.h"
+
+#include <nlohmann/json.hpp>
+
+namespace citronford {
+
+std::string state_json(node& target, std::uint64_t sequence) {
+    using nlohmann::json;
+    const fleet_configuration& fleet = target.configuration().fleet();
+    json teams = json::array();
+    for (const team_definition& team : fleet.defaults.teams) {
+        teams.push_back({{"name", team.name.str()},
+                         {"share", team.share},
+                         {"limit", team.limit},
+                         {"units", target.limits().units(team.name)},
+                         {"running", target.limits().running(team.name)}});
+    }
+    json removals = json::array();
+    for (const zone_removal& removal : fleet.removals) {
+        removals.push_back({{"zone", removal.zone.str()}, {"reason", removal.reason}});
+    }
+    json document = {{"node", target.node_settings().node.str()},
+                     {"zone", target.node_settings().zone.str()},
+                     {"ready", target.ready()},
+                     {"configuration_version", fleet.version},
+                     {"open_requests", target.open_requests()},
+                     {"teams", teams},
+                     {"removed_zones", removals},
+                     {"invariant_violations", invariant_monitor::violations()}};
+    if (sequence > 0) {
+        document["sequence"] = sequence;
+    }
+    return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace citronford
--- a/tests/process/command_line.sh
+++ b/tests/process/command_line.sh
@@ -67,6 +67,9 @@
 exits 2 vm move booking-a --pool quotes
 exits 2 vm move booking-a --pool quotes --reason r --dry-run
 
+shows '"zone":"b"' state --snapshot b --json --entry "$platform"
+shows configuration_version state --snapshot a --entry "$platform"
+
 exits 0 --help
 exits 0 zone --help
 exits 2
--- a/tests/process/operators_page.sh
+++ b/tests/process/operators_page.sh
@@ -14,6 +14,7 @@
 wait_key entry-a-1 "$key"
 export CITRONFORD_KEY=$key
 export OPERATOR_ADDRESS=${operators[entry-a-1]} CALLER_ADDRESS=${callers[entry-a-1]}
+export PLATFORM_ADDRESS=$platform
 export OTHER_OPERATOR_ADDRESS=${operators[entry-b-1]}
 give_key entry-a-1 works
 export LEAKED_KEY_ID=$key_id
