--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -27,7 +27,8 @@
         return stop.status();
     }
     std::unique_ptr<node> created(new node(node_settings, links, *std::move(stop)));
-    auto pools = pool_driver::create(node_settings, links);
+    auto pools =
+        pool_driver::create(node_settings, {links.timers, links.table, links.vms, links.machines});
     if (!pools.ok()) {
         return pools.status();
     }
@@ -171,7 +172,7 @@
     handle(stop_requested{});
     if (!drain_timer_.active()) {
         drain_timer_ = links_.timers.every(
-            drain_tick_period, [this](instant) { handle(drain_tick{requests_->open_requests()}); });
+            drain_tick_period, [this](instant) { handle(drain_tick{requests_->open_work()}); });
     }
 }
 
