Connect daemons and drive membership, configuration and escrow

Cause: the decisions of the control had no peers and no driver; each daemon took itself for the only one. thrift_peer_link sends compact-protocol messages over TCP in frames that are authenticated with both nonces and a number; control_driver replaces configuration_driver and performs the effects. A registration is deleted three seconds after its lease, so that a fresh node need not wait for the confirmations of nodes deleted before it joined.

Ruled out: listening for peers before the charts are checked; a start with a wrong chart then failed with 502 instead of 501 when the port was taken (process_bad_input).

--- a/daemons/citronfordd.cpp
+++ b/daemons/citronfordd.cpp
@@ -11,6 +11,7 @@
 #include "io/http_worker_link.h"
 #include "io/log.h"
 #include "io/operator_front.h"
+#include "io/thrift_peer_link.h"
 #include "node/node.h"
 
 #include <boost/program_options.hpp>
@@ -57,15 +58,20 @@
     http_vm_control machines(client, own.platform, own.platform_timeout);
     http_executor_link executors(client);
     http_worker_link workers(client);
+    thrift_peer_link peers((*loop)->handle(), **loop, own.peer_secret);
     caller_front callers;
     std::unique_ptr<http_server> caller_server;
     auto created = node::create(
-        own, {**loop, platform, platform, platform, executors, callers, workers, machines},
+        own, {**loop, platform, platform, platform, executors, callers, workers, machines, peers},
         [&] { caller_server->stop_accepting(); }, [&] { leave_process(own); });
     if (!created.ok()) {
         return fail(created.status());
     }
     node& target = **created;
+    const absl::Status peers_listening = peers.listen(own.peers);
+    if (!peers_listening.ok()) {
+        return fail(peers_listening);
+    }
     operator_front operators(target);
     auto listening =
         http_server::create((*loop)->handle(), own.callers, own.body_limit,
--- a/include/citronford/configuration.h
+++ b/include/citronford/configuration.h
@@ -99,6 +99,7 @@
 
 struct configuration_options {
     duration answer_wait = milliseconds(4000); ///< An answer names pending zones after this time.
+    duration removal_grace = seconds(3);       ///< As in `membership_options`.
     duration margin = milliseconds(100);       ///< Allowance for clocks of different rates.
 };
 
--- a/include/citronford/membership.h
+++ b/include/citronford/membership.h
@@ -99,6 +99,9 @@
     duration lease = seconds(10);           ///< Lifetime of the registration without renewal.
     duration retention = seconds(600);      ///< Lifetime with renewal by unanimity alone.
     duration heartbeat_period = seconds(1); ///< Pause between two probes of a peer.
+    /// A registration is deleted this long after its lease, so that its holder does not act on its
+    /// last confirmation any more. At least the default confirmation limit.
+    duration removal_grace = seconds(3);
     /// A refused connection says that a node made no change only if it was heard this long before:
     /// a node that was silent for longer may have told an operator of a change and ended since.
     /// At most the shortest confirmation limit.
--- a/include/citronford/peer_link.h
+++ b/include/citronford/peer_link.h
@@ -20,7 +20,8 @@
     node_id node;
     std::uint64_t incarnation = 0;
 
-    friend auto operator<=>(const member_id&, const member_id&) = default;
+    friend auto operator<=>(const member_id&,
+                            const member_id&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 // Messages between nodes. The sender is part of every message on the wire.
--- a/src/decide/configuration.cpp
+++ b/src/decide/configuration.cpp
@@ -387,9 +387,10 @@
         return;
     }
     if (!entry.members_read) {
-        // A node whose registration ended may act on its last confirmation for a while.
+        // A node whose registration ended may act on its last confirmation, if its limit is long.
+        const duration acting = longest_limit(fleet_) - options_.removal_grace;
         for (const auto& [id, since] : members_.ended()) {
-            if (since + longest_limit(fleet_) >= entry.learned_at) {
+            if (acting > duration::zero() && since + acting >= entry.learned_at) {
                 entry.missing[id] = members_.zone();
             }
         }
@@ -412,7 +413,9 @@
 
 bool configuration::in_force(const change_entry& entry, instant now) const {
     // A node that has joined lately does not know whose registration ended before.
-    const bool knows_ended = entry.learned_at > members_.registered_since() + longest_limit(fleet_);
+    const duration acting = longest_limit(fleet_) - options_.removal_grace;
+    const bool knows_ended =
+        acting <= duration::zero() || entry.learned_at > members_.registered_since() + acting;
     const bool known =
         (entry.members_read && entry.missing.empty() && knows_ended) || now > entry.expires_at;
     return known &&
@@ -444,6 +447,7 @@
         }
     }
     std::vector<zone_progress> result;
+    result.reserve(zones.size());
     for (auto& [zone, pending] : zones) {
         result.push_back({zone, std::move(pending)});
     }
--- a/src/decide/membership.cpp
+++ b/src/decide/membership.cpp
@@ -185,13 +185,13 @@
 /// A registration may be deleted once its holder cannot rely on it any more.
 bool membership::removable(const member& item, instant now) const {
     const duration unchanged = now - item.row_seen;
-    const duration lease = options_.lease + options_.margin;
+    const duration lease = options_.lease + options_.removal_grace + options_.margin;
     if (unchanged < lease || now - item.answered_to < lease ||
         now - item.erased_at < options_.heartbeat_period) {
         return false;
     }
     return item.refused || item.left || established() ||
-           unchanged >= options_.retention + options_.margin;
+           unchanged >= options_.retention + options_.removal_grace + options_.margin;
 }
 
 void membership::write(instant now, effects_out effects) {
@@ -284,12 +284,12 @@
         }
     }
     std::vector<node_id> gone;
-    for (const auto& [node, item] : members_) {
+    for (const auto& entry : members_) {
         const bool listed = std::ranges::any_of(input.rows, [&](const registration_row& row) {
-            return row.registration.member.node == node;
+            return row.registration.member.node == entry.first;
         });
-        if (!listed && item.version <= input.version) {
-            gone.push_back(node);
+        if (!listed && entry.second.version <= input.version) {
+            gone.push_back(entry.first);
         }
     }
     for (const node_id& node : gone) {
--- a/src/io/operator_front.cpp
+++ b/src/io/operator_front.cpp
@@ -35,14 +35,44 @@
     void (*function)(const operation& parameters);
 };
 
-void apply_change(const operation& parameters, const configuration_change& change) {
+/// The version of a change and, per availability zone, whether it is in force.
+json progress_of(const change_result& result) {
+    json zones = json::array();
+    for (const zone_progress& zone : result.zones) {
+        json pending = json::array();
+        for (const node_id& node : zone.pending) {
+            pending.push_back(node.str());
+        }
+        zones.push_back({{"zone", zone.zone.str()},
+                         {"in_force", zone.pending.empty()},
+                         {"pending", std::move(pending)}});
+    }
+    return {{"version", result.version}, {"zones", std::move(zones)}};
+}
+
+bool is_dry_run(const operation& parameters) {
+    return parameters.request.query == "dry_run=1";
+}
+
+/// Applies a change; `extra` members are added to the answer.
+void apply_change(const operation& parameters, const configuration_change& change,
+                  json extra = json::object()) {
+    const bool dry_run = is_dry_run(parameters);
     parameters.target.configuration().change(
-        change, [responder = parameters.responder](absl::StatusOr<configuration_version> version) {
-            if (!version.ok()) {
-                send_error(responder, version.status());
+        change, dry_run,
+        [responder = parameters.responder, dry_run,
+         extra = std::move(extra)](const absl::StatusOr<change_result>& result) {
+            if (!result.ok()) {
+                send_error(responder, result.status());
                 return;
             }
-            send_json(responder, json{{"version", *version}}.dump());
+            json answer = progress_of(*result);
+            if (dry_run) {
+                answer["dry_run"] = true;
+            } else {
+                answer.update(extra);
+            }
+            send_json(responder, answer.dump());
         });
 }
 
@@ -103,15 +133,44 @@
     const std::string id = random_hex(id_bytes);
     const std::string key = random_hex(key_bytes);
     const team_key item{key_id(id), digest_of_key(key), team_id(body_text(parameters, "team"))};
-    parameters.target.configuration().change(
-        give_key{item},
-        [responder = parameters.responder, id, key](absl::StatusOr<configuration_version> version) {
-            if (!version.ok()) {
-                send_error(responder, version.status());
-                return;
-            }
-            send_json(responder, json{{"id", id}, {"key", key}, {"version", *version}}.dump());
-        });
+    apply_change(parameters, give_key{item}, {{"id", id}, {"key", key}});
+}
+
+/// The keys with their teams; digests are not shown.
+void list_keys(const operation& parameters) {
+    const control_driver& control = parameters.target.configuration();
+    json keys = json::array();
+    for (const team_key& key : control.fleet().keys) {
+        keys.push_back(
+            {{"id", key.id.str()}, {"team", key.team.str()}, {"state", control.key_state(key.id)}});
+    }
+    send_json(parameters.responder, keys.dump());
+}
+
+json team_json(const node& target, const team_definition& team) {
+    return {{"name", team.name.str()},
+            {"share", team.share},
+            {"limit", team.limit},
+            {"units", target.limits().units(team.name)},
+            {"running", target.limits().running(team.name)}};
+}
+
+void list_teams(const operation& parameters) {
+    json teams = json::array();
+    for (const team_definition& team : parameters.target.configuration().fleet().defaults.teams) {
+        teams.push_back(team_json(parameters.target, team));
+    }
+    send_json(parameters.responder, teams.dump());
+}
+
+void show_team(const operation& parameters) {
+    const team_definition* team =
+        find_team(parameters.target.configuration().fleet(), parameters.path[1]);
+    if (team == nullptr) {
+        send_error(parameters.responder, result_code::not_found, "there is no such team");
+        return;
+    }
+    send_json(parameters.responder, team_json(parameters.target, *team).dump());
 }
 
 void delete_key(const operation& parameters) {
@@ -129,6 +188,13 @@
                          {"units", target.limits().units(team.name)},
                          {"running", target.limits().running(team.name)}});
     }
+    json members = json::array();
+    for (const auto& [id, item] : target.configuration().members().members()) {
+        members.push_back({{"node", id.str()},
+                           {"zone", item.registration.zone.str()},
+                           {"state", target.configuration().members().state_of(item)},
+                           {"configuration_version", item.last.version}});
+    }
     json removals = json::array();
     for (const zone_removal& removal : fleet.removals) {
         removals.push_back({{"zone", removal.zone.str()}, {"reason", removal.reason}});
@@ -136,6 +202,8 @@
     const json document = {{"node", target.node_settings().node.str()},
                            {"zone", target.node_settings().zone.str()},
                            {"ready", target.ready()},
+                           {"registration", target.configuration().members().lease_state()},
+                           {"members", members},
                            {"configuration_version", fleet.version},
                            {"open_requests", target.open_requests()},
                            {"teams", teams},
@@ -152,6 +220,9 @@
     {"DELETE", "exceptions", 2, "", delete_exception},
     {"POST", "zones", 3, "out", take_zone_out},
     {"POST", "zones", 3, "in", bring_zone_in},
+    {"GET", "keys", 1, "", list_keys},
+    {"GET", "teams", 1, "", list_teams},
+    {"GET", "teams", 2, "", show_team},
     {"POST", "keys", 1, "", create_key},
     {"DELETE", "keys", 2, "", delete_key},
     {"GET", "state", 1, "", show_state},
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -27,6 +27,12 @@
         return stop.status();
     }
     std::unique_ptr<node> created(new node(node_settings, links, *std::move(stop)));
+    auto control = control_driver::create(node_settings, {links.timers, links.table, links.peers},
+                                          created->limits_);
+    if (!control.ok()) {
+        return control.status();
+    }
+    created->configuration_ = *std::move(control);
     auto pools = pool_driver::create(node_settings, links);
     if (!pools.ok()) {
         return pools.status();
@@ -52,8 +58,7 @@
 }
 
 node::node(settings node_settings, node_links links, drain stop)
-    : settings_(std::move(node_settings)), links_(links), drain_(std::move(stop)),
-      configuration_(std::make_unique<configuration_driver>(settings_, links)) {}
+    : settings_(std::move(node_settings)), links_(links), drain_(std::move(stop)) {}
 
 void node::start() {
     configuration_->subscribe([this](const fleet_configuration& fleet) { apply(fleet); });
@@ -64,9 +69,6 @@
 }
 
 void node::apply(const fleet_configuration& fleet) {
-    for (const team_definition& team : fleet.defaults.teams) {
-        limits_.set_units(team.name, team.limit);
-    }
     pools_->configure(fleet);
     requests_->configure(fleet);
     tasks_->configure(fleet);
@@ -170,8 +172,8 @@
     for (const drain_effect& effect : drain_.handle(input, links_.timers.now())) {
         std::visit(overloaded{
                        [this](const stop_listening&) { on_stop_listening_(); },
-                       [](const hand_over&) {},
-                       [this](const leave&) { on_leave_(); },
+                       [this](const hand_over&) { configuration_->hand_over(); },
+                       [this](const leave&) { configuration_->leave(on_leave_); },
                    },
                    effect);
     }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -3,7 +3,7 @@
 #include "citronford/drain.h"
 #include "citronford/settings.h"
 #include "citronford/team_limits.h"
-#include "node/configuration_driver.h"
+#include "node/control_driver.h"
 #include "node/node_links.h"
 #include "node/pool_driver.h"
 #include "node/request_driver.h"
@@ -62,7 +62,7 @@
     /// Begins a planned stop.
     void request_stop();
 
-    [[nodiscard]] configuration_driver& configuration() { return *configuration_; }
+    [[nodiscard]] control_driver& configuration() { return *configuration_; }
     [[nodiscard]] pool_driver& pools() { return *pools_; }
     [[nodiscard]] const team_limits& limits() const { return limits_; }
     [[nodiscard]] std::size_t open_requests() const { return requests_->open_requests(); }
@@ -81,7 +81,7 @@
     node_links links_;
     team_limits limits_;
     drain drain_;
-    std::unique_ptr<configuration_driver> configuration_;
+    std::unique_ptr<control_driver> configuration_;
     std::unique_ptr<pool_driver> pools_;
     std::unique_ptr<request_driver> requests_;
     std::unique_ptr<task_driver> tasks_;
--- a/src/node/node_links.h
+++ b/src/node/node_links.h
@@ -3,6 +3,7 @@
 #include "citronford/caller_link.h"
 #include "citronford/executor_link.h"
 #include "citronford/object_store.h"
+#include "citronford/peer_link.h"
 #include "citronford/table_service.h"
 #include "citronford/timer_service.h"
 #include "citronford/vm_control.h"
@@ -21,6 +22,7 @@
     caller_link& callers;
     worker_link& workers;
     vm_control& machines;
+    peer_link& peers;
 };
 
 } // namespace citronford
--- a/src/node/request_driver.cpp
+++ b/src/node/request_driver.cpp
@@ -79,12 +79,13 @@
         return router.status();
     }
     return std::unique_ptr<request_driver>(
-        new request_driver(node_settings, links, pools, *std::move(router)));
+        new request_driver(node_settings, links, limits, pools, *std::move(router)));
 }
 
-request_driver::request_driver(settings node_settings, node_links links, const pool_driver& pools,
-                               std::unique_ptr<request_router> router)
-    : settings_(std::move(node_settings)), links_(links), pools_(pools), router_(std::move(router)),
+request_driver::request_driver(settings node_settings, node_links links, team_limits& limits,
+                               const pool_driver& pools, std::unique_ptr<request_router> router)
+    : settings_(std::move(node_settings)), links_(links), limits_(limits), pools_(pools),
+      router_(std::move(router)),
       commits_({.node = settings_.node, .incarnation = random_hex(incarnation_bytes)}) {}
 
 void request_driver::start() {
@@ -104,6 +105,7 @@
 }
 
 void request_driver::handle(const router_input& input) {
+    limits_.set_now(links_.timers.now());
     const std::vector<router_effect> effects = router_->handle(input, links_.timers.now());
     for (const router_effect& effect : effects) {
         std::visit([this](const auto& item) { perform(item); }, effect);
--- a/src/node/request_driver.h
+++ b/src/node/request_driver.h
@@ -37,8 +37,8 @@
     [[nodiscard]] std::size_t open_requests() const { return router_->open_requests(); }
 
   private:
-    request_driver(settings node_settings, node_links links, const pool_driver& pools,
-                   std::unique_ptr<request_router> router);
+    request_driver(settings node_settings, node_links links, team_limits& limits,
+                   const pool_driver& pools, std::unique_ptr<request_router> router);
 
     void handle_commit(const group_commit_input& input);
 
@@ -59,6 +59,7 @@
 
     settings settings_;
     node_links links_;
+    team_limits& limits_;
     const pool_driver& pools_;
     std::unique_ptr<request_router> router_;
     group_commit commits_;
--- a/src/node/task_driver.cpp
+++ b/src/node/task_driver.cpp
@@ -77,13 +77,15 @@
     if (!scheduler.ok()) {
         return scheduler.status();
     }
-    return std::unique_ptr<task_driver>(new task_driver(
-        node_settings, links, options.self, *std::move(scheduler), std::move(confirmed_at)));
+    return std::unique_ptr<task_driver>(new task_driver(node_settings, links, limits, options.self,
+                                                        *std::move(scheduler),
+                                                        std::move(confirmed_at)));
 }
 
-task_driver::task_driver(settings node_settings, node_links links, live_member self,
-                         std::unique_ptr<task_scheduler> scheduler, confirmation confirmed_at)
-    : settings_(std::move(node_settings)), links_(links), self_(std::move(self)),
+task_driver::task_driver(settings node_settings, node_links links, team_limits& limits,
+                         live_member self, std::unique_ptr<task_scheduler> scheduler,
+                         confirmation confirmed_at)
+    : settings_(std::move(node_settings)), links_(links), limits_(limits), self_(std::move(self)),
       scheduler_(std::move(scheduler)), confirmed_at_(std::move(confirmed_at)) {}
 
 void task_driver::start() {
@@ -105,6 +107,7 @@
 }
 
 void task_driver::handle(const scheduler_input& input) {
+    limits_.set_now(links_.timers.now());
     const std::vector<scheduler_effect> effects = scheduler_->handle(input, links_.timers.now());
     for (const scheduler_effect& effect : effects) {
         std::visit([this](const auto& item) { perform(item); }, effect);
--- a/src/node/task_driver.h
+++ b/src/node/task_driver.h
@@ -48,7 +48,7 @@
   private:
     using row_callback = std::function<void(absl::StatusOr<job_row_seen>)>;
 
-    task_driver(settings node_settings, node_links links, live_member self,
+    task_driver(settings node_settings, node_links links, team_limits& limits, live_member self,
                 std::unique_ptr<task_scheduler> scheduler, confirmation confirmed_at);
 
     void perform(const write_job& effect);
@@ -68,6 +68,7 @@
 
     settings settings_;
     node_links links_;
+    team_limits& limits_;
     live_member self_;
     std::unique_ptr<task_scheduler> scheduler_;
     confirmation confirmed_at_;
--- a/tests/proofs/control_world.cpp
+++ b/tests/proofs/control_world.cpp
@@ -338,7 +338,9 @@
     configuration_update update;
     update.version = nodes[index]->fleet->fleet().version;
     update.version_row = nodes[index]->fleet->version_row();
-    send(index, {to, {}, update});
+    if (!faults.updates_lost) {
+        send(index, {to, {}, update});
+    }
 }
 
 void control_world::change(std::size_t index, const configuration_change& change) {
--- a/tests/proofs/control_world.h
+++ b/tests/proofs/control_world.h
@@ -40,6 +40,7 @@
         double lost_replies = 0;
         double lost_messages = 0;
         double late_messages = 0;
+        bool updates_lost = false; ///< No configuration is pushed: nodes learn it by polling.
     };
 
     control_world(std::uint64_t seed, std::size_t zones, std::size_t node_count,
