Refuse confirmation limits below two seconds

Cause: a refused connection stands for an answer of a node only within two seconds after the node was heard; a shorter confirmation limit would let an operator be told of a change before that time ends. Ruled out: a window that follows the limit, since nodes hold different versions of it. Conclusion: the assumption of the refusal window is checked where limits are set.

--- a/src/decide/configuration_change.cpp
+++ b/src/decide/configuration_change.cpp
@@ -4,6 +4,7 @@
 #include "citronford/result_code.h"
 
 #include <algorithm>
+#include <charconv>
 #include <set>
 #include <string>
 
@@ -66,6 +67,24 @@
     return status;
 }
 
+/// A member whose address refuses connections counts as asked for its last changes only if it was
+/// heard within two seconds before (`membership_options::refusal_window`).
+constexpr milliseconds least_confirmation_limit{2000};
+
+absl::Status valid_exception(const exception_rule& rule) {
+    if (rule.id.empty() || rule.scope.empty() || rule.setting.empty()) {
+        return invalid("an exception needs an id, a scope and a setting");
+    }
+    std::int64_t number = 0;
+    const char* const end = rule.value.data() + rule.value.size();
+    if (rule.setting == "key_confirmation_limit_ms" &&
+        (std::from_chars(rule.value.data(), end, number).ptr != end || rule.value.empty() ||
+         number < least_confirmation_limit.count())) {
+        return invalid("key_confirmation_limit_ms must be at least 2000");
+    }
+    return rule.reason.empty() ? invalid("an exception needs a reason") : absl::OkStatus();
+}
+
 absl::Status valid_defaults(const fleet_defaults& defaults) {
     absl::Status status = valid_all(defaults.services, "services", valid_service);
     if (status.ok()) {
@@ -74,6 +93,9 @@
     if (status.ok()) {
         status = valid_all(defaults.pools, "pools", valid_pool);
     }
+    if (status.ok() && defaults.key_confirmation_limit < least_confirmation_limit) {
+        status = invalid("key_confirmation_limit_ms must be at least 2000");
+    }
     if (status.ok() && (defaults.retry_ratio < 0 || defaults.retry_ratio > 1)) {
         status = invalid("retry_ratio must lie between 0 and 1");
     }
@@ -101,14 +123,7 @@
 absl::Status validated(const configuration_change& change, const fleet_configuration& fleet) {
     return std::visit(overloaded{
                           [](const set_defaults& item) { return valid_defaults(item.defaults); },
-                          [](const add_exception& item) {
-                              const exception_rule& rule = item.rule;
-                              if (rule.id.empty() || rule.scope.empty() || rule.setting.empty()) {
-                                  return invalid("an exception needs an id, a scope and a setting");
-                              }
-                              return rule.reason.empty() ? invalid("an exception needs a reason")
-                                                         : absl::OkStatus();
-                          },
+                          [](const add_exception& item) { return valid_exception(item.rule); },
                           [&](const remove_exception& item) {
                               return contains(fleet.exceptions, item.id, &exception_rule::id)
                                          ? absl::OkStatus()
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -85,6 +85,17 @@
     cr_assert(std::holds_alternative<commit_change>(accepted.at(0)));
 }
 
+// Guards against a confirmation limit below the time for which a refused connection is trusted.
+Test(configuration, refuses_a_confirmation_limit_that_is_too_short) {
+    fleet_defaults defaults;
+    defaults.key_confirmation_limit = milliseconds(1999);
+    cr_assert(!validated(set_defaults{defaults}, {}).ok());
+    exception_rule rule{exception_id("e"), "zone/z", "key_confirmation_limit_ms", "1999", "test"};
+    cr_assert(!validated(add_exception{rule}, {}).ok());
+    rule.value = "2000";
+    cr_assert(validated(add_exception{rule}, {}).ok());
+}
+
 // Guards against a confirmation by unanimity while a member may have committed a change.
 Test(configuration, is_confirmed_by_all_members_unless_one_is_in_doubt) {
     control_fixture fixture;
