--- a/daemons/citronfordd.cpp
+++ b/daemons/citronfordd.cpp
@@ -15,6 +15,7 @@
 #include "io/node_metrics.h"
 #include "io/operator_front.h"
 #include "io/state_report.h"
+#include "io/thrift_peer_link.h"
 #include "node/node.h"
 #include "node/state_snapshot.h"
 
@@ -58,15 +59,20 @@
     http_vm_control vm_controls(client, own.platform, own.platform_timeout);
     http_executor_link executors(client);
     http_worker_link workers(client);
+    thrift_peer_link peers((*loop)->handle(), **loop, own.peer_secret);
     caller_front callers;
     std::unique_ptr<http_server> caller_server;
     auto created = node::create(
-        own, {**loop, table, platform, platform, executors, callers, workers, vm_controls},
+        own, {**loop, table, platform, platform, executors, callers, workers, vm_controls, peers},
         [&] { caller_server->stop_accepting(); }, [&] { leave_process(own); });
     if (!created.ok()) {
         return fail(created.status());
     }
     node& target = **created;
+    const absl::Status peers_listening = peers.listen(own.peers);
+    if (!peers_listening.ok()) {
+        return fail(peers_listening);
+    }
     target.levels().subscribe(
         [&](const answer_given& answer) { count_answer(target, answer, registry); });
     operator_front operators(target,
--- a/src/io/state_report.cpp
+++ b/src/io/state_report.cpp
@@ -22,9 +22,18 @@
     for (const zone_removal& removal : fleet.removals) {
         removals.push_back({{"zone", removal.zone.str()}, {"reason", removal.reason}});
     }
+    json members = json::array();
+    for (const auto& [id, item] : target.configuration().members().members()) {
+        members.push_back({{"node", id.str()},
+                           {"zone", item.registration.zone.str()},
+                           {"state", target.configuration().members().state_of(item)},
+                           {"configuration_version", item.last.version}});
+    }
     json document = {{"node", target.node_settings().node.str()},
                      {"zone", target.node_settings().zone.str()},
                      {"ready", target.ready()},
+                     {"registration", target.configuration().members().lease_state()},
+                     {"members", members},
                      {"configuration_version", fleet.version},
                      {"open_requests", target.open_requests()},
                      {"teams", teams},
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -5,6 +5,7 @@
 #include "io/log.h"
 
 #include <utility>
+#include <vector>
 
 namespace citronford {
 namespace {
@@ -12,6 +13,10 @@
 /// Pause between two looks at the work that is left during a planned stop.
 constexpr duration drain_tick_period = milliseconds(50);
 
+/// Pause between two looks at the live nodes. A late look only delays a takeover: leases decide who
+/// may act.
+constexpr duration member_period = milliseconds(500);
+
 } // namespace
 
 absl::StatusOr<std::unique_ptr<node>> node::create(const settings& node_settings, node_links links,
@@ -27,6 +32,12 @@
         return stop.status();
     }
     std::unique_ptr<node> created(new node(node_settings, links, *std::move(stop)));
+    auto control = control_driver::create(node_settings, {links.timers, links.table, links.peers},
+                                          created->limits_);
+    if (!control.ok()) {
+        return control.status();
+    }
+    created->configuration_ = *std::move(control);
     auto pools =
         pool_driver::create(node_settings, {links.timers, links.table, links.vms, links.machines});
     if (!pools.ok()) {
@@ -39,10 +50,10 @@
         return requests.status();
     }
     created->requests_ = *std::move(requests);
-    auto tasks =
-        task_driver::create(node_settings, links, created->limits_, [target = created.get()] {
-            return target->configuration_->view().confirmed_at;
-        });
+    auto tasks = task_driver::create(
+        node_settings, links, created->limits_,
+        created->configuration_->members().self().incarnation,
+        [target = created.get()] { return target->configuration_->view().confirmed_at; });
     if (!tasks.ok()) {
         return tasks.status();
     }
@@ -54,7 +65,6 @@
 
 node::node(settings node_settings, node_links links, drain stop)
     : settings_(std::move(node_settings)), links_(links), drain_(std::move(stop)),
-      configuration_(std::make_unique<configuration_driver>(settings_, links)),
       levels_(std::make_unique<service_level_driver>(links.timers)) {}
 
 void node::start() {
@@ -67,12 +77,29 @@
     requests_->start();
     levels_->start();
     tasks_->start();
+    member_timer_ = links_.timers.every(member_period, [this](instant now) { share_members(now); });
 }
 
-void node::apply(const fleet_configuration& fleet) {
-    for (const team_definition& team : fleet.defaults.teams) {
-        limits_.set_units(team.name, team.limit);
+/// Tells the drivers which nodes are live. A joining node waits until the others know it, since it
+/// would take itself for the only node and take over every worker and pool; it does not wait for a
+/// dead node longer than a registration lasts.
+void node::share_members(instant now) {
+    const membership& registered = configuration_->members();
+    const bool waited = now - registered.registered_since() >= settings_.node_lease;
+    if (!registered.registered() || (!registered.established() && !waited)) {
+        return;
     }
+    std::vector<live_member> members;
+    std::vector<node_id> nodes;
+    for (const node_registration& item : registered.live(now)) {
+        members.push_back({item.member.node, item.zone, item.member.incarnation});
+        nodes.push_back(item.member.node);
+    }
+    tasks_->set_members(members);
+    pools_->set_members(nodes);
+}
+
+void node::apply(const fleet_configuration& fleet) {
     pools_->configure(fleet);
     requests_->configure(fleet);
     levels_->configure(fleet);
@@ -180,8 +207,8 @@
     for (const drain_effect& effect : drain_.handle(input, links_.timers.now())) {
         std::visit(overloaded{
                        [this](const stop_listening&) { on_stop_listening_(); },
-                       [](const hand_over&) {},
-                       [this](const leave&) { on_leave_(); },
+                       [this](const hand_over&) { configuration_->hand_over(); },
+                       [this](const leave&) { configuration_->leave(on_leave_); },
                    },
                    effect);
     }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -3,7 +3,7 @@
 #include "citronford/drain.h"
 #include "citronford/settings.h"
 #include "citronford/team_limits.h"
-#include "node/configuration_driver.h"
+#include "node/control_driver.h"
 #include "node/node_links.h"
 #include "node/pool_driver.h"
 #include "node/request_driver.h"
@@ -63,8 +63,8 @@
     /// Begins a planned stop.
     void request_stop();
 
-    [[nodiscard]] configuration_driver& configuration() { return *configuration_; }
-    [[nodiscard]] const configuration_driver& configuration() const { return *configuration_; }
+    [[nodiscard]] control_driver& configuration() { return *configuration_; }
+    [[nodiscard]] const control_driver& configuration() const { return *configuration_; }
     [[nodiscard]] pool_driver& pools() { return *pools_; }
     [[nodiscard]] const team_limits& limits() const { return limits_; }
     [[nodiscard]] std::size_t open_requests() const { return requests_->open_requests(); }
@@ -80,6 +80,7 @@
 
     void handle(const drain_input& input);
     void apply(const fleet_configuration& fleet);
+    void share_members(instant now);
     void refuse(const caller_request& request, const absl::Status& status);
     void refuse_job(caller_id caller, const job_id& id, const absl::Status& status);
 
@@ -87,7 +88,7 @@
     node_links links_;
     team_limits limits_;
     drain drain_;
-    std::unique_ptr<configuration_driver> configuration_;
+    std::unique_ptr<control_driver> configuration_;
     std::unique_ptr<service_level_driver> levels_;
     std::unique_ptr<pool_driver> pools_;
     std::unique_ptr<request_driver> requests_;
@@ -95,6 +96,7 @@
     std::function<void()> on_stop_listening_;
     std::function<void()> on_leave_;
     timer_subscription drain_timer_;
+    timer_subscription member_timer_;
 };
 
 } // namespace citronford
--- a/src/node/pool_driver.cpp
+++ b/src/node/pool_driver.cpp
@@ -62,7 +62,6 @@
     : settings_(std::move(node_settings)), links_(links), controller_(std::move(controller)) {}
 
 void pool_driver::start() {
-    set_members(std::span(&settings_.node, 1));
     poll_rows();
     poll_vms();
     tick_timer_ = links_.timers.every(tick_period, [this](instant) { handle(pools_tick{}); });
--- a/src/node/task_driver.cpp
+++ b/src/node/task_driver.cpp
@@ -33,16 +33,6 @@
     return scheduler_charts{*std::move(job), *std::move(lease), *std::move(health)};
 }
 
-/// A number that no earlier process of this node had.
-std::uint64_t fresh_incarnation() {
-    constexpr std::size_t bytes = 7;
-    constexpr int hexadecimal = 16;
-    const std::string text = random_hex(bytes);
-    std::uint64_t number = 0;
-    std::from_chars(text.data(), text.data() + text.size(), number, hexadecimal);
-    return number;
-}
-
 worker_listing workers_of(std::span<const vm_listing> vms, const fleet_configuration& fleet) {
     worker_listing listing;
     for (const vm_listing& vm : vms) {
@@ -63,32 +53,31 @@
 
 } // namespace
 
-absl::StatusOr<std::unique_ptr<task_driver>> task_driver::create(const settings& node_settings,
-                                                                 node_links links,
-                                                                 team_limits& limits,
-                                                                 confirmation confirmed_at) {
+absl::StatusOr<std::unique_ptr<task_driver>>
+task_driver::create(const settings& node_settings, node_links links, team_limits& limits,
+                    std::uint64_t incarnation, confirmation confirmed_at) {
     const auto charts = load_charts(node_settings.charts);
     if (!charts.ok()) {
         return charts.status();
     }
     scheduler_options options;
-    options.self = {node_settings.node, node_settings.zone, fresh_incarnation()};
+    options.self = {node_settings.node, node_settings.zone, incarnation};
     auto scheduler = task_scheduler::create(*charts, options, limits);
     if (!scheduler.ok()) {
         return scheduler.status();
     }
-    return std::unique_ptr<task_driver>(new task_driver(
-        node_settings, links, options.self, *std::move(scheduler), std::move(confirmed_at)));
+    return std::unique_ptr<task_driver>(new task_driver(node_settings, links, limits, options.self,
+                                                        *std::move(scheduler),
+                                                        std::move(confirmed_at)));
 }
 
-task_driver::task_driver(settings node_settings, node_links links, live_member self,
-                         std::unique_ptr<task_scheduler> scheduler, confirmation confirmed_at)
-    : settings_(std::move(node_settings)), links_(links), self_(std::move(self)),
+task_driver::task_driver(settings node_settings, node_links links, team_limits& limits,
+                         live_member self, std::unique_ptr<task_scheduler> scheduler,
+                         confirmation confirmed_at)
+    : settings_(std::move(node_settings)), links_(links), limits_(limits), self_(std::move(self)),
       scheduler_(std::move(scheduler)), confirmed_at_(std::move(confirmed_at)) {}
 
 void task_driver::start() {
-    // Until the node knows its peers it takes itself for the only member.
-    handle(member_listing{{self_}});
     tick_timer_ = links_.timers.every(tick_period,
                                       [this](instant) { handle(scheduler_tick{confirmed_at_()}); });
     job_timer_ =
@@ -98,6 +87,10 @@
     poll_vms();
 }
 
+void task_driver::set_members(std::span<const live_member> members) {
+    handle(member_listing{{members.begin(), members.end()}});
+}
+
 void task_driver::configure(const fleet_configuration& fleet) {
     fleet_ = fleet;
     scheduler_->configure(fleet);
@@ -105,6 +98,7 @@
 }
 
 void task_driver::handle(const scheduler_input& input) {
+    limits_.set_now(links_.timers.now());
     const std::vector<scheduler_effect> effects = scheduler_->handle(input, links_.timers.now());
     for (const scheduler_effect& effect : effects) {
         std::visit([this](const auto& item) { perform(item); }, effect);
--- a/src/node/task_driver.h
+++ b/src/node/task_driver.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 
 namespace citronford {
@@ -19,11 +20,10 @@
     /// Reads when the node's copy of the configuration was confirmed.
     using confirmation = std::function<instant()>;
 
-    /// Fails with `chart_invalid`.
-    static absl::StatusOr<std::unique_ptr<task_driver>> create(const settings& node_settings,
-                                                               node_links links,
-                                                               team_limits& limits,
-                                                               confirmation confirmed_at);
+    /// `incarnation` is that of the node's registration. Fails with `chart_invalid`.
+    static absl::StatusOr<std::unique_ptr<task_driver>>
+    create(const settings& node_settings, node_links links, team_limits& limits,
+           std::uint64_t incarnation, confirmation confirmed_at);
 
     task_driver(const task_driver&) = delete;
     task_driver& operator=(const task_driver&) = delete;
@@ -35,6 +35,9 @@
     void start();
 
     void configure(const fleet_configuration& fleet);
+
+    /// Replaces the list of live nodes, which includes this one.
+    void set_members(std::span<const live_member> members);
     void handle(const scheduler_input& input);
 
     /// Answers with the job `id` if it belongs to `team`, whichever node owns it.
@@ -48,7 +51,7 @@
   private:
     using row_callback = std::function<void(absl::StatusOr<job_row_seen>)>;
 
-    task_driver(settings node_settings, node_links links, live_member self,
+    task_driver(settings node_settings, node_links links, team_limits& limits, live_member self,
                 std::unique_ptr<task_scheduler> scheduler, confirmation confirmed_at);
 
     void perform(const write_job& effect);
@@ -68,6 +71,7 @@
 
     settings settings_;
     node_links links_;
+    team_limits& limits_;
     live_member self_;
     std::unique_ptr<task_scheduler> scheduler_;
     confirmation confirmed_at_;
--- a/tests/mocks.h
+++ b/tests/mocks.h
@@ -5,6 +5,7 @@
 #include "citronford/caller_link.h"
 #include "citronford/executor_link.h"
 #include "citronford/object_store.h"
+#include "citronford/peer_link.h"
 #include "citronford/table_service.h"
 #include "citronford/vm_control.h"
 #include "citronford/vm_list.h"
@@ -21,6 +22,11 @@
     MAKE_MOCK3(scan, void(std::string_view, table_version, scan_callback), override);
 };
 
+struct mock_peer_link final : peer_link {
+    MAKE_MOCK2(send, void(const member_id&, const send_peer&), override);
+    MAKE_MOCK2(on_receive, void(receiver, refusal), override);
+};
+
 struct mock_executor_link final : executor_link {
     MAKE_MOCK3(send, void(const endpoint&, const attempt&, attempt_callback), override);
     MAKE_MOCK3(ask_outcome, void(const endpoint&, const request_id&, outcome_callback), override);
--- a/tests/request_driver_test.cpp
+++ b/tests/request_driver_test.cpp
@@ -35,6 +35,7 @@
     mock_caller_link callers;
     mock_worker_link workers;
     mock_vm_control machines;
+    mock_peer_link peers;
     team_limits limits;
     std::vector<open_commit> commits;
     std::vector<std::pair<std::string, table_service::scan_callback>> scans;
@@ -70,7 +71,8 @@
         own.node = node_id("n1");
         own.zone = zone_id("a");
         own.charts = CITRONFORD_CHARTS;
-        const node_links links{timers, table, objects, vms, executors, callers, workers, machines};
+        const node_links links{timers,  table,   objects,  vms,  executors,
+                               callers, workers, machines, peers};
         pools = *pool_driver::create(own, {timers, table, vms, machines});
         driver = *request_driver::create(own, links, limits, *pools);
         fleet_configuration fleet;
--- a/tests/task_driver_test.cpp
+++ b/tests/task_driver_test.cpp
@@ -23,6 +23,7 @@
     mock_caller_link callers;
     mock_worker_link workers;
     mock_vm_control machines;
+    mock_peer_link peers;
     team_limits limits;
     std::unique_ptr<task_driver> driver;
     std::vector<table_write> written;
@@ -33,8 +34,8 @@
         own.zone = zone_id("a");
         own.charts = CITRONFORD_CHARTS;
         auto created = task_driver::create(
-            own, {timers, table, objects, vms, executors, callers, workers, machines}, limits,
-            [] { return instant(); });
+            own, {timers, table, objects, vms, executors, callers, workers, machines, peers},
+            limits, 1, [] { return instant(); });
         cr_assert(created.ok());
         driver = *std::move(created);
     }
