Judge a batch in doubt by the row of a claim

Cause: a repeated transaction that met a conflict on the row of an outcome read that row; when it already held the value, the whole batch was taken as committed, and a claim in it as granted although another node held it. The row of a claim is read instead. Ruled out: the router, which sent one attempt for each grant. How the row of the outcome came to hold the value before was not traced further.

--- a/src/decide/group_commit.cpp
+++ b/src/decide/group_commit.cpp
@@ -88,8 +88,13 @@
     repetitions_ = 0;
     const auto found = std::ranges::find(batch_, event.key, &entry::key);
     if (in_doubt_ && found != batch_.end()) {
+        // The row of an outcome can hold its value from an earlier transaction; only the row of a
+        // claim tells whether this one was committed.
+        const auto claim = std::ranges::find_if(batch_, [](const entry& item) {
+            return std::holds_alternative<claim_entry>(item.kind);
+        });
         state_ = reading_own{};
-        effects.emplace_back(read_claim_row{event.key});
+        effects.emplace_back(read_claim_row{claim != batch_.end() ? claim->key : event.key});
         return;
     }
     state_ = idle{};
--- a/tests/group_commit_test.cpp
+++ b/tests/group_commit_test.cpp
@@ -160,3 +160,23 @@
     fixture.handle(transaction_committed{3});
     cr_assert_eq(fixture.commits.kept_claims(), 0);
 }
+
+// Guards against a claim that is taken for granted because another row of its batch, an outcome,
+// holds the value that it was to get (seed 637 of the point at-most-once).
+Test(group_commit, only_a_claim_row_tells_that_a_batch_was_committed) {
+    commit_fixture fixture;
+    fixture.claim(1);
+    fixture.handle(transaction_committed{2});
+    fixture.claim(2);
+    fixture.handle(outcome_learned{request_id("r1"), "done"});
+    fixture.claim(3);
+    fixture.handle(transaction_committed{3});
+    fixture.handle(transaction_in_doubt{});
+    fixture.pass(milliseconds(60));
+    fixture.handle(transaction_conflict{"claim/r1"});
+    cr_assert_eq(fixture.of<read_claim_row>().size(), 1);
+    expect_equal(fixture.of<read_claim_row>()[0].key, "claim/r3");
+    fixture.handle(claim_row_read{"claim/r3", table_row{"claim/r3", "claimed n2 i 9", 8}});
+    cr_assert(fixture.of<claim_recorded>().empty());
+    cr_assert_eq(fixture.of<claim_taken>().size(), 1);
+}
