--- a/tests/pool_driver_test.cpp
+++ b/tests/pool_driver_test.cpp
@@ -49,6 +49,8 @@
         fleet.defaults.pools = {{quote, 2, 1, ledger}, {ledger, 0, 1, pool_id()}};
         driver->configure(fleet);
         driver->start();
+        const node_id self("n");
+        driver->set_members(std::span(&self, 1));
         timers.advance(seconds(4));
     }
 
