End worker leases before the units of a cut-off node return

Cause: a node without table and peers lost its registration, but renewed the leases of its workers without limit, while its units return to the fleet 30 s after the loss; a team could then run more than its upper limit. Ruled out: ending tasks at once, since most losses are short; a longer return time for units, which strands a dead node's part. Before: with the renewal unlimited, the new test fails.

--- a/include/citronford/task_scheduler.h
+++ b/include/citronford/task_scheduler.h
@@ -132,6 +132,12 @@
     std::uint32_t longest_attempts = 3; ///< Starts of a restartable task that fails.
     bool fair = true;                   ///< Otherwise jobs start in the order of submission.
     bool evict = true;                  ///< Checkpoint tasks for urgent jobs.
+    /// After this time without a registration, restartable tasks of teams are checkpointed.
+    duration checkpoint_after_lapse{5000000};
+    /// After this time without a registration, leases of workers with tasks of teams are not
+    /// renewed. With `lease` and `sync_timeout` it stays below the 30 s (`escrow_options`) after
+    /// which the units of this node are given to others.
+    duration renew_after_lapse{15000000};
     health_options health;
 };
 
--- a/include/citronford/team_limits.h
+++ b/include/citronford/team_limits.h
@@ -30,6 +30,12 @@
     /// Whether the node may acquire units.
     [[nodiscard]] bool held() const { return now_ <= held_until_; }
 
+    /// How long the node has been without its registration; zero while it holds it. Its units
+    /// return to the fleet a fixed time after it lost the registration.
+    [[nodiscard]] duration lapsed_for() const {
+        return held() ? duration::zero() : now_ - held_until_;
+    }
+
     /// How many running requests and tasks of `team` the node may keep running: leases of more
     /// must not be renewed, since their units return to the fleet.
     [[nodiscard]] std::int64_t renewable(const team_id& team) const;
--- a/src/decide/task_scheduler.cpp
+++ b/src/decide/task_scheduler.cpp
@@ -777,6 +777,15 @@
         }
     }
 
+    /// Whether tasks on the worker hold units that soon return to the fleet.
+    [[nodiscard]] bool units_lost(const worker_entry& worker) const {
+        return limits_.lapsed_for() >= options_.renew_after_lapse &&
+               !fault_planted("task-limits") &&
+               std::ranges::any_of(worker.jobs, [&](const job_id& id) {
+                   return !jobs_.at(id).row.job.team.empty();
+               });
+    }
+
     void send_sync(worker_entry& worker, bool may_start, instant now, effects_out effects) {
         sync_worker effect{worker.listing.id, worker.listing.address, options_.sync_timeout, {}};
         sync_request& message = effect.message;
@@ -785,8 +794,8 @@
         message.sequence = ++worker.sequence;
         // A worker that does not answer must not keep its tasks running: they count as lost once
         // the lease that it may have received last is over.
-        const bool renews =
-            worker.position == held_ && now < worker.answered_from + options_.lease / 2;
+        const bool renews = worker.position == held_ &&
+                            now < worker.answered_from + options_.lease / 2 && !units_lost(worker);
         message.lease = renews ? options_.lease : duration::zero();
         if (renews) {
             worker.renewed_at = now;
@@ -1246,10 +1255,12 @@
         const bool moves_out =
             worker.position == held_ &&
             (worker.leaving || worker.listing.leaving || !zone_open(worker.listing.zone));
+        const bool units_lapse = limits_.lapsed_for() >= options_.checkpoint_after_lapse;
         const std::vector<job_id> jobs(worker.jobs.begin(), worker.jobs.end());
         for (const job_id& id : jobs) {
             const job_entry& entry = jobs_.at(id);
-            if (moves_out && entry.position == running_ && entry.row.job.restartable) {
+            const bool ends = moves_out || (units_lapse && !entry.row.job.team.empty());
+            if (ends && entry.position == running_ && entry.row.job.restartable) {
                 ++counts_.evicted;
                 step_job(id, eviction_wanted{}, now, effects);
             } else if (entry.position == evicting_ &&
--- a/src/decide/waiting_jobs.h
+++ b/src/decide/waiting_jobs.h
@@ -42,6 +42,7 @@
         }
         std::ranges::sort(heads);
         std::vector<Job*> jobs;
+        jobs.reserve(heads.size());
         for (const auto& [order, job] : heads) {
             jobs.push_back(job);
         }
--- a/tests/task_scheduler_test.cpp
+++ b/tests/task_scheduler_test.cpp
@@ -151,7 +151,8 @@
 Test(task_scheduler, holds_the_unit_until_the_lease_of_a_silent_worker_is_over) {
     scheduler_fixture fixture;
     const sync_request sent = fixture.start_once();
-    fixture.report(sent, sync_done{1, false, {8000, 8000, 0}, {{task_id("j~1")}}});
+    fixture.report(
+        sent, sync_done{1, false, {8000, 8000, 0}, {{task_id("j~1"), task_state::running, {}}}});
     const instant last_answer = fixture.now;
     while (fixture.now - last_answer < seconds(5)) {
         fixture.report(fixture.message(), sync_lost{});
@@ -183,7 +184,7 @@
         fixture.answer({});
     }
     expect_equal(fixture.message().start.at(0).job.str(), "small");
-    fixture.answer({{task_id("small~1")}});
+    fixture.answer({{task_id("small~1"), task_state::running, {}}});
     fixture.tick(milliseconds(600));
     cr_assert(fixture.state("big") == job_state::cannot_run);
     expect_equal(fixture.scheduler->find(job_id("big"))->reason,
@@ -231,3 +232,31 @@
     health->handle(0, task_succeeded{}, probe + seconds(20));
     cr_assert(!health->quarantined(0));
 }
+
+// Guards against tasks that go on under units which the fleet has given to other nodes, when this
+// node is cut off from the table and its peers for longer than its registration lasts.
+Test(task_scheduler, ends_the_leases_of_workers_before_its_units_return_to_the_fleet) {
+    constexpr duration units_return = seconds(30);
+    const task_report running{task_id("j~1"), task_state::running, {}};
+    scheduler_fixture fixture;
+    fixture.start_once();
+    fixture.answer({running});
+    cr_assert(fixture.state("j") == job_state::started);
+    const instant lost_at = fixture.now;
+    fixture.limits.set_held_until(lost_at);
+    instant last_renewal = lost_at;
+    while (fixture.now < lost_at + units_return) {
+        fixture.limits.set_now(fixture.now);
+        fixture.tick();
+        if (!fixture.open) {
+            continue;
+        }
+        if (fixture.open->lease > duration::zero()) {
+            last_renewal = fixture.now;
+        }
+        fixture.report(*fixture.open, sync_done{1, false, {8000, 8000, 0}, {running}});
+    }
+    cr_assert(last_renewal > lost_at, "a short loss must not end a task");
+    cr_assert(last_renewal + scheduler_options().lease + scheduler_options().sync_timeout <
+              lost_at + units_return);
+}
