--- a/tools/capacity/router_probe.cpp
+++ b/tools/capacity/router_probe.cpp
@@ -43,14 +43,14 @@
     void serve_one() {
         const auto [caller, attempt] = submit();
         handle(
-            attempt_report{caller, attempt, attempt_answered{200, "ok", false, request, attempt}});
+            attempt_report{caller, attempt, attempt_answered{200, "ok", false, request_, attempt}});
     }
 
   private:
     std::pair<caller_id, attempt_id> submit() {
         const auto caller = static_cast<caller_id>(next_caller_++);
         const auto effects = handle(
-            request_submission{caller, request, team_, service_id("quote"), "body", seconds(10)});
+            request_submission{caller, request_, team_, service_id("quote"), "body", seconds(10)});
         attempt_id attempt{};
         for (const router_effect& effect : effects) {
             if (const auto* sent = std::get_if<send_attempt>(&effect)) {
@@ -64,7 +64,7 @@
         return router_->handle(input, instant());
     }
 
-    const request_id request{"request"};
+    const request_id request_{"request"};
     team_limits limits_;
     team_id team_{"team"};
     std::unique_ptr<request_router> router_;
--- a/tools/measure/task_scenario.h
+++ b/tools/measure/task_scenario.h
@@ -95,7 +95,7 @@
     std::vector<duration> urgent_waits;
 
     /// Urgent jobs that still wait count with the time that they have waited.
-    std::vector<duration> all_urgent_waits() const {
+    [[nodiscard]] std::vector<duration> all_urgent_waits() const {
         std::vector<duration> waits = urgent_waits;
         for (const auto& [job, since] : urgent_since_) {
             waits.push_back(model.now() - since);
--- a/tools/standins/scheduler_load.h
+++ b/tools/standins/scheduler_load.h
@@ -13,7 +13,8 @@
   public:
     scheduler_load(const scheduler_charts& charts, std::size_t workers) : model_(1) {
         for (std::size_t index = 0; index < teams; ++index) {
-            model_.fleet.defaults.teams.push_back({team_of(index), 1.0 + index, 1000000});
+            model_.fleet.defaults.teams.push_back(
+                {team_of(index), 1.0 + static_cast<double>(index), 1000000});
         }
         model_.fleet.version = 1;
         model_.add_workers(workers, 1);
--- a/tools/standins/worker_model.h
+++ b/tools/standins/worker_model.h
@@ -193,7 +193,7 @@
     bool chance(unsigned in_a_thousand) { return below(1000) < in_a_thousand; }
     [[nodiscard]] instant now() const { return timers.now(); }
 
-    model_node& add_node(const scheduler_charts& charts, scheduler_options options,
+    model_node& add_node(const scheduler_charts& charts, const scheduler_options& options,
                          duration tick = milliseconds(20)) {
         auto node = std::make_unique<model_node>();
         node->self = options.self;
@@ -258,7 +258,7 @@
         }
     }
 
-    std::map<team_id, int> running() const {
+    [[nodiscard]] std::map<team_id, int> running() const {
         std::map<team_id, int> count;
         for (const model_worker& worker : workers) {
             for (const auto& [id, task] : worker.tasks) {
@@ -269,7 +269,7 @@
     }
 
   private:
-    void later(duration delay, std::function<void()> function) {
+    void later(duration delay, const std::function<void()>& function) {
         const std::uint64_t number = next_event_++;
         events_[number] = timers.after(delay, [this, number, function](instant) {
             const auto kept = events_.extract(number);
@@ -355,7 +355,7 @@
         const bool lost = chance(faults.lost_requests);
         const auto report = [this, &node, worker = effect.worker,
                              sequence = effect.message.sequence](duration after,
-                                                                 sync_result result) {
+                                                                 const sync_result& result) {
             later(after, [this, &node, worker, sequence, result] {
                 deliver(node, sync_report{worker, sequence, result});
             });
