Split the task scheduler by topic and bound the proofs under the sanitizers

Cause: task_scheduler.cpp had 1,775 lines; the proofs under the sanitizers came near their timeout. Ruled out: new classes, which would share the same state through references; the member functions are defined in one file per topic instead. Before: one file of 1,775 lines.

--- /dev/null
+++ b/src/decide/task_scheduler_state.h
@@ -0,0 +1,469 @@
+#pragma once
+
+#include "citronford/authorization.h"
+#include "citronford/invariant.h"
+#include "citronford/overloaded.h"
+#include "citronford/placement.h"
+#include "citronford/planted_fault.h"
+#include "citronford/share_ledger.h"
+#include "citronford/task_scheduler.h"
+#include "decide/job_events.h"
+#include "decide/lease_events.h"
+#include "decide/waiting_jobs.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <limits>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace citronford {
+
+/// Usage is expected to be at most this factor away from the declared size.
+inline constexpr double largest_misjudgement = 4;
+
+struct job_entry {
+    job_row row;
+    chart_position position{};
+    caller_id caller{};
+    bool cancel_wanted = false;
+
+    // The row in the table.
+    table_version version = absent_row;
+    std::uint64_t open_write = 0;    ///< Number of the write under way; zero for none.
+    std::uint64_t awaited_write = 0; ///< Write whose result is an event of the life cycle.
+    bool rewrite = false;            ///< The row changed since the open write was sent.
+    bool await_rewrite = false;
+    std::optional<instant> write_again_at;
+    std::optional<live_member> next_owner; ///< Whom the row is to name.
+    node_id former_owner;                  ///< Of a job that is being adopted.
+    std::uint64_t former_epoch = 0;
+
+    // The place on a worker.
+    std::optional<std::size_t> worker;
+    resources charge;          ///< What the task is taken to use.
+    resources use;             ///< As last reported; what the team is charged.
+    int percent = 100;         ///< Of its processors, as last told to the worker.
+    int charged_percent = 100; ///< Of the processors, when `use` was reported.
+    bool charged = false;
+    bool has_unit = false;
+    bool measured = false;            ///< The worker reported its usage.
+    std::uint64_t start_sequence = 0; ///< Message that carried the start; zero before.
+    std::uint32_t failures = 0;
+    instant since{}; ///< When the present state was entered.
+
+    // The wait for a place.
+    std::uint64_t order = 0;
+    std::optional<instant> refused_at; ///< When a place was first looked for in vain.
+    instant not_before{};              ///< No start is tried sooner.
+    instant reserved_at{};
+    std::optional<std::size_t> reserved_on;
+    resources reservation;
+};
+
+struct worker_entry {
+    worker_listing::worker listing;
+    bool listed = true;
+    chart_position position{};
+    instant retake_at{};
+    std::uint64_t epoch = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t incarnation = 0;
+    bool leaving = false; ///< As the worker itself says.
+    bool known = false;   ///< The worker reported its capacity.
+    resources capacity;
+    resources used;
+    resources reserved;
+    instant listed_at{};
+
+    std::uint64_t open_sync = 0; ///< Sequence of the message under way; zero for none.
+    instant sync_sent_at{};
+    instant next_sync{};
+    instant open_renewal{};  ///< When the message under way was sent.
+    instant answered_from{}; ///< When the latest answered message was sent.
+    instant renewed_at{};    ///< When the latest message that renewed the lease was sent.
+
+    std::set<job_id> jobs;
+    std::vector<job_id> to_start;
+    std::set<job_id> to_stop;
+    std::set<job_id> to_checkpoint;
+    std::set<task_id> to_forget;
+    bool saturated = false;            ///< Its tasks use all processors, so they may want more.
+    std::map<task_id, instant> strays; ///< Tasks without a job here, by when they were first seen.
+    std::optional<job_id> probe;
+};
+
+inline task_id task_of(const job_row& row) {
+    return task_id(row.job.id.str() + "~" + std::to_string(row.attempt));
+}
+
+/// A row of another owner.
+struct foreign_job {
+    job_row row;
+    table_version version = absent_row;
+};
+
+inline std::int64_t scaled(std::int64_t amount, double factor) {
+    return static_cast<std::int64_t>(static_cast<double>(amount) * factor);
+}
+
+/// State and decisions of the task scheduler; the member functions are defined by topic in
+/// task_scheduler_*.cpp.
+class task_scheduler::implementation {
+  public:
+    /// What the actions of one step of a job work on.
+    struct job_context {
+        implementation& scheduler;
+        job_entry& job;
+        instant now;
+        std::vector<scheduler_effect>& effects;
+    };
+    /// What the actions of one step of a worker lease work on.
+    struct lease_context {
+        implementation& scheduler;
+        std::size_t worker;
+        instant now;
+        std::vector<scheduler_effect>& effects;
+    };
+    using job_machine = chart_machine<job_context, job_event>;
+    using lease_machine = chart_machine<lease_context, lease_event>;
+
+    implementation(job_machine jobs, lease_machine leases, worker_health health,
+                   scheduler_options options, team_limits& limits)
+        : job_machine_(std::move(jobs)), lease_machine_(std::move(leases)),
+          health_(std::move(health)), options_(std::move(options)), limits_(limits),
+          ledger_(options_.half_life), held_(lease_machine_.position_of("held")),
+          queued_(job_machine_.position_of("queued")),
+          attached_(job_machine_.position_of("attached")),
+          starting_(job_machine_.position_of("starting")),
+          evicting_(job_machine_.position_of("evicting")),
+          running_(job_machine_.position_of("running")) {}
+
+    static std::span<const job_machine::guard> job_guards();
+    static std::span<const job_machine::action> job_actions();
+    static std::span<const lease_machine::action> lease_actions();
+
+    void configure(const fleet_configuration& fleet) {
+        fleet_ = fleet;
+        ledger_.set_shares(fleet.defaults.teams);
+        for (std::size_t index = 0; index < workers_.size(); ++index) {
+            update_offer(index);
+        }
+        dirty_ = true;
+    }
+
+    std::vector<scheduler_effect> handle(const scheduler_input& input, instant now) {
+        std::vector<scheduler_effect> effects;
+        std::visit([&](const auto& item) { take(item, now, effects); }, input);
+        return effects;
+    }
+
+    [[nodiscard]] const job_row* find(const job_id& job) const {
+        const auto found = jobs_.find(job);
+        return found == jobs_.end() ? nullptr : &found->second.row;
+    }
+    [[nodiscard]] std::size_t open_jobs() const {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            jobs_, [&](const auto& item) { return !job_machine_.is_final(item.second.position); }));
+    }
+    [[nodiscard]] std::size_t queued_jobs() const {
+        std::size_t total = urgent_.size();
+        for (const auto& [team, queue] : queues_) {
+            total += queue.size();
+        }
+        return total;
+    }
+    [[nodiscard]] bool holds(const worker_id& worker) const {
+        const auto found = worker_index_.find(worker);
+        return found != worker_index_.end() && workers_[found->second].position == held_;
+    }
+    [[nodiscard]] bool quarantined(const worker_id& worker) const {
+        const auto found = worker_index_.find(worker);
+        return found != worker_index_.end() && health_.quarantined(found->second);
+    }
+    [[nodiscard]] const scheduler_counts& counts() const {
+        counts_.operations = operations_ + placement_.operations();
+        return counts_;
+    }
+
+  private:
+    using effects_out = std::vector<scheduler_effect>&;
+    using job_queue = std::map<std::uint64_t, job_entry*>;
+
+    // Inputs.
+
+    void take(const job_submission& submission, instant now, effects_out effects);
+
+    void take(const job_cancellation& input, instant /*now*/, effects_out /*effects*/);
+
+    void take(const job_write_result& input, instant now, effects_out effects);
+
+    void take(const job_row_seen& input, instant now, effects_out effects);
+
+    void take(const worker_listing& input, instant now, effects_out effects);
+
+    void take(const member_listing& input, instant now, effects_out effects);
+
+    void take(const worker_lease_granted& input, instant now, effects_out effects);
+    void take(const worker_lease_refused& input, instant now, effects_out effects);
+
+    void take(const sync_report& report, instant now, effects_out effects);
+
+    void take(const scheduler_tick& tick, instant now, effects_out effects);
+
+    // Jobs.
+
+    job_entry& new_job(const job_id& id);
+
+    void step(job_entry& entry, const job_event& event, instant now, effects_out effects);
+
+    /// Steps a job of a worker and forgets the job when it has ended.
+    void step_job(const job_id& id, const job_event& event, instant now, effects_out effects);
+
+    /// Sends the next write of the row, and forgets a job that has ended and is written.
+    void settle_job(const job_id& id, instant now, effects_out effects);
+
+    /// Whether the row version is one that this node has dealt with.
+    [[nodiscard]] bool was_left(const job_id& id, table_version version) const;
+
+    void write_row(job_entry& entry, bool awaited, effects_out effects);
+
+    void send_write(job_entry& entry, effects_out effects);
+
+    void apply_cancellations(instant now, effects_out effects);
+
+    void adopt_orphans(instant now, effects_out effects);
+
+    /// Who takes over a job: the owner of its worker once it has started.
+    [[nodiscard]] const live_member* heir_of(const job_row& row) const;
+
+    // Workers.
+
+    std::size_t worker_at(const worker_listing::worker& item, instant now);
+
+    void step(std::size_t index, const lease_event& event, instant now, effects_out effects);
+
+    void step_worker(const worker_id& id, const lease_event& event, instant now,
+                     effects_out effects);
+
+    void update_ownership(instant now, effects_out effects);
+
+    /// Leases that ran out by the clock; nothing is started before the worker has answered again.
+    void check_leases(instant now, effects_out effects);
+
+    /// Whether this node may act on the worker at `now`.
+    [[nodiscard]] bool lease_valid(const worker_entry& worker, instant now) const;
+
+    [[nodiscard]] bool zone_open(const zone_id& zone) const;
+
+    /// Whether the configuration is confirmed for as long as a start may be under way.
+    [[nodiscard]] bool starts_confirmed(instant now) const;
+
+    [[nodiscard]] bool usable(const worker_entry& worker) const;
+
+    [[nodiscard]] bool is_reserve(std::size_t index) const;
+
+    [[nodiscard]] bool may_take(std::size_t index, const job_entry& entry, instant now) const;
+
+    /// What more tasks may be taken to use. Processors are shared out when the tasks of a worker
+    /// want more than it has, so a little more than all of them is given away; memory is not.
+    [[nodiscard]] resources free_on(const worker_entry& worker) const;
+
+    void update_offer(std::size_t index);
+
+    void take_answer(std::size_t index, std::uint64_t sequence, const sync_done& result,
+                     instant now, effects_out effects);
+
+    void take_report(std::size_t index, const job_id& id, const task_report& report, instant now,
+                     effects_out effects);
+
+    /// Tasks that no job of this node claims: their job may be on its way here.
+    void take_strays(std::size_t index, const std::map<task_id, const task_report*>& reports,
+                     instant now);
+
+    /// Whether the tasks of the worker use all of its processors, so that the reports do not tell
+    /// what they want.
+    static bool is_saturated(const sync_done& result);
+
+    /// Tells the worker how far to hold the tasks of teams above their share.
+    void throttle(const worker_entry& worker, sync_request& message);
+
+    /// Holds the running tasks of teams above their share under full load; the tasks of other teams
+    /// on the same workers get the processors.
+    void review_throttle();
+
+    void put_back_starts(std::size_t index, std::uint64_t sequence);
+
+    void for_jobs_of(std::size_t index, const job_event& event, instant now, effects_out effects);
+
+    void send_syncs(instant now, effects_out effects);
+
+    /// Whether tasks on the worker hold units that soon return to the fleet.
+    [[nodiscard]] bool units_lost(const worker_entry& worker) const;
+
+    void send_sync(worker_entry& worker, bool may_start, instant now, effects_out effects);
+
+    // Placement.
+
+    /// What a task of the job is likely to use, from what tasks of its team used.
+    [[nodiscard]] resources expected_size(const job_entry& entry) const;
+
+    void learn_usage(const job_entry& entry, const resources& usage);
+
+    /// Counts `wanted` as taken on the worker and charges `used` to the team.
+    void charge(job_entry& entry, const resources& wanted, const resources& used);
+
+    void note_usage(job_entry& entry, const resources& usage);
+
+    /// The task has surely ended.
+    void free_place(job_entry& entry, instant now);
+
+    /// The task may go on under another owner, which counts its unit as soon as it knows the job.
+    void leave_place(job_entry& entry, instant now);
+
+    void clear_place(job_entry& entry, instant now);
+
+    void cancel_reservation(job_entry& entry);
+
+    void reserve(job_entry& entry, std::size_t index, const resources& size, instant now);
+
+    void schedule(instant now, effects_out effects);
+
+    void update_capacity();
+
+    void start_urgent(instant now, effects_out effects);
+
+    void start_reserved(instant now, effects_out effects);
+
+    /// Starts a job whose reserved place has become free; gives the place up when it cannot.
+    bool start_on_reservation(job_entry& entry, instant now, effects_out effects);
+
+    bool try_start(job_entry& entry, instant now, effects_out effects);
+
+    bool start_on(job_entry& entry, std::size_t index, instant now, effects_out effects);
+
+    /// Checkpoints tasks of lower priority on one worker until the urgent job fits there.
+    void make_room(job_entry& entry, instant now, effects_out effects);
+
+    /// The tasks to evict from a worker so that `size` becomes free; empty when that is impossible.
+    std::vector<job_id> victims_on(std::size_t index, const resources& size);
+
+    /// Serves the team with the lowest weighted use first, until nothing more fits.
+    void start_by_share(instant now, effects_out effects);
+
+    /// Whether so little is free that a start of one team is at the cost of another.
+    [[nodiscard]] bool full() const;
+
+    /// Under full load a team far above its share starts nothing, even where the jobs of the teams
+    /// below their share do not fit: the room is kept until they do.
+    [[nodiscard]] double highest_priority() const;
+
+    [[nodiscard]] std::vector<team_id> waiting_teams() const;
+
+    bool start_one_of(const team_id& team, instant now, effects_out effects);
+
+    /// A team below its share whose jobs are all too large for the room that others leave gets
+    /// room soon.
+    [[nodiscard]] duration patience_for(const team_id& team) const;
+
+    /// Keeps a worker from taking tasks until a job that has waited long fits on it.
+    void reserve_soonest(job_entry& entry, instant now);
+
+    /// First come, first served: the order without shares, as a baseline of measurements.
+    void start_in_order(instant now, effects_out effects);
+
+    // Periodic review.
+
+    void review(instant now, effects_out effects);
+
+    void review_worker(std::size_t index, instant now, effects_out effects);
+
+    /// Whether every worker of this node has told its capacity or had the time to.
+    [[nodiscard]] bool settled(instant now) const;
+
+    void review_queued(instant now, effects_out effects);
+
+    void pass_on(job_entry& entry, const job_event& event, const live_member* to, instant now,
+                 effects_out effects);
+
+    static std::string described(const resources& size);
+
+    /// A member that has not yet been asked to run the job.
+    [[nodiscard]] const live_member* unvisited_member(const job_entry& entry) const;
+
+    [[nodiscard]] const live_member* member_with_open_zone(const job_id& id) const;
+
+    /// Started jobs whose worker this node does not hold follow the owner of the worker.
+    void review_attached(instant now, effects_out effects);
+
+    void retry_writes(instant now, effects_out effects);
+
+    void release_held_units(instant now);
+
+    void forget_left(instant now);
+
+    /// Pause before a write that certainly did not happen is tried again.
+    static constexpr duration write_retry = milliseconds(500);
+    /// Pause between two reviews of ownership, waiting jobs and evictions.
+    static constexpr duration review_period = milliseconds(500);
+    /// Shortest pause between two messages to a worker.
+    static constexpr duration urgent_pause = milliseconds(20);
+    /// A worker whose answer takes longer gets no new task meanwhile.
+    static constexpr duration slow_answer = milliseconds(200);
+    /// How long an urgent job waits for room on one worker before it looks for another.
+    static constexpr duration eviction_patience = milliseconds(600);
+    /// How long the versions of rows that were left are remembered; a scan takes less.
+    static constexpr duration memory = seconds(120);
+
+    struct mean_ratio {
+        double processors = 1;
+        double memory = 1;
+    };
+
+    job_machine job_machine_;
+    lease_machine lease_machine_;
+    worker_health health_;
+    scheduler_options options_;
+    team_limits& limits_;
+    share_ledger ledger_;
+    chart_position held_;
+    chart_position queued_;
+    chart_position attached_;
+    chart_position starting_;
+    chart_position evicting_;
+    chart_position running_;
+    placement placement_;
+    fleet_configuration fleet_;
+    instant confirmed_at_{};
+    std::vector<live_member> members_;
+    std::map<job_id, job_entry> jobs_;
+    std::map<job_id, foreign_job> foreign_; ///< Jobs of other owners that have not ended.
+    std::map<job_id, std::pair<table_version, instant>> left_; ///< Jobs that left this node.
+    std::map<team_id, waiting_jobs<job_entry>> queues_;
+    job_queue urgent_;
+    std::deque<std::pair<instant, team_id>> held_units_; ///< By the time of their release.
+    std::set<job_id> cancellations_;
+    std::set<job_id> rewrites_;
+    std::set<job_id> reserved_jobs_;
+    std::map<team_id, double> throttle_; ///< Fraction of their processors that tasks may use.
+    std::map<team_id, mean_ratio> usage_ratio_; ///< Usage over declared size.
+    std::vector<worker_entry> workers_;
+    std::map<worker_id, std::size_t> worker_index_;
+    resources largest_;       ///< Largest amount of each resource on one worker.
+    double served_below_ = 0; ///< Priority that no start may exceed by more than half its weight.
+    std::size_t usable_workers_ = 0;
+    std::size_t reservations_ = 0;
+    std::size_t next_eviction_ = 0;
+    std::uint64_t next_order_ = 1;
+    std::uint64_t last_write_ = 0;
+    std::uint64_t operations_ = 0;
+    mutable scheduler_counts counts_;
+    instant next_review_{};
+    bool dirty_ = false;
+    bool worker_restarted_ = false; ///< The worker of the present report lost its memory.
+};
+
+} // namespace citronford
