Share the start of the stand-ins and use the word VM throughout

Cause: three stand-ins repeated the same start, and some names said machine where the code's word is VM. Ruled out: a base class; the stand-ins have nothing in common but the start. Before: 3 copies of 15 lines.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -38,8 +38,8 @@
         return control.status();
     }
     created->configuration_ = *std::move(control);
-    auto pools =
-        pool_driver::create(node_settings, {links.timers, links.table, links.vms, links.machines});
+    auto pools = pool_driver::create(node_settings,
+                                     {links.timers, links.table, links.vms, links.vm_controls});
     if (!pools.ok()) {
         return pools.status();
     }
--- a/src/node/node_links.h
+++ b/src/node/node_links.h
@@ -21,7 +21,7 @@
     executor_link& executors;
     caller_link& callers;
     worker_link& workers;
-    vm_control& machines;
+    vm_control& vm_controls;
     peer_link& peers;
 };
 
--- a/src/node/pool_driver.cpp
+++ b/src/node/pool_driver.cpp
@@ -115,15 +115,15 @@
 }
 
 void pool_driver::perform(const order_drain& effect) {
-    links_.machines.drain(effect.vm, effect.order, [](const absl::Status&) {});
+    links_.vm_controls.drain(effect.vm, effect.order, [](const absl::Status&) {});
 }
 
 void pool_driver::perform(const order_reboot& effect) {
-    links_.machines.reboot(effect.vm, effect.order, [](const absl::Status&) {});
+    links_.vm_controls.reboot(effect.vm, effect.order, [](const absl::Status&) {});
 }
 
 void pool_driver::perform(const ask_vm_status& effect) {
-    links_.machines.state(
+    links_.vm_controls.state(
         effect.vm, [this, vm = effect.vm](const absl::StatusOr<vm_status>& state) {
             handle(vm_status_report{vm, state.ok() ? std::optional(*state) : std::nullopt});
         });
--- a/src/node/pool_driver.h
+++ b/src/node/pool_driver.h
@@ -23,7 +23,7 @@
     timer_service& timers;
     table_service& table;
     vm_list& vms;
-    vm_control& machines;
+    vm_control& vm_controls;
 };
 
 /// Performs the effects of the pool controller through the interfaces of the node.
--- a/tests/pool_driver_test.cpp
+++ b/tests/pool_driver_test.cpp
@@ -22,7 +22,7 @@
     manual_timer_service timers;
     mock_table_service table;
     mock_vm_list vms;
-    mock_vm_control machines;
+    mock_vm_control vm_controls;
     std::map<std::string, table_row> rows;
     table_version version = 0;
     bool outage = false;
@@ -37,12 +37,12 @@
             NAMED_ALLOW_CALL(table, commit(_, _, _)).SIDE_EFFECT(commit(_1, _2, _3)));
         expectations.push_back(NAMED_ALLOW_CALL(vms, list(_)).SIDE_EFFECT(_1(listing())));
         expectations.push_back(
-            NAMED_ALLOW_CALL(machines, state(_, _))
+            NAMED_ALLOW_CALL(vm_controls, state(_, _))
                 .SIDE_EFFECT(_2(make_status(result_code::table_unavailable, ""))));
         settings own;
         own.node = node_id("n");
         own.charts = CITRONFORD_CHARTS;
-        auto created = pool_driver::create(own, {timers, table, vms, machines});
+        auto created = pool_driver::create(own, {timers, table, vms, vm_controls});
         cr_assert(created.ok());
         driver = *std::move(created);
         fleet_configuration fleet;
@@ -109,7 +109,7 @@
 Test(pool_driver, checks_the_lease_and_every_row_it_writes) {
     driver_fixture fixture;
     cr_assert(fixture.driver->pool_of(first) == quote);
-    const auto expectation = NAMED_ALLOW_CALL(fixture.machines, drain(first, _, _));
+    const auto expectation = NAMED_ALLOW_CALL(fixture.vm_controls, drain(first, _, _));
     cr_assert(fixture.move(first, ledger).ok());
     fixture.checked.clear();
     fixture.timers.advance(seconds(1));
@@ -145,7 +145,7 @@
     fixture.outage = true;
     cr_assert(code_of(fixture.move(vm_id("v1"), ledger).status()) ==
               result_code::table_unavailable);
-    FORBID_CALL(fixture.machines, drain(_, _, _));
+    FORBID_CALL(fixture.vm_controls, drain(_, _, _));
     fixture.timers.advance(seconds(30));
 }
 
--- a/tests/proofs/budgets.cpp
+++ b/tests/proofs/budgets.cpp
@@ -42,13 +42,13 @@
 
     /// A VM that the controller must count as unavailable.
     bool known_unavailable(const vm_record& row) {
-        const pool_model::machine& machine = model_.machines.at(row.id);
+        const pool_model::physical_vm& item = model_.physical_vms.at(row.id);
         const instant now = model_.timers.now();
         if (row.state == vm_states::moving || row.state == vm_states::removed) {
             return false;
         }
         return row.state != vm_states::serving || scenario_.removed_since(row.zone, knowledge) ||
-               (machine.failed_at != instant::max() && now - machine.failed_at >= knowledge);
+               (item.failed_at != instant::max() && now - item.failed_at >= knowledge);
     }
 
     void check_step(const vm_record& begun) {
@@ -72,7 +72,7 @@
         for (const auto& [id, item] : model_.vms) {
             const bool exempt =
                 item.row.step == vm_step::lend || item.row.state == vm_states::moving;
-            if (!exempt && !model_.machines.at(id).up()) {
+            if (!exempt && !model_.physical_vms.at(id).up()) {
                 ++down[item.row.pool];
             }
         }
--- a/tests/request_driver_test.cpp
+++ b/tests/request_driver_test.cpp
@@ -34,7 +34,7 @@
     mock_executor_link executors;
     mock_caller_link callers;
     mock_worker_link workers;
-    mock_vm_control machines;
+    mock_vm_control vm_controls;
     mock_peer_link peers;
     team_limits limits;
     std::vector<open_commit> commits;
@@ -71,9 +71,9 @@
         own.node = node_id("n1");
         own.zone = zone_id("a");
         own.charts = CITRONFORD_CHARTS;
-        const node_links links{timers,  table,   objects,  vms,  executors,
-                               callers, workers, machines, peers};
-        pools = *pool_driver::create(own, {timers, table, vms, machines});
+        const node_links links{timers,  table,   objects,     vms,  executors,
+                               callers, workers, vm_controls, peers};
+        pools = *pool_driver::create(own, {timers, table, vms, vm_controls});
         driver = *request_driver::create(own, links, limits, *pools);
         fleet_configuration fleet;
         fleet.defaults.services = {{.name = service_id("booking"), .pool = pool_id("book")}};
--- a/tests/task_driver_test.cpp
+++ b/tests/task_driver_test.cpp
@@ -22,7 +22,7 @@
     mock_executor_link executors;
     mock_caller_link callers;
     mock_worker_link workers;
-    mock_vm_control machines;
+    mock_vm_control vm_controls;
     mock_peer_link peers;
     team_limits limits;
     std::unique_ptr<task_driver> driver;
@@ -34,7 +34,7 @@
         own.zone = zone_id("a");
         own.charts = CITRONFORD_CHARTS;
         auto created = task_driver::create(
-            own, {timers, table, objects, vms, executors, callers, workers, machines, peers},
+            own, {timers, table, objects, vms, executors, callers, workers, vm_controls, peers},
             limits, 1, [] { return instant(); });
         cr_assert(created.ok());
         driver = *std::move(created);
--- a/tools/measure/pool_disturbance.h
+++ b/tools/measure/pool_disturbance.h
@@ -60,11 +60,11 @@
         for (int index = 0; index < count; ++index) {
             const vm_id id(pool + std::to_string(index));
             const std::string zone(zones[index % 3]);
-            pool_model::machine machine;
-            machine.listing = {
+            pool_model::physical_vm item;
+            item.listing = {
                 id, zone_id(zone), rack_id(zone + std::to_string(index / 12)), pool_id(pool),
                 {}, false};
-            model.machines.emplace(id, machine);
+            model.physical_vms.emplace(id, item);
         }
     }
 
@@ -72,9 +72,9 @@
     pool_id any_pool() {
         return model.fleet.defaults.pools[model.below(model.fleet.defaults.pools.size())].name;
     }
-    pool_model::machine& any_machine() {
-        return std::next(model.machines.begin(),
-                         static_cast<std::ptrdiff_t>(model.below(model.machines.size())))
+    pool_model::physical_vm& any_vm() {
+        return std::next(model.physical_vms.begin(),
+                         static_cast<std::ptrdiff_t>(model.below(model.physical_vms.size())))
             ->second;
     }
 
@@ -115,7 +115,7 @@
 
     /// Two operators order moves of one VM through different nodes.
     void race_moves() {
-        const vm_id vm = any_machine().listing.id;
+        const vm_id vm = any_vm().listing.id;
         model.move(any_node(), vm, any_pool());
         model.move(any_node(), vm, any_pool());
     }
@@ -143,7 +143,7 @@
         if (!with_failures_) {
             return;
         }
-        pool_model::machine& vm = any_machine();
+        pool_model::physical_vm& vm = any_vm();
         if (vm.state == vm_status::condition::gone) {
             model.recover(vm);
         } else {
--- a/tools/measure/pool_firms.h
+++ b/tools/measure/pool_firms.h
@@ -82,7 +82,7 @@
         return std::ranges::count_if(model.vms, [&](const auto& item) {
             const vm_record& row = item.second.row;
             return row.pool == pool && row.state == vm_states::serving &&
-                   model.machines.at(row.id).up() && !zone_removed(model.fleet, row.zone);
+                   model.physical_vms.at(row.id).up() && !zone_removed(model.fleet, row.zone);
         });
     }
 
@@ -104,16 +104,16 @@
         constexpr std::string_view zones[] = {"a", "b", "c"};
         model.fleet.defaults.pools.push_back({pool_id(name), wanted, firm_budget, pool_id(lender)});
         for (int index = 0; index < size; ++index) {
-            const std::size_t place = model.machines.size();
+            const std::size_t place = model.physical_vms.size();
             const std::string zone(zones[place % 3]);
-            pool_model::machine machine;
-            machine.listing = {vm_id(name + "-" + std::to_string(index)),
-                               zone_id(zone),
-                               rack_id(zone + std::to_string(place / 12)),
-                               pool_id(name),
-                               {},
-                               false};
-            model.machines.emplace(machine.listing.id, machine);
+            pool_model::physical_vm item;
+            item.listing = {vm_id(name + "-" + std::to_string(index)),
+                            zone_id(zone),
+                            rack_id(zone + std::to_string(place / 12)),
+                            pool_id(name),
+                            {},
+                            false};
+            model.physical_vms.emplace(item.listing.id, item);
         }
     }
 
@@ -124,7 +124,7 @@
             const auto down = std::ranges::count_if(model.vms, [&](const auto& item) {
                 const vm_record& row = item.second.row;
                 return row.pool == pool.name && row.state != vm_states::moving &&
-                       row.step != vm_step::lend && !model.machines.at(row.id).up();
+                       row.step != vm_step::lend && !model.physical_vms.at(row.id).up();
             });
             return down > pool.unavailable;
         });
--- a/tools/measure/pool_model.h
+++ b/tools/measure/pool_model.h
@@ -23,7 +23,7 @@
 /// time and can be lost, nodes pause and restart, the list lags, VMs fail.
 class pool_model {
   public:
-    struct machine {
+    struct physical_vm {
         vm_listing listing;
         vm_status::condition state = vm_status::condition::serving;
         vm_order order = 0;
@@ -106,14 +106,14 @@
         }
     }
 
-    void fail(machine& vm) {
+    void fail(physical_vm& vm) {
         vm.state = vm_status::condition::gone;
         vm.due = instant::max();
         vm.failed_at = timers.now();
         list_changed_ = true;
     }
 
-    void recover(machine& vm) {
+    void recover(physical_vm& vm) {
         vm.state = vm_status::condition::serving;
         vm.failed_at = instant::max();
         list_changed_ = true;
@@ -122,7 +122,7 @@
     void advance(duration span) {
         for (const instant end = timers.now() + span; timers.now() < end;) {
             timers.advance(step_length);
-            for (auto& [id, vm] : machines) {
+            for (auto& [id, vm] : physical_vms) {
                 if (vm.due <= timers.now()) {
                     const bool drained = vm.state == vm_status::condition::draining;
                     vm.due = instant::max();
@@ -157,7 +157,7 @@
 
     manual_timer_service timers;
     fleet_configuration fleet;
-    std::map<vm_id, machine> machines;
+    std::map<vm_id, physical_vm> physical_vms;
     std::map<vm_id, stored<vm_record>> vms;
     std::map<pool_id, stored<pool_record>> pools;
     std::map<pool_id, stored<lease_record>> leases;
@@ -190,7 +190,7 @@
 
     [[nodiscard]] std::vector<vm_listing> listed() const {
         std::vector<vm_listing> list;
-        for (const auto& [id, vm] : machines) {
+        for (const auto& [id, vm] : physical_vms) {
             if (vm.state != vm_status::condition::gone) {
                 list.push_back(vm.listing);
             }
@@ -345,7 +345,7 @@
             on_order(target, vm, order, drain);
         }
         later(message_time(chance(values_.late)), [this, vm, order, drain] {
-            machine& item = machines[vm];
+            physical_vm& item = physical_vms[vm];
             if (outage || order <= item.order || item.state == vm_status::condition::gone) {
                 return;
             }
@@ -363,7 +363,7 @@
     }
     void perform(node& target, const ask_vm_status& effect) {
         if (!outage) {
-            const machine& vm = machines[effect.vm];
+            const physical_vm& vm = physical_vms[effect.vm];
             tell(target, vm_status_report{effect.vm, vm_status{vm.state, vm.order}},
                  random_span(values_.reply));
         }
--- a/tools/standins/standin.h
+++ b/tools/standins/standin.h
@@ -15,6 +15,20 @@
 
 namespace citronford {
 
+/// Parses the options of a stand-in; false after `--help` was answered.
+inline bool parse_options(int argc, char** argv,
+                          const boost::program_options::options_description& description) {
+    boost::program_options::variables_map values;
+    boost::program_options::store(
+        boost::program_options::parse_command_line(argc, argv, description), values);
+    boost::program_options::notify(values);
+    if (values.count("help") != 0) {
+        std::cout << description;
+        return false;
+    }
+    return true;
+}
+
 /// Serves `handle` at `listen` until SIGTERM or SIGINT, then calls `report` and exits.
 inline int serve_standin(event_loop& loop, const std::string& listen, http_server::handler handle,
                          std::function<void()> report = {}) {
@@ -38,4 +52,18 @@
     return EXIT_SUCCESS;
 }
 
+/// Creates a loop and, by `create(loop)`, a service whose `handle` answers requests at `listen`.
+template <class Create> int run_standin(const std::string& listen, Create create) {
+    auto loop = event_loop::create();
+    if (!loop.ok()) {
+        std::cerr << loop.status().message() << '\n';
+        return EXIT_FAILURE;
+    }
+    auto service = create(**loop);
+    return serve_standin(**loop, listen,
+                         [&](const http_request& request, const http_responder& responder) {
+                             service.handle(request, responder);
+                         });
+}
+
 } // namespace citronford
--- a/tools/standins/standin_executor.cpp
+++ b/tools/standins/standin_executor.cpp
@@ -157,20 +157,9 @@
     add("listen", po::value(&listen)->default_value("127.0.0.1:8100"), "ADDRESS:PORT");
     add("slots", po::value(&slots)->default_value(slots), "requests run at once");
     add("work-ms", po::value(&work_ms)->default_value(work_ms), "execution time of a request");
-    po::variables_map values;
-    po::store(po::parse_command_line(argc, argv, description), values);
-    po::notify(values);
-    if (values.count("help") != 0) {
-        std::cout << description;
+    if (!parse_options(argc, argv, description)) {
         return EXIT_SUCCESS;
     }
-    auto loop = event_loop::create();
-    if (!loop.ok()) {
-        return EXIT_FAILURE;
-    }
-    executor service(**loop, slots, milliseconds(work_ms));
-    return serve_standin(**loop, listen,
-                         [&](const http_request& request, const http_responder& responder) {
-                             service.handle(request, responder);
-                         });
+    return run_standin(
+        listen, [&](event_loop& loop) { return executor(loop, slots, milliseconds(work_ms)); });
 }
--- a/tools/standins/standin_platform.cpp
+++ b/tools/standins/standin_platform.cpp
@@ -34,7 +34,7 @@
 };
 
 /// One VM as the platform runs it.
-struct machine {
+struct managed_vm {
     std::string state = "serving";
     std::uint64_t order = 0;
     timer_subscription timer;
@@ -171,7 +171,7 @@
             responder.send({404, {}, R"({"error":"unknown VM"})"});
             return;
         }
-        const machine& vm = machines_[id];
+        const managed_vm& vm = managed_vms_[id];
         responder.send({200, {}, json{{"state", vm.state}, {"order", vm.order}}.dump()});
     }
 
@@ -183,7 +183,7 @@
             return;
         }
         const std::uint64_t order = document.is_object() ? document.value("order", 0ULL) : 0;
-        machine& vm = machines_[id];
+        managed_vm& vm = managed_vms_[id];
         if (order < vm.order) {
             responder.send({409, {}, json{{"order", vm.order}}.dump()});
             return;
@@ -195,7 +195,7 @@
         responder.send({200, {}, json{{"order", vm.order}}.dump()});
     }
 
-    void begin(const std::string& id, machine& vm, const std::string& verb) {
+    void begin(const std::string& id, managed_vm& vm, const std::string& verb) {
         const bool drain = verb == "drain";
         vm.state = drain ? "draining" : "rebooting";
         if (!drain && faults_.stuck_vms.contains(id)) {
@@ -242,7 +242,7 @@
     std::map<std::string, std::string> objects_;
     std::deque<std::pair<instant, json>> vm_history_;
     std::set<std::string> running_; ///< VMs of the present list, without the lag.
-    std::map<std::string, machine> machines_;
+    std::map<std::string, managed_vm> managed_vms_;
     std::vector<http_responder> lost_; ///< Requests whose reply is never sent.
     std::uint64_t version_ = 0;
     std::uint64_t transactions_ = 0;
@@ -257,20 +257,8 @@
     po::options_description description("standin_platform");
     description.add_options()("help", "show this text")(
         "listen", po::value(&listen)->default_value("127.0.0.1:8090"), "ADDRESS:PORT");
-    po::variables_map values;
-    po::store(po::parse_command_line(argc, argv, description), values);
-    po::notify(values);
-    if (values.count("help") != 0) {
-        std::cout << description;
+    if (!parse_options(argc, argv, description)) {
         return EXIT_SUCCESS;
     }
-    auto loop = event_loop::create();
-    if (!loop.ok()) {
-        return EXIT_FAILURE;
-    }
-    platform service(**loop);
-    return serve_standin(**loop, listen,
-                         [&](const http_request& request, const http_responder& responder) {
-                             service.handle(request, responder);
-                         });
+    return run_standin(listen, [&](event_loop& loop) { return platform(loop); });
 }
--- a/tools/standins/standin_worker.cpp
+++ b/tools/standins/standin_worker.cpp
@@ -262,20 +262,8 @@
         "age of a task when its usage is first reported");
     add("checkpoint-ms", po::value(&own.checkpoint_ms)->default_value(own.checkpoint_ms),
         "time that a checkpoint takes");
-    po::variables_map values;
-    po::store(po::parse_command_line(argc, argv, description), values);
-    po::notify(values);
-    if (values.count("help") != 0) {
-        std::cout << description;
+    if (!parse_options(argc, argv, description)) {
         return EXIT_SUCCESS;
     }
-    auto loop = event_loop::create();
-    if (!loop.ok()) {
-        return EXIT_FAILURE;
-    }
-    worker service(**loop, own);
-    return serve_standin(**loop, listen,
-                         [&](const http_request& request, const http_responder& responder) {
-                             service.handle(request, responder);
-                         });
+    return run_standin(listen, [&](event_loop& loop) { return worker(loop, own); });
 }
