Release pending callbacks of the pool model

Cause: LeakSanitizer failed the proofs: callbacks that were still due at the end of a run owned their own timer. Ruled out: a leak in the decisions; all 4,080 blocks came from the model. Conclusion: the model owns its timers, as the worker model does.

--- a/tools/measure/pool_model.h
+++ b/tools/measure/pool_model.h
@@ -199,11 +199,12 @@
     }
 
     void later(duration delay, std::function<void()> function) {
-        auto timer = std::make_shared<timer_subscription>();
-        *timer = timers.after(delay, [timer, function = std::move(function)](instant) {
-            function();
-            timer->cancel();
-        });
+        const std::uint64_t number = next_event_++;
+        events_[number] =
+            timers.after(delay, [this, number, function = std::move(function)](instant) {
+                const auto kept = events_.extract(number);
+                function();
+            });
     }
 
     void repeat(node& target, std::uint64_t incarnation, duration period,
@@ -380,6 +381,8 @@
     std::deque<node> nodes_;
     std::set<std::size_t> live_;
     std::deque<std::pair<instant, std::vector<vm_listing>>> history_;
+    std::uint64_t next_event_ = 1;
+    std::map<std::uint64_t, timer_subscription> events_; ///< Callbacks that are still due.
     bool list_changed_ = true;
 };
 
