Space the claim transactions of a fleet

Cause: one transaction in flight per node lets 9 busy nodes write 819 times a second at a round trip of 10 ms, more than the several hundred that the table takes for everything. Ruled out: a fixed pause, which is too short for 40 nodes or too long for one. Before: 91 transactions a second and node. Conclusion: claims fit the table at any number of nodes; a single booking waits only if the node wrote within the spacing.

--- a/include/citronford/group_commit.h
+++ b/include/citronford/group_commit.h
@@ -96,8 +96,11 @@
     std::size_t outcome_limit = 4096;   ///< Outcomes that wait, at most; more are not recorded.
     duration retry_pause{50000};        ///< First pause before a repetition; doubles.
     duration retry_pause_most{1000000}; ///< Longest pause before a repetition.
-    duration retention{86400000000};    ///< How long a claim row is kept.
-    std::size_t purge_limit = 32;       ///< Rows deleted by one transaction, at most.
+    /// Least time between the starts of two transactions. It bounds the writes of a fleet, which
+    /// share the capacity of one table.
+    duration spacing{};
+    duration retention{86400000000}; ///< How long a claim row is kept.
+    std::size_t purge_limit = 32;    ///< Rows deleted by one transaction, at most.
 };
 
 /// Batches the claims, outcomes and deletions of a node's claim rows into one conditional
@@ -110,6 +113,7 @@
     std::vector<group_commit_effect> handle(const group_commit_input& input, instant now);
 
     void set_retention(duration retention) { options_.retention = retention; }
+    void set_spacing(duration spacing) { options_.spacing = spacing; }
 
     /// Claims, outcomes and deletions that are not settled.
     [[nodiscard]] std::size_t open_entries() const;
@@ -159,7 +163,7 @@
     [[nodiscard]] std::string claim_value(std::string_view state, caller_id caller) const;
     [[nodiscard]] duration pause() const;
     void fill_batch(instant now);
-    void send_batch(effects_out effects);
+    void send_batch(instant now, effects_out effects);
     void settle_committed(table_version version, instant now, effects_out effects);
     void settle_read(entry item, const std::optional<table_row>& row, instant now,
                      effects_out effects);
@@ -173,6 +177,7 @@
     std::vector<entry> batch_;   ///< Entries of the transaction in flight.
     std::variant<idle, in_flight, pausing, reading_own> state_;
     bool in_doubt_ = false;                 ///< A message with this batch may have been committed.
+    instant next_send_{};                   ///< Earliest start of the next transaction.
     int repetitions_ = 0;                   ///< Messages without a definite result in a row.
     std::map<std::string, entry> reading_;  ///< Entries whose row is read after a conflict.
     std::map<std::string, instant> unread_; ///< When a row that could not be read is read again.
--- a/src/decide/group_commit.cpp
+++ b/src/decide/group_commit.cpp
@@ -31,10 +31,10 @@
                                                       instant now) {
     std::vector<group_commit_effect> effects;
     std::visit([&](const auto& event) { take(event, now, effects); }, input);
-    if (std::holds_alternative<idle>(state_)) {
+    if (std::holds_alternative<idle>(state_) && next_send_ <= now) {
         fill_batch(now);
         if (!batch_.empty()) {
-            send_batch(effects);
+            send_batch(now, effects);
         }
     }
     return effects;
@@ -175,7 +175,7 @@
     }
     state_ = idle{};
     if (in_doubt_) {
-        send_batch(effects);
+        send_batch(now, effects);
     }
 }
 
@@ -229,7 +229,8 @@
     }
 }
 
-void group_commit::send_batch(effects_out effects) {
+void group_commit::send_batch(instant now, effects_out effects) {
+    next_send_ = now + options_.spacing;
     commit_transaction transaction;
     for (const entry& item : batch_) {
         transaction.checks.push_back({item.key, item.expected});
--- a/src/node/request_driver.cpp
+++ b/src/node/request_driver.cpp
@@ -15,6 +15,10 @@
 
 constexpr std::size_t incarnation_bytes = 8;
 
+/// Spacing of claim transactions for each node of the fleet: together the nodes write at most 200
+/// times a second, of the several hundred that the table takes for everything.
+constexpr duration claim_spacing = milliseconds(5);
+
 /// The row `key` of a scan; empty when it is absent or deleted.
 std::optional<table_row> row_of(const table_scan& scan, std::string_view key) {
     for (const table_row& row : scan.rows) {
@@ -104,6 +108,10 @@
     poll_vms();
 }
 
+void request_driver::set_node_count(std::size_t nodes) {
+    commits_.set_spacing(claim_spacing * static_cast<std::int64_t>(nodes));
+}
+
 void request_driver::handle(const router_input& input) {
     limits_.set_now(links_.timers.now());
     const std::vector<router_effect> effects = router_->handle(input, links_.timers.now());
--- a/src/node/request_driver.h
+++ b/src/node/request_driver.h
@@ -38,6 +38,9 @@
     }
 
     void configure(const fleet_configuration& fleet);
+
+    /// Tells how many nodes share the table.
+    void set_node_count(std::size_t nodes);
     void handle(const router_input& input);
 
     [[nodiscard]] std::size_t open_requests() const { return router_->open_requests(); }
--- a/tests/group_commit_test.cpp
+++ b/tests/group_commit_test.cpp
@@ -180,3 +180,27 @@
     cr_assert(fixture.of<claim_recorded>().empty());
     cr_assert_eq(fixture.of<claim_taken>().size(), 1);
 }
+
+// Guards against a fleet of busy nodes that writes more often than the table can take.
+Test(group_commit, keeps_the_spacing_between_two_transactions) {
+    commit_fixture fixture;
+    fixture.commits.set_spacing(milliseconds(45));
+    std::size_t transactions = 0;
+    std::size_t recorded = 0;
+    for (std::uint64_t number = 1; number <= 100; ++number) {
+        fixture.claim(number);
+        bool sent = !fixture.sent().empty();
+        if (!sent) {
+            fixture.pass(milliseconds(10));
+            sent = !fixture.sent().empty();
+        }
+        if (sent) {
+            ++transactions;
+            fixture.handle(transaction_committed{number});
+            recorded += fixture.of<claim_recorded>().size();
+        }
+    }
+    // 100 claims at 10 ms take one second.
+    cr_assert(transactions <= 1000 / 45 + 1, "%zu transactions in a second", transactions);
+    cr_assert(recorded >= 90, "%zu of 100 claims", recorded);
+}
