Assert six more promises inside the program

Cause: only five of the eleven promises had an invariant inside the program. Ruled out: checks that repeat the decision; each looks at what is known when the work is sent, refused or accepted. Before: budgets, one-pool, limits, whole-answer and configuration. Conclusion: a broken promise is counted and logged in a running daemon.

--- a/src/decide/authorization.cpp
+++ b/src/decide/authorization.cpp
@@ -1,5 +1,6 @@
 #include "citronford/authorization.h"
 
+#include "citronford/invariant.h"
 #include "citronford/planted_fault.h"
 #include "citronford/result_code.h"
 
@@ -53,6 +54,8 @@
     }
     for (const team_key& key : view.fleet.keys) {
         if (equal_in_constant_time(key.digest.view(), digest.view())) {
+            invariant_monitor::check(now - view.confirmed_at <= confirmation_limit(view), "keys",
+                                     "a key is accepted by an unconfirmed configuration");
             return key.team;
         }
     }
--- a/src/decide/drain.cpp
+++ b/src/decide/drain.cpp
@@ -1,5 +1,6 @@
 #include "citronford/drain.h"
 
+#include "citronford/invariant.h"
 #include "citronford/planted_fault.h"
 
 #include <utility>
@@ -31,7 +32,11 @@
         {"hand_over", [](step_context& context,
                          const drain_input&) { context.effects.emplace_back(hand_over{}); }},
         {"leave",
-         [](step_context& context, const drain_input&) { context.effects.emplace_back(leave{}); }},
+         [](step_context& context, const drain_input& input) {
+             invariant_monitor::check(std::get<drain_tick>(input).open_work == 0, "graceful-stop",
+                                      "the drain timeout passed with work under way");
+             context.effects.emplace_back(leave{});
+         }},
     };
     auto bound = machine::create(life_cycle, guards, actions);
     if (!bound.ok()) {
--- a/src/decide/request_router.cpp
+++ b/src/decide/request_router.cpp
@@ -248,6 +248,11 @@
 void request_router::implementation::send(request_entry& request, instant now,
                                           effects_out effects) {
     const auto& submission = request.submission;
+    invariant_monitor::check(request.service.idempotent ||
+                                 (!request.may_have_run && request.open_attempts.empty()),
+                             "at-most-once", "a request that may have run is sent again");
+    invariant_monitor::check(executors_.state_of(request.executor) != "leaving", "departing",
+                             "a request is sent to a leaving executor");
     request.last_attempt = static_cast<attempt_id>(next_attempt_++);
     request.open_attempts.push_back(request.last_attempt);
     attempts_.emplace(request.last_attempt,
--- a/src/decide/request_router_state.h
+++ b/src/decide/request_router_state.h
@@ -2,6 +2,7 @@
 
 #include "citronford/request_router.h"
 
+#include "citronford/invariant.h"
 #include "citronford/overloaded.h"
 #include "citronford/request_queue.h"
 #include "citronford/retry_budget.h"
@@ -192,6 +193,10 @@
     static void refuse(const request_submission& submission, result_code code, effects_out effects);
 
     static void answer_code(step_context& context, result_code code) {
+        const request_entry& request = context.request;
+        invariant_monitor::check(entry_of(code).state != run_state::not_run ||
+                                     (!request.may_have_run && request.open_attempts.empty()),
+                                 "true-refusal", "a request that may have run is refused");
         refuse(context.request.submission, code, context.effects);
     }
 
--- a/src/decide/task_scheduler_workers.cpp
+++ b/src/decide/task_scheduler_workers.cpp
@@ -306,6 +306,8 @@
         for (const job_id& id : std::exchange(worker.to_start, {})) {
             job_entry& entry = jobs_.at(id);
             entry.start_sequence = message.sequence;
+            invariant_monitor::check(!zone_removed(fleet_, worker.listing.zone), "zone-out",
+                                     "a task starts in a removed zone");
             ++counts_.started;
             const job_definition& job = entry.row.job;
             message.start.push_back({task_of(entry.row), job.id, job.team, job.size, job.run});
