Name delays and takeovers of the task scheduler by the usual terms

Cause: patience, heir and stray are not terms of the field. Ruled out: keeping them as local names; they stand in options and the header. Conclusion: no change of behaviour.

--- a/include/citronford/task_scheduler.h
+++ b/include/citronford/task_scheduler.h
@@ -116,19 +116,19 @@
 
 struct scheduler_options {
     live_member self;
-    duration half_life{30000000};          ///< Of the usage that teams are charged.
-    duration sync_period{500000};          ///< Between two messages to a worker.
-    duration sync_timeout{1000000};        ///< Of a message to a worker.
-    duration lease{5000000};               ///< Of a worker, from each message.
-    duration checkpoint_timeout{3000000};  ///< After it the task goes on.
-    duration patience{10000000};           ///< Wait of a job before capacity is kept free for it.
-    duration patience_below_share{500000}; ///< The same for a team below its share.
-    duration unit_hold{15000000};   ///< Of a task handed over, until its new owner counts the unit.
-    duration settle{5000000};       ///< Wait for workers to report their capacity.
-    duration stray_grace{60000000}; ///< Before a task without a job is stopped.
-    std::size_t reserve_every = 16; ///< One worker in so many takes no task that must not stop.
-    double overcommitment = 0.08;   ///< Of the processors of a worker.
-    double share_tolerance = 0.01;  ///< Use above the share that is allowed under full load.
+    duration half_life{30000000};         ///< Of the usage that teams are charged.
+    duration sync_period{500000};         ///< Between two messages to a worker.
+    duration sync_timeout{1000000};       ///< Of a message to a worker.
+    duration lease{5000000};              ///< Of a worker, from each message.
+    duration checkpoint_timeout{3000000}; ///< After it the task goes on.
+    duration reservation_delay{10000000}; ///< Wait of a job before capacity is kept free for it.
+    duration reservation_delay_below_share{500000}; ///< The same for a team below its share.
+    duration unit_hold{15000000}; ///< Of a task handed over, until its new owner counts the unit.
+    duration settle{5000000};     ///< Wait for workers to report their capacity.
+    duration unclaimed_grace{60000000}; ///< Before a task without a job is stopped.
+    std::size_t reserve_every = 16;     ///< One worker in so many takes no task that must not stop.
+    double overcommitment = 0.08;       ///< Of the processors of a worker.
+    double share_tolerance = 0.01;      ///< Use above the share that is allowed under full load.
     std::uint32_t longest_attempts = 3; ///< Starts of a restartable task that fails.
     bool fair = true;                   ///< Otherwise jobs start in the order of submission.
     bool evict = true;                  ///< Checkpoint tasks for urgent jobs.
--- a/src/decide/task_scheduler_jobs.cpp
+++ b/src/decide/task_scheduler_jobs.cpp
@@ -101,8 +101,8 @@
         const bool live = std::ranges::any_of(members_, [&](const live_member& member) {
             return member.id == foreign.row.owner && member.incarnation == foreign.row.epoch;
         });
-        const live_member* heir = live ? nullptr : heir_of(foreign.row);
-        if (heir != nullptr && heir->id == options_.self.id) {
+        const live_member* successor = live ? nullptr : successor_of(foreign.row);
+        if (successor != nullptr && successor->id == options_.self.id) {
             orphans.push_back(foreign);
         }
     }
@@ -117,7 +117,7 @@
     }
 }
 
-const live_member* task_scheduler::implementation::heir_of(const job_row& row) const {
+const live_member* task_scheduler::implementation::successor_of(const job_row& row) const {
     if (row.state == job_state::started) {
         const auto found = worker_index_.find(row.worker);
         if (found != worker_index_.end()) {
--- a/src/decide/task_scheduler_placement.cpp
+++ b/src/decide/task_scheduler_placement.cpp
@@ -165,7 +165,7 @@
         if (entry->not_before > now) {
             continue;
         }
-        if (entry->reserved_on && now - entry->reserved_at >= eviction_patience) {
+        if (entry->reserved_on && now - entry->reserved_at >= eviction_timeout) {
             cancel_reservation(*entry);
         }
         if (start_on_reservation(*entry, now, effects) || try_start(*entry, now, effects) ||
@@ -341,18 +341,18 @@
         }
         if (!entry->refused_at) {
             entry->refused_at = now;
-        } else if (now - *entry->refused_at >= patience_for(team)) {
+        } else if (now - *entry->refused_at >= reservation_delay_for(team)) {
             reserve_soonest(*entry, now);
         }
     }
     return false;
 }
 
-duration task_scheduler::implementation::patience_for(const team_id& team) const {
+duration task_scheduler::implementation::reservation_delay_for(const team_id& team) const {
     constexpr double below_share = 0.95;
     return full() && ledger_.priority(team) < below_share * highest_priority()
-               ? options_.patience_below_share
-               : options_.patience;
+               ? options_.reservation_delay_below_share
+               : options_.reservation_delay;
 }
 
 void task_scheduler::implementation::reserve_soonest(job_entry& entry, instant now) {
--- a/src/decide/task_scheduler_review.cpp
+++ b/src/decide/task_scheduler_review.cpp
@@ -148,9 +148,9 @@
     }
     for (const job_id& id : attached) {
         job_entry& entry = jobs_.at(id);
-        const live_member* heir = heir_of(entry.row);
-        if (heir != nullptr && heir->id != options_.self.id) {
-            entry.next_owner = *heir;
+        const live_member* successor = successor_of(entry.row);
+        if (successor != nullptr && successor->id != options_.self.id) {
+            entry.next_owner = *successor;
             step_job(id, worker_elsewhere{}, now, effects);
         } else if (!workers_[*entry.worker].listed &&
                    now - entry.since >= options_.lease + options_.sync_timeout) {
--- a/src/decide/task_scheduler_state.h
+++ b/src/decide/task_scheduler_state.h
@@ -91,8 +91,9 @@
     std::set<job_id> to_stop;
     std::set<job_id> to_checkpoint;
     std::set<task_id> to_forget;
-    bool saturated = false;            ///< Its tasks use all processors, so they may want more.
-    std::map<task_id, instant> strays; ///< Tasks without a job here, by when they were first seen.
+    bool saturated = false; ///< Its tasks use all processors, so they may want more.
+    std::map<task_id, instant>
+        unclaimed; ///< Tasks without a job here, by when they were first seen.
     std::optional<job_id> probe;
 };
 
@@ -238,7 +239,7 @@
     void adopt_orphans(instant now, effects_out effects);
 
     /// Who takes over a job: the owner of its worker once it has started.
-    [[nodiscard]] const live_member* heir_of(const job_row& row) const;
+    [[nodiscard]] const live_member* successor_of(const job_row& row) const;
 
     // Workers.
 
@@ -281,8 +282,8 @@
                      effects_out effects);
 
     /// Tasks that no job of this node claims: their job may be on its way here.
-    void take_strays(std::size_t index, const std::map<task_id, const task_report*>& reports,
-                     instant now);
+    void take_unclaimed(std::size_t index, const std::map<task_id, const task_report*>& reports,
+                        instant now);
 
     /// Whether the tasks of the worker use all of its processors, so that the reports do not tell
     /// what they want.
@@ -367,7 +368,7 @@
 
     /// A team below its share whose jobs are all too large for the room that others leave gets
     /// room soon.
-    [[nodiscard]] duration patience_for(const team_id& team) const;
+    [[nodiscard]] duration reservation_delay_for(const team_id& team) const;
 
     /// Keeps a worker from taking tasks until a job that has waited long fits on it.
     void reserve_soonest(job_entry& entry, instant now);
@@ -414,7 +415,7 @@
     /// A worker whose answer takes longer gets no new task meanwhile.
     static constexpr duration slow_answer = milliseconds(200);
     /// How long an urgent job waits for room on one worker before it looks for another.
-    static constexpr duration eviction_patience = milliseconds(600);
+    static constexpr duration eviction_timeout = milliseconds(600);
     /// How long the versions of rows that were left are remembered; a scan takes less.
     static constexpr duration memory = seconds(120);
 
--- a/src/decide/task_scheduler_workers.cpp
+++ b/src/decide/task_scheduler_workers.cpp
@@ -153,7 +153,7 @@
             step_job(id, task_absent{}, now, effects);
         }
     }
-    take_strays(index, reports, now);
+    take_unclaimed(index, reports, now);
     update_offer(index);
     dirty_ = true;
 }
@@ -194,19 +194,19 @@
     }
 }
 
-void task_scheduler::implementation::take_strays(
+void task_scheduler::implementation::take_unclaimed(
     std::size_t index, const std::map<task_id, const task_report*>& reports, instant now) {
     worker_entry& worker = workers_[index];
-    std::map<task_id, instant> strays;
+    std::map<task_id, instant> unclaimed;
     for (const auto& [id, report] : reports) {
-        const auto known = worker.strays.find(id);
-        const instant first = known == worker.strays.end() ? now : known->second;
-        strays.emplace(id, first);
-        if (now - first >= options_.stray_grace) {
+        const auto known = worker.unclaimed.find(id);
+        const instant first = known == worker.unclaimed.end() ? now : known->second;
+        unclaimed.emplace(id, first);
+        if (now - first >= options_.unclaimed_grace) {
             worker.to_forget.insert(id);
         }
     }
-    worker.strays = std::move(strays);
+    worker.unclaimed = std::move(unclaimed);
 }
 
 bool task_scheduler::implementation::is_saturated(const sync_done& result) {
--- a/tools/citronford_load.cpp
+++ b/tools/citronford_load.cpp
@@ -189,8 +189,8 @@
             headers.emplace_back("authorization", authorization);
         }
         // The client waits longer than the deadline of the request, so that its answer arrives.
-        const duration patience = milliseconds(options_.timeout_ms) + milliseconds(2000);
-        client_.call(entries_[request.entry].address, {"POST", path, headers, body_, patience},
+        const duration call_timeout = milliseconds(options_.timeout_ms) + milliseconds(2000);
+        client_.call(entries_[request.entry].address, {"POST", path, headers, body_, call_timeout},
                      [this, request, id, idempotent = service.idempotent](http_result result) {
                          take_result(request, id, idempotent, std::move(result));
                      });
