Judge a refusal by what its caller sent afterwards

The test sends every booking twice under the same id. The first sending of booking-77 was shed early ("not run"); the second ran it. demo_verdict judged each record alone and took the run of the second sending for a broken promise. Ruled out: a false refusal. The counts of that run leave no other reading: 398 answers "run" and one without an answer in the first load, 398 duplicates and 2 answers "run" in the second, so both ids that had no claim ran in the second load, booking-77 among them. Before: a true refusal that is followed by a run counts as wrong. After: it counts as wrong unless a later record of the same id may have started the run; a duplicate, or any record before the refusal, does not excuse it. Four more cases in process_verdict. Conclusion: the check is unchanged for ids that are sent once and for a refusal that follows a run.

--- a/scripts/fleet_functions.sh
+++ b/scripts/fleet_functions.sh
@@ -198,7 +198,8 @@
     done
 }
 
-# verdict OPTION...: compares the records of callers and executors.
+# verdict OPTION...: compares the records of callers and executors. Records are read in the order of
+# their names, which must be the order of the runs.
 verdict() {
     local arguments=() file
     for file in "$work"/*.record; do
--- a/tests/process/verdict.sh
+++ b/tests/process/verdict.sh
@@ -26,3 +26,10 @@
 expect 'sent=1 answered=1 lost=0 doubled=0 wrong=1' 1 'r not-run 300 none non-idempotent\n' '["r"]' '[]'
 expect 'sent=1 answered=1 lost=0 doubled=0 wrong=1' 1 'r run 0 other non-idempotent\n' '["r"]' '[]'
 expect 'sent=0 answered=0 lost=0 doubled=0 wrong=0' 1 'r unsent -1 none non-idempotent\n' '[]' '[]'
+# A request that was refused, sent again and run then: the refusal was true.
+expect 'sent=2 answered=2 lost=0 doubled=0 wrong=0' 0 'r not-run 301 none non-idempotent\nr run 0 own non-idempotent\n' '["r"]' '[]'
+expect 'sent=2 answered=2 lost=0 doubled=0 wrong=0' 0 'r not-run 301 none non-idempotent\nr unknown 400 none non-idempotent\n' '["r"]' '[]'
+# A duplicate started nothing, so the run belongs to the request that was refused.
+expect 'sent=2 answered=2 lost=0 doubled=0 wrong=1' 1 'r not-run 301 none non-idempotent\nr unknown 401 none non-idempotent\n' '["r"]' '[]'
+# The refusal came after the run.
+expect 'sent=2 answered=2 lost=0 doubled=0 wrong=1' 1 'r run 0 own non-idempotent\nr not-run 301 none non-idempotent\n' '["r"]' '[]'
--- a/tools/demo_verdict.cpp
+++ b/tools/demo_verdict.cpp
@@ -1,5 +1,7 @@
 // Compares what callers and executors each recorded. Its last line is the verdict of the demo:
 // `demo: sent=N answered=N lost=0 doubled=0 wrong=0`; it exits with 1 when a count is off.
+#include "citronford/result_code.h"
+
 #include <boost/program_options.hpp>
 #include <nlohmann/json.hpp>
 
@@ -7,6 +9,7 @@
 #include <fstream>
 #include <iostream>
 #include <map>
+#include <set>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -104,10 +107,34 @@
     return true;
 }
 
+/// Whether the answer to a repeated request leaves room for a run that it started. A duplicate
+/// started nothing.
+bool may_have_started(const caller_record& record) {
+    return record.state == "run" || record.state == "none" ||
+           (record.state == "unknown" &&
+            record.code != static_cast<int>(citronford::result_code::duplicate_request));
+}
+
+/// For each record, whether a later record of the same id may account for a run. "Not run" covers
+/// the time until that answer; an id that was refused may be sent again and run then.
+std::vector<bool> run_started_later(const std::vector<caller_record>& records) {
+    std::vector<bool> started(records.size(), false);
+    std::set<std::string> ids;
+    for (std::size_t index = records.size(); index-- > 0;) {
+        const caller_record& record = records[index];
+        started[index] = ids.contains(record.id);
+        if (may_have_started(record)) {
+            ids.insert(record.id);
+        }
+    }
+    return started;
+}
+
 /// Adds one record to the counts. With `broken_allowed`, a request without an answer is not lost:
-/// its caller saw a broken connection and knows nothing about the execution.
-void judge(const caller_record& record, const run_counts& runs, bool broken_allowed,
-           verdict& total) {
+/// its caller saw a broken connection and knows nothing about the execution. `started_later` tells
+/// whether a later record of the same id may account for the run.
+void judge(const caller_record& record, const run_counts& runs, bool started_later,
+           bool broken_allowed, verdict& total) {
     const auto found = runs.find(record.id);
     const int times = found == runs.end() ? 0 : found->second;
     const auto show = [&](const char* fault) {
@@ -133,7 +160,7 @@
         ++total.doubled;
         show("doubled");
     }
-    if ((record.state == "not-run" && times > 0) || record.content == "other") {
+    if ((record.state == "not-run" && times > 0 && !started_later) || record.content == "other") {
         ++total.wrong;
         show("wrong");
     }
@@ -150,7 +177,8 @@
     po::options_description description("demo_verdict");
     auto add = description.add_options();
     add("help", "show this text");
-    add("record", po::value(&record_files), "record file of citronford_load; repeat for several");
+    add("record", po::value(&record_files),
+        "record file of citronford_load; repeat for several, in the order of the runs");
     add("jobs", po::value(&job_files), "file with one line a job: its id and its last document");
     add("stats", po::value(&stats_files),
         "GET /stats of an executor or worker; repeat for several");
@@ -185,9 +213,10 @@
     const bool broken_allowed = values.count("broken-allowed") != 0;
     verdict total;
     std::uint64_t run = 0;
-    for (const caller_record& record : records) {
-        judge(record, runs, broken_allowed, total);
-        run += record.state == "run" ? 1 : 0;
+    const std::vector<bool> started_later = run_started_later(records);
+    for (std::size_t index = 0; index < records.size(); ++index) {
+        judge(records[index], runs, started_later[index], broken_allowed, total);
+        run += records[index].state == "run" ? 1 : 0;
     }
     if (!complete) {
         std::cout << "demo_verdict: a record or statistics file is missing or malformed\n";
