Keep one function that inserts or replaces a configuration item

Cause: `upsert` stood in configuration_change.cpp and in configuration_codec.cpp; the second moved a changed item to the end of its list, so a node that read a change from the table listed it in another order than the node that committed it. Ruled out: a difference in meaning; nothing depends on the order of exceptions, removals or keys, as each is found by its id. Before: two functions, two orders. After: `insert_or_replace` beside `fleet_configuration`; control_test, fuzz_test and state_snapshot_test pass. Conclusion: all nodes list the same configuration in the same order.

--- a/include/citronford/fleet_configuration.h
+++ b/include/citronford/fleet_configuration.h
@@ -3,10 +3,12 @@
 #include "citronford/identifier.h"
 #include "citronford/instant.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace citronford {
@@ -80,6 +82,17 @@
     std::vector<team_key> keys;
 };
 
+/// Replaces the item whose `member` equals that of `item`, or appends `item`.
+template <class Item, class Member>
+void insert_or_replace(std::vector<Item>& items, Item item, Member member) {
+    const auto found = std::ranges::find(items, item.*member, member);
+    if (found == items.end()) {
+        items.push_back(std::move(item));
+    } else {
+        *found = std::move(item);
+    }
+}
+
 const service_definition* find_service(const fleet_configuration& fleet, std::string_view name);
 const team_definition* find_team(const fleet_configuration& fleet, std::string_view name);
 const pool_definition* find_pool(const fleet_configuration& fleet, std::string_view name);
--- a/src/decide/configuration_change.cpp
+++ b/src/decide/configuration_change.cpp
@@ -107,17 +107,6 @@
     return std::ranges::find(items, id, member) != items.end();
 }
 
-/// Replaces the item with the same id, or appends.
-template <class Item, class Member>
-void upsert(std::vector<Item>& items, const Item& item, Member member) {
-    const auto found = std::ranges::find(items, item.*member, member);
-    if (found == items.end()) {
-        items.push_back(item);
-    } else {
-        *found = item;
-    }
-}
-
 } // namespace
 
 absl::Status validated(const configuration_change& change, const fleet_configuration& fleet) {
@@ -163,20 +152,20 @@
         overloaded{
             [&](const set_defaults& item) { fleet.defaults = item.defaults; },
             [&](const add_exception& item) {
-                upsert(fleet.exceptions, item.rule, &exception_rule::id);
+                insert_or_replace(fleet.exceptions, item.rule, &exception_rule::id);
             },
             [&](const remove_exception& item) {
                 std::erase_if(fleet.exceptions,
                               [&](const auto& rule) { return rule.id == item.id; });
             },
             [&](const remove_zone& item) {
-                upsert(fleet.removals, item.removal, &zone_removal::zone);
+                insert_or_replace(fleet.removals, item.removal, &zone_removal::zone);
             },
             [&](const restore_zone& item) {
                 std::erase_if(fleet.removals,
                               [&](const auto& removal) { return removal.zone == item.zone; });
             },
-            [&](const give_key& item) { upsert(fleet.keys, item.key, &team_key::id); },
+            [&](const give_key& item) { insert_or_replace(fleet.keys, item.key, &team_key::id); },
             [&](const withdraw_key& item) {
                 std::erase_if(fleet.keys, [&](const auto& key) { return key.id == item.id; });
             },
--- a/src/io/configuration_codec.cpp
+++ b/src/io/configuration_codec.cpp
@@ -151,13 +151,6 @@
     }
 }
 
-/// Replaces the item with the id of `item`, or appends it.
-template <class Item, class Member>
-void upsert(std::vector<Item>& items, Item item, Member member) {
-    std::erase_if(items, [&](const Item& other) { return other.*member == item.*member; });
-    items.push_back(std::move(item));
-}
-
 absl::Status apply_defaults(const table_row& row, fleet_configuration& fleet) {
     if (!row.value) {
         return absl::OkStatus();
@@ -183,7 +176,7 @@
     if (!item.ok()) {
         return item.status();
     }
-    upsert(items, *std::move(item), member);
+    insert_or_replace(items, *std::move(item), member);
     return absl::OkStatus();
 }
 
