Send requests of a removed zone to the other zones

Cause: executors of other zones were used only under the exception `spill`. When operators took a zone out, its entry VMs refused every request with 303 "not run", and requests that were queued at that moment waited until the zone came back: the request of about 2.5 s in the demo, where the zone is out for 2 s. Ruled out: a lost wake-up or a claim that was not settled; queued requests had no executor to choose, since the own zone was closed and the others were out of reach. Spilled requests keep the rule that other zones' executors are used below half of their limit. The new test of the router fails before ("remote != nullptr") and passes after. Conclusion: callers lose nothing while the load balancer still sends to a removed zone.

--- a/include/citronford/executor_set.h
+++ b/include/citronford/executor_set.h
@@ -84,7 +84,8 @@
 
     /// The less loaded of two random executors of `service` with a free slot in the zone of the
     /// node; with `spill`, one of another zone at less than half of its limit when the own zone
-    /// has none. Never `excluded`.
+    /// has none. While the own zone is removed, other zones are used without `spill`: its callers
+    /// may not have moved yet. Never `excluded`.
     std::optional<choice> choose(const service_id& service, bool spill, instant now,
                                  const executor_id& excluded = {});
 
--- a/src/decide/executor_set.cpp
+++ b/src/decide/executor_set.cpp
@@ -336,7 +336,8 @@
 }
 
 bool executor_set::within_reach(const executor& subject, bool spill) const {
-    return (spill || subject.zone == options_.zone) && !removed_zones_.contains(subject.zone);
+    return (spill || subject.zone == options_.zone || removed_zones_.contains(options_.zone)) &&
+           !removed_zones_.contains(subject.zone);
 }
 
 executor_set::executor* executor_set::find(const executor_id& id) {
--- a/tests/request_router_test.cpp
+++ b/tests/request_router_test.cpp
@@ -24,11 +24,16 @@
         cr_assert(created.ok(), "%s", created.status().ToString().c_str());
         router = *std::move(created);
         limits.set_units(sales, 2);
+        remove_zones({});
+        handle(listing(false));
+    }
+
+    void remove_zones(std::vector<zone_removal> removals) {
         fleet_configuration fleet;
+        fleet.removals = std::move(removals);
         fleet.defaults.services = {{.name = service_id("quote"), .pool = {}, .idempotent = true},
                                    {.name = service_id("booking"), .pool = {}}};
         router->configure(fleet);
-        handle(listing(false));
     }
 
     static executor_listing listing(bool leaving) {
@@ -77,6 +82,25 @@
     cr_assert(effect_of<send_attempt>(granted) != nullptr);
 }
 
+// Guards against requests that wait or are refused in a removed zone while others have free slots,
+// and against traffic between zones after the zone has come back.
+Test(request_router, uses_other_zones_while_own_zone_is_removed) {
+    router_fixture fixture;
+    executor_listing both = router_fixture::listing(false);
+    both.executors.push_back(
+        {executor_id("qb"), service_id("quote"), zone_id("b"), {"127.0.0.1", 3}, false});
+    fixture.handle(both);
+    fixture.remove_zones({zone_removal{zone_id("a"), "power work"}});
+    const auto during = fixture.submit(1, "quote");
+    const auto* remote = effect_of<send_attempt>(during);
+    cr_assert(remote != nullptr);
+    cr_assert_eq(remote->to.port, 3);
+    fixture.answer(1, *remote);
+    fixture.remove_zones({});
+    const auto after = fixture.submit(2, "quote");
+    cr_assert_eq(effect_of<send_attempt>(after)->to.port, 1);
+}
+
 // Guards against a second execution of a non-idempotent request whose answer was lost.
 Test(request_router, asks_for_the_outcome_of_a_lost_attempt) {
     router_fixture fixture;
