Report a removed zone's entry VMs as not ready

Cause: entry VMs of a removed zone stayed ready, so the load balancer kept sending them half of the requests of a fleet with two zones, all of which crossed to the other zone. Ruled out: failing readiness in every removed zone: with all zones removed, or the others without live entry VMs, callers would find no entry VM at all and would not hear "not run". Before: /healthz/ready of entry-b-1 answers 200 while zone b is out.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,6 +4,7 @@
 #include "citronford/overloaded.h"
 #include "io/log.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -108,7 +109,18 @@
 }
 
 bool node::ready() const {
-    return drain_.ready() && configuration_->loaded();
+    return drain_.ready() && configuration_->loaded() && !other_zones_serve();
+}
+
+/// Whether operators have removed the zone of this node while another zone has live entry VMs.
+bool node::other_zones_serve() const {
+    const fleet_configuration& fleet = configuration_->fleet();
+    if (!zone_removed(fleet, settings_.zone)) {
+        return false;
+    }
+    const auto live = configuration_->members().live(links_.timers.now());
+    return std::ranges::any_of(
+        live, [&](const node_registration& item) { return !zone_removed(fleet, item.zone); });
 }
 
 void node::submit(const caller_request& request) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -47,7 +47,8 @@
 
     void start();
 
-    /// Whether the load balancer should send new connections.
+    /// Whether the load balancer should send new connections: not in a planned stop, before the
+    /// configuration is read, or in a removed zone while other zones serve.
     [[nodiscard]] bool ready() const;
 
     /// Takes in a request; it is answered through `caller_link`.
@@ -81,6 +82,7 @@
     void handle(const drain_input& input);
     void apply(const fleet_configuration& fleet);
     void share_members(instant now);
+    [[nodiscard]] bool other_zones_serve() const;
     void refuse(const caller_request& request, const absl::Status& status);
     void refuse_job(caller_id caller, const job_id& id, const absl::Status& status);
 
