Share the mocks of a node's interfaces between fixtures

Cause: the fixtures of request_driver_test and task_driver_test listed the same nine mocks, and state_snapshot_test had its own mock of the object store. Ruled out: one fixture for all tests; what each test answers differs. Conclusion: a new interface is added to one place.

--- a/tests/mocks.h
+++ b/tests/mocks.h
@@ -2,14 +2,8 @@
 
 #include "test_support.h"
 
-#include "citronford/caller_link.h"
-#include "citronford/executor_link.h"
-#include "citronford/object_store.h"
-#include "citronford/peer_link.h"
-#include "citronford/table_service.h"
-#include "citronford/vm_control.h"
-#include "citronford/vm_list.h"
-#include "citronford/worker_link.h"
+#include "citronford/manual_timer_service.h"
+#include "node/node_links.h"
 
 namespace citronford {
 
@@ -45,6 +39,7 @@
     MAKE_MOCK3(put, void(std::string_view, std::string_view, put_callback), override);
     MAKE_MOCK2(get, void(std::string_view, get_callback), override);
 };
+
 struct mock_worker_link final : worker_link {
     MAKE_MOCK4(sync, void(const endpoint&, const sync_request&, duration, sync_callback), override);
 };
@@ -55,4 +50,21 @@
     MAKE_MOCK2(state, void(const vm_id&, state_callback), override);
 };
 
+/// A mock of every interface of a node, and virtual time. Fixtures derive from it.
+struct mock_interfaces {
+    manual_timer_service timers;
+    mock_table_service table;
+    mock_object_store objects;
+    mock_vm_list vms;
+    mock_executor_link executors;
+    mock_caller_link callers;
+    mock_worker_link workers;
+    mock_vm_control vm_controls;
+    mock_peer_link peers;
+
+    [[nodiscard]] node_links links() {
+        return {timers, table, objects, vms, executors, callers, workers, vm_controls, peers};
+    }
+};
+
 } // namespace citronford
--- a/tests/request_driver_test.cpp
+++ b/tests/request_driver_test.cpp
@@ -1,7 +1,6 @@
 #include "mocks.h"
 #include "test_support.h"
 
-#include "citronford/manual_timer_service.h"
 #include "node/pool_driver.h"
 #include "node/request_driver.h"
 
@@ -26,16 +25,7 @@
 
 /// A driver with one executor of the service `booking`; calls through the interfaces are kept for
 /// the test to answer.
-struct driver_fixture {
-    manual_timer_service timers;
-    mock_table_service table;
-    mock_object_store objects;
-    mock_vm_list vms;
-    mock_executor_link executors;
-    mock_caller_link callers;
-    mock_worker_link workers;
-    mock_vm_control vm_controls;
-    mock_peer_link peers;
+struct driver_fixture : mock_interfaces {
     team_limits limits;
     std::vector<open_commit> commits;
     std::vector<std::pair<std::string, table_service::scan_callback>> scans;
@@ -71,10 +61,8 @@
         own.node = node_id("n1");
         own.zone = zone_id("a");
         own.charts = CITRONFORD_CHARTS;
-        const node_links links{timers,  table,   objects,     vms,  executors,
-                               callers, workers, vm_controls, peers};
         pools = *pool_driver::create(own, {timers, table, vms, vm_controls});
-        driver = *request_driver::create(own, links, limits, *pools);
+        driver = *request_driver::create(own, links(), limits, *pools);
         fleet_configuration fleet;
         fleet.defaults.services = {{.name = service_id("booking"), .pool = pool_id("book")}};
         driver->configure(fleet);
--- a/tests/state_snapshot_test.cpp
+++ b/tests/state_snapshot_test.cpp
@@ -1,20 +1,10 @@
-#include "test_support.h"
+#include "mocks.h"
 
-#include "citronford/manual_timer_service.h"
 #include "citronford/result_code.h"
 #include "node/state_snapshot.h"
 
 using namespace citronford;
 
-namespace {
-
-struct mock_object_store : object_store {
-    MAKE_MOCK3(put, void(std::string_view, std::string_view, put_callback), override);
-    MAKE_MOCK2(get, void(std::string_view, get_callback), override);
-};
-
-} // namespace
-
 // Guards against a zone without a snapshot after its writer died, and against two steady writers.
 Test(state_snapshot, one_node_writes_and_another_takes_over) {
     mock_object_store store;
--- a/tests/task_driver_test.cpp
+++ b/tests/task_driver_test.cpp
@@ -2,7 +2,6 @@
 
 #include "mocks.h"
 
-#include "citronford/manual_timer_service.h"
 #include "io/job_codec.h"
 #include "node/task_driver.h"
 
@@ -14,16 +13,7 @@
 namespace {
 
 /// A driver whose table answers with prepared results and keeps what was written.
-struct driver_fixture {
-    manual_timer_service timers;
-    mock_table_service table;
-    mock_object_store objects;
-    mock_vm_list vms;
-    mock_executor_link executors;
-    mock_caller_link callers;
-    mock_worker_link workers;
-    mock_vm_control vm_controls;
-    mock_peer_link peers;
+struct driver_fixture : mock_interfaces {
     team_limits limits;
     std::unique_ptr<task_driver> driver;
     std::vector<table_write> written;
@@ -33,9 +23,7 @@
         own.node = node_id("n1");
         own.zone = zone_id("a");
         own.charts = CITRONFORD_CHARTS;
-        auto created = task_driver::create(
-            own, {timers, table, objects, vms, executors, callers, workers, vm_controls, peers},
-            limits, 1, [] { return instant(); });
+        auto created = task_driver::create(own, links(), limits, 1, [] { return instant(); });
         cr_assert(created.ok());
         driver = *std::move(created);
     }
