--- a/scripts/fleet_functions.sh
+++ b/scripts/fleet_functions.sh
@@ -131,6 +131,7 @@
 vm_list_poll_ms=200
 [peers]
 secret=$fleet_secret
+node_lease_ms=${node_lease_ms:-10000}
 [stop]
 drain_delay_ms=$3
 SETTINGS
--- a/tools/standins/standin_platform.cpp
+++ b/tools/standins/standin_platform.cpp
@@ -37,6 +37,7 @@
 struct managed_vm {
     std::string state = "serving";
     std::uint64_t order = 0;
+    std::uint64_t reboots = 0; ///< Orders to reboot that were carried out.
     timer_subscription timer;
 };
 
@@ -56,7 +57,14 @@
         }
         if (path == std::vector<std::string>{"stats"}) {
             responder.send(
-                {200, {}, json{{"transactions", transactions_}, {"scans", scans_}}.dump()});
+                {200,
+                 {},
+                 json{{"transactions", transactions_}, {"scans", scans_}, {"rows", rows_read_}}
+                     .dump()});
+            return;
+        }
+        if (path == std::vector<std::string>{"machines"}) {
+            responder.send({200, {}, machine_lines()});
             return;
         }
         if (faults_.outage) {
@@ -163,6 +171,7 @@
             }
             rows.push_back(std::move(item));
         }
+        rows_read_ += rows.size();
         responder.send({200, {}, json{{"rows", rows}, {"version", version_}}.dump()});
     }
 
@@ -175,6 +184,25 @@
         responder.send({200, {}, json{{"state", vm.state}, {"order", vm.order}}.dump()});
     }
 
+    /// Every VM of the present list and its row at one instant, one a line: id, state, reboots,
+    /// then pool, state and step of the row, "-" for none.
+    std::string machine_lines() {
+        std::string text;
+        for (const std::string& id : running_) {
+            const managed_vm& vm = managed_vms_[id];
+            text += id + ' ' + vm.state + ' ' + std::to_string(vm.reboots);
+            const auto found = rows_.find("vm/" + id);
+            const json row = found == rows_.end() || !found->second.value
+                                 ? json::object()
+                                 : json::parse(*found->second.value, nullptr, false);
+            for (const char* name : {"pool", "state", "step"}) {
+                text += ' ' + row.value(name, "-");
+            }
+            text += '\n';
+        }
+        return text;
+    }
+
     /// Carries out an order once; one with a lower number than the last is rejected.
     void order_machine(const std::string& id, const std::string& verb, const json& document,
                        const http_responder& responder) {
@@ -198,6 +226,7 @@
     void begin(const std::string& id, managed_vm& vm, const std::string& verb) {
         const bool drain = verb == "drain";
         vm.state = drain ? "draining" : "rebooting";
+        vm.reboots += drain ? 0 : 1;
         if (!drain && faults_.stuck_vms.contains(id)) {
             vm.timer.cancel();
             return;
@@ -247,6 +276,7 @@
     std::uint64_t version_ = 0;
     std::uint64_t transactions_ = 0;
     std::uint64_t scans_ = 0;
+    std::uint64_t rows_read_ = 0; ///< Rows that scans returned.
     fault_switches faults_;
 };
 
