Preview the effect of moves and roll-outs with dry_run=1

A query with a second member was also taken for a change, since it was compared as a whole. Ruled out: asking the controlling node. Every node reads all rows and the list, and the answer of any node may be outdated by the time of the order. Before: 0 of 2 orders had a preview. Conclusion: a preview reads and changes nothing.

--- a/src/io/operator_front.cpp
+++ b/src/io/operator_front.cpp
@@ -54,14 +54,10 @@
     return {{"version", result.version}, {"zones", std::move(zones)}};
 }
 
-bool is_dry_run(const operation& parameters) {
-    return parameters.request.query == "dry_run=1";
-}
-
 /// Applies a change; `extra` members are added to the answer.
 void apply_change(const operation& parameters, const configuration_change& change,
                   json extra = json::object()) {
-    const bool dry_run = is_dry_run(parameters);
+    const bool dry_run = is_dry_run(parameters.request.query);
     parameters.target.configuration().change(
         change, dry_run,
         [responder = parameters.responder, dry_run,
--- a/src/io/operator_pools.cpp
+++ b/src/io/operator_pools.cpp
@@ -1,7 +1,9 @@
 #include "io/operator_pools.h"
 
+#include "citronford/order_preview.h"
 #include "citronford/result_code.h"
 #include "io/http_response.h"
+#include "io/url.h"
 #include "node/node.h"
 
 #include <nlohmann/json.hpp>
@@ -128,6 +130,70 @@
     };
 }
 
+json names_json(std::span<const vm_id> vms) {
+    json names = json::array();
+    for (const vm_id& vm : vms) {
+        names.push_back(vm.str());
+    }
+    return names;
+}
+
+json preview_json(const order_preview& preview) {
+    json pools = json::array();
+    for (const pool_preview& pool : preview.pools) {
+        pools.push_back({{"name", pool.pool.str()},
+                         {"budget", pool.budget},
+                         {"unavailable", pool.unavailable},
+                         {"left", pool.left},
+                         {"left_after", pool.left_after},
+                         {"held", pool.held}});
+    }
+    json zones = json::array();
+    for (const zone_preview& zone : preview.zones) {
+        zones.push_back({{"name", zone.pool.str()},
+                         {"zone", zone.zone.str()},
+                         {"vms", zone.vms},
+                         {"available", zone.available},
+                         {"drained", zone.drained},
+                         {"left", zone.left},
+                         {"left_after", zone.left_after}});
+    }
+    return {{"dry_run", true},
+            {"drained", names_json(preview.drained)},
+            {"first", names_json(preview.first)},
+            {"pools", std::move(pools)},
+            {"zones", std::move(zones)}};
+}
+
+void preview_move(const pool_operation& parameters, const vm_id& vm, const pool_id& target,
+                  std::string_view reason) {
+    const pool_controller& controller = parameters.pools.controller();
+    const auto order = controller.move_order(vm, target, reason);
+    if (!order.ok()) {
+        send_error(parameters.responder, order.status());
+        return;
+    }
+    json answer = preview_json(preview_of_move(controller.vms(), parameters.fleet, *order));
+    answer["moved"] = {{{"id", vm.str()},
+                        {"from", order->row.pool.str()},
+                        {"to", target.str()},
+                        {"version", order->expected}}};
+    send_json(parameters.responder, answer.dump());
+}
+
+void preview_maintenance(const pool_operation& parameters, const pool_id& pool,
+                         std::string_view reason) {
+    const pool_controller& controller = parameters.pools.controller();
+    const auto order = controller.maintenance_order(pool, reason);
+    if (!order.ok()) {
+        send_error(parameters.responder, order.status());
+        return;
+    }
+    send_json(
+        parameters.responder,
+        preview_json(preview_of_maintenance(controller.vms(), parameters.fleet, pool)).dump());
+}
+
 void move_vm(const pool_operation& parameters) {
     const json body = json::parse(parameters.request.body, nullptr, false);
     if (!body.is_object()) {
@@ -135,14 +201,25 @@
                    R"(expected {"pool","reason"})");
         return;
     }
-    parameters.pools.move(vm_id(parameters.path[1]), pool_id(body_text(body, "pool")),
-                          body_text(body, "reason"), answer_change(parameters.responder));
+    const vm_id vm(parameters.path[1]);
+    const pool_id target(body_text(body, "pool"));
+    const std::string reason = body_text(body, "reason");
+    if (is_dry_run(parameters.request.query)) {
+        preview_move(parameters, vm, target, reason);
+    } else {
+        parameters.pools.move(vm, target, reason, answer_change(parameters.responder));
+    }
 }
 
 void maintain_pool(const pool_operation& parameters) {
     const json body = json::parse(parameters.request.body, nullptr, false);
-    parameters.pools.maintain(pool_id(parameters.path[1]), body_text(body, "reason"),
-                              answer_change(parameters.responder));
+    const pool_id pool(parameters.path[1]);
+    const std::string reason = body_text(body, "reason");
+    if (is_dry_run(parameters.request.query)) {
+        preview_maintenance(parameters, pool, reason);
+    } else {
+        parameters.pools.maintain(pool, reason, answer_change(parameters.responder));
+    }
 }
 
 constexpr pool_route routes[] = {
--- a/src/io/url.cpp
+++ b/src/io/url.cpp
@@ -51,6 +51,10 @@
     return {};
 }
 
+bool is_dry_run(std::string_view query) {
+    return query_value(query, "dry_run") == "1";
+}
+
 std::vector<std::string> path_segments(std::string_view path) {
     std::vector<std::string> segments;
     while (!path.empty()) {
--- a/tests/pool_planners_test.cpp
+++ b/tests/pool_planners_test.cpp
@@ -3,6 +3,7 @@
 #include "citronford/availability_budget.h"
 #include "citronford/buffer_planner.h"
 #include "citronford/maintenance_planner.h"
+#include "citronford/order_preview.h"
 #include "citronford/pool_owner.h"
 #include "citronford/rebalancer.h"
 #include "citronford/spare_lending.h"
@@ -50,6 +51,37 @@
     cr_assert(budget_of(fleet, pool_id("quote")) == 0);
 }
 
+// Guards against a preview that promises more than the availability budget lets begin.
+Test(pool_planners, previews_a_roll_out_within_the_budget) {
+    const pool_id quote("quote");
+    fleet_configuration fleet;
+    fleet.defaults.pools = {{quote, 4, 2, pool_id()}};
+    vm_table vms;
+    std::vector<vm_listing> list;
+    for (const char* id : {"1", "2", "3", "4"}) {
+        vm_record row;
+        row.id = vm_id(id);
+        row.pool = quote;
+        row.zone = zone_id(*id < '3' ? "a" : "b");
+        row.state = *id == '4' ? vm_states::failed : vm_states::serving;
+        vms.apply(row, 1);
+        list.push_back({row.id, row.zone, rack_id(), quote, {}, false});
+    }
+    vms.apply_list(list, instant(seconds(1)));
+    const order_preview wave = preview_of_maintenance(vms, fleet, quote);
+    cr_assert(wave.drained.size() == 4 && wave.first.size() == 1);
+    cr_assert(wave.pools.at(0).left == 1 && wave.pools.at(0).left_after == 0);
+    cr_assert(wave.zones.at(0).drained == 2 && wave.zones.at(0).left == 1);
+    cr_assert(wave.zones.at(0).left_after == 0);
+    vm_write move{vms.find(vm_id("3"))->row, 1};
+    move.row.target = pool_id("other");
+    const order_preview moved = preview_of_move(vms, fleet, move);
+    cr_assert(moved.first == std::vector({vm_id("3")}) && moved.pools.size() == 2);
+    cr_assert(moved.zones.at(1).drained == 1);
+    fleet.removals = {{zone_id("a"), "power"}};
+    cr_assert(preview_of_maintenance(vms, fleet, quote).first.empty());
+}
+
 // Guards against a wave that is spread over racks, so that the loss of one rack adds to it.
 Test(pool_planners, packs_a_wave_into_the_rack_that_is_under_way) {
     const placed_vm due[] = {vm_at("1", "a", "a1"), vm_at("2", "b", "b1"), vm_at("3", "b", "b1"),
