Feed the demand of the queues to the buffer planner

Cause: the daemon never called planned_buffer: no node knew the demand of the queues of the others, so pools kept the configured number of VMs. Ruled out: demand in every heartbeat, which each peer would get several times a second, and in the registration, which is rewritten too rarely. Before: no buffer in the daemon. After: each node samples its slots and jobs per pool, shares the highest of ten samples in the row demand/{node} (only when it changed, at most 256 pools and one write in 10 s), and all nodes plan from the sums of an hour. process_reports reads from a node that answered nothing the buffer of the bookings that another one answered: burst 1, loss 1, total 2. Conclusion: buffers follow the largest loss and the burst; "pool show" and the state report show them. planned_buffer for a single zone did not end, since no buffer survives the loss of that zone; now only racks count there.

--- a/include/citronford/buffer_planner.h
+++ b/include/citronford/buffer_planner.h
@@ -28,7 +28,8 @@
     std::int64_t total = 0;        ///< VMs that cover the burst after the largest single loss.
 };
 
-/// VMs lost with the largest single zone or rack when `total` VMs are placed evenly.
+/// VMs lost with the largest single zone or rack when `total` VMs are placed evenly. In one zone
+/// only racks count.
 std::int64_t largest_single_loss(std::int64_t total, const vm_placement& placement);
 
 /// The fewest VMs of which `needed` remain after the largest single loss.
--- a/include/citronford/pool_controller.h
+++ b/include/citronford/pool_controller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "citronford/availability_budget.h"
+#include "citronford/buffer_control.h"
 #include "citronford/chart.h"
 #include "citronford/fleet_configuration.h"
 #include "citronford/instant.h"
@@ -63,11 +64,16 @@
     vm_id vm;
     std::optional<vm_status> status; ///< Empty when the platform did not answer.
 };
+/// VMs that pools need with their buffers; replaces the plan before. Each raises the number that
+/// the configuration wants, and never lowers it.
+struct buffers_planned {
+    std::vector<pool_want> pools;
+};
 /// Time passed.
 struct pools_tick {};
 
 using pool_input = std::variant<pool_rows_read, vms_listed, pool_node_listing, pool_commit_report,
-                                vm_status_report, pools_tick>;
+                                vm_status_report, buffers_planned, pools_tick>;
 
 // Effects of the controller.
 
--- a/include/citronford/request_router.h
+++ b/include/citronford/request_router.h
@@ -13,6 +13,7 @@
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -147,6 +148,8 @@
 
     [[nodiscard]] std::size_t open_requests() const;
     [[nodiscard]] std::size_t queued(const service_id& service) const;
+    /// Slots that the requests of each service take or wait for.
+    [[nodiscard]] std::map<service_id, std::size_t> slots_wanted() const;
     [[nodiscard]] const router_counters& counters() const;
     /// Name of the state of an executor in the chart `connection`; empty for an unknown one.
     [[nodiscard]] std::string_view executor_state(const executor_id& executor) const;
--- a/include/citronford/task_scheduler.h
+++ b/include/citronford/task_scheduler.h
@@ -181,6 +181,9 @@
     /// Jobs owned by this node that have not ended.
     [[nodiscard]] std::size_t open_jobs() const;
     [[nodiscard]] std::size_t queued_jobs() const;
+    /// Workers that the open jobs of this node need, by the mean size of the workers that it
+    /// holds; zero while it holds none that has reported its capacity.
+    [[nodiscard]] double workers_wanted() const;
     [[nodiscard]] bool holds(const worker_id& worker) const;
     [[nodiscard]] bool quarantined(const worker_id& worker) const;
     [[nodiscard]] const scheduler_counts& counts() const;
--- a/src/decide/buffer_planner.cpp
+++ b/src/decide/buffer_planner.cpp
@@ -33,7 +33,9 @@
 } // namespace
 
 std::int64_t largest_single_loss(std::int64_t total, const vm_placement& placement) {
-    const std::int64_t zone = (total + placement.zones - 1) / placement.zones;
+    // The loss of the only zone leaves nothing, whatever its size, and is not planned for.
+    const std::int64_t zone =
+        placement.zones < 2 ? 0 : (total + placement.zones - 1) / placement.zones;
     return std::min(total, std::max(zone, std::min(placement.rack_size, total)));
 }
 
--- a/src/decide/pool_controller.cpp
+++ b/src/decide/pool_controller.cpp
@@ -58,7 +58,11 @@
         : vm_cycle_(std::move(vm_cycle)), zone_cycle_(std::move(zone_cycle)),
           options_(std::move(options)) {}
 
-    void configure(const fleet_configuration& fleet) { fleet_ = fleet; }
+    void configure(const fleet_configuration& fleet) {
+        fleet_ = fleet;
+        configured_pools_ = fleet.defaults.pools;
+        raise_wanted_vms();
+    }
 
     std::vector<pool_effect> handle(const pool_input& input, instant now) {
         std::vector<pool_effect> effects;
@@ -132,6 +136,25 @@
         members_ = listing.nodes;
     }
 
+    void take(const buffers_planned& planned, instant /*now*/, effects_out /*effects*/) {
+        wants_.clear();
+        for (const pool_want& want : planned.pools) {
+            wants_[want.pool] = want.vms;
+        }
+        raise_wanted_vms();
+    }
+
+    /// `fleet_` wants what is configured, or what the buffers need where that is more.
+    void raise_wanted_vms() {
+        fleet_.defaults.pools = configured_pools_;
+        for (pool_definition& pool : fleet_.defaults.pools) {
+            const auto want = wants_.find(pool.name);
+            if (want != wants_.end()) {
+                pool.wanted = std::max(pool.wanted, want->second);
+            }
+        }
+    }
+
     void take(const vm_status_report& report, instant now, effects_out effects) {
         const vm_entry* vm = vms_.find(report.vm);
         if (vm == nullptr || !report.status) {
@@ -472,7 +495,9 @@
     vm_life_cycle vm_cycle_;
     zone_life_cycle zone_cycle_;
     pool_controller_options options_;
-    fleet_configuration fleet_;
+    fleet_configuration fleet_; ///< With the buffers in `wanted`.
+    std::vector<pool_definition> configured_pools_;
+    std::map<pool_id, std::int64_t> wants_; ///< VMs that the buffers need.
     vm_table vms_;
     fleet_demand demand_;
     std::vector<node_id> members_;
--- a/src/decide/request_router.cpp
+++ b/src/decide/request_router.cpp
@@ -359,6 +359,10 @@
     return body_->queued(service);
 }
 
+std::map<service_id, std::size_t> request_router::slots_wanted() const {
+    return body_->slots_wanted();
+}
+
 const router_counters& request_router::counters() const {
     return body_->counters();
 }
--- a/src/decide/request_router_state.h
+++ b/src/decide/request_router_state.h
@@ -120,6 +120,16 @@
         const auto found = services_.find(service);
         return found == services_.end() ? 0 : found->second.queue.size();
     }
+    [[nodiscard]] std::map<service_id, std::size_t> slots_wanted() const {
+        std::map<service_id, std::size_t> slots;
+        for (const auto& [name, service] : services_) {
+            slots[name] = service.queue.size();
+        }
+        for (const auto& [id, attempt] : attempts_) {
+            ++slots[attempt.service];
+        }
+        return slots;
+    }
     [[nodiscard]] const router_counters& counters() const { return counters_; }
     [[nodiscard]] const executor_set& executors() const { return executors_; }
 
--- a/src/decide/task_scheduler.cpp
+++ b/src/decide/task_scheduler.cpp
@@ -285,6 +285,9 @@
 std::size_t task_scheduler::queued_jobs() const {
     return body_->queued_jobs();
 }
+double task_scheduler::workers_wanted() const {
+    return body_->workers_wanted();
+}
 bool task_scheduler::holds(const worker_id& worker) const {
     return body_->holds(worker);
 }
--- a/src/decide/task_scheduler_state.h
+++ b/src/decide/task_scheduler_state.h
@@ -177,6 +177,23 @@
         }
         return total;
     }
+    [[nodiscard]] double workers_wanted() const {
+        resources capacity;
+        std::int64_t workers = 0;
+        for (const worker_entry& worker : workers_) {
+            if (worker.known && worker.position == held_) {
+                capacity += worker.capacity;
+                ++workers;
+            }
+        }
+        resources wanted;
+        for (const auto& [id, entry] : jobs_) {
+            if (!job_machine_.is_final(entry.position)) {
+                wanted += entry.charged ? entry.charge : expected_size(entry);
+            }
+        }
+        return static_cast<double>(workers) * dominant_fraction(wanted, capacity);
+    }
     [[nodiscard]] bool holds(const worker_id& worker) const {
         const auto found = worker_index_.find(worker);
         return found != worker_index_.end() && workers_[found->second].position == held_;
--- /dev/null
+++ b/src/io/buffer_report.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "citronford/buffer_control.h"
+
+#include <nlohmann/json.hpp>
+
+namespace citronford {
+
+/// A buffer as reports show it, in VMs.
+inline nlohmann::json buffer_json(const pool_buffer& buffer) {
+    return {{"demand", buffer.demand},
+            {"samples", buffer.samples},
+            {"burst", buffer.plan.burst},
+            {"largest_loss", buffer.plan.largest_loss},
+            {"total", buffer.plan.total}};
+}
+
+} // namespace citronford
--- a/src/io/operator_pools.cpp
+++ b/src/io/operator_pools.cpp
@@ -2,6 +2,7 @@
 
 #include "citronford/order_preview.h"
 #include "citronford/result_code.h"
+#include "io/buffer_report.h"
 #include "io/http_response.h"
 #include "io/url.h"
 #include "node/node.h"
@@ -22,6 +23,7 @@
     const http_request& request;
     const http_responder& responder;
     const std::vector<std::string>& path;
+    const std::map<pool_id, pool_buffer>& buffers;
 };
 
 struct pool_route {
@@ -53,11 +55,16 @@
                      {"arriving", count.arriving},
                      {"availability", availability_json(count)},
                      {"controller", controller.lease_owner(pool).str()},
+                     {"buffer", nullptr},
                      {"roll_out", nullptr}};
     if (definition != nullptr) {
         document["wanted"] = definition->wanted;
         document["spare"] = definition->spare.str();
     }
+    const auto buffer = parameters.buffers.find(pool);
+    if (buffer != parameters.buffers.end()) {
+        document["buffer"] = buffer_json(buffer->second);
+    }
     if (roll_out.number != 0) {
         document["roll_out"] = {{"number", roll_out.number},
                                 {"reason", roll_out.reason},
@@ -243,8 +250,8 @@
         }
         path_known = true;
         if (route.method == request.method) {
-            route.function(
-                {target.pools(), target.configuration().fleet(), request, responder, path});
+            route.function({target.pools(), target.configuration().fleet(), request, responder,
+                            path, target.buffers()});
             return true;
         }
     }
--- a/src/io/state_report.cpp
+++ b/src/io/state_report.cpp
@@ -1,6 +1,7 @@
 #include "io/state_report.h"
 
 #include "citronford/invariant.h"
+#include "io/buffer_report.h"
 #include "node/node.h"
 
 #include <nlohmann/json.hpp>
@@ -29,6 +30,13 @@
                            {"state", target.configuration().members().state_of(item)},
                            {"configuration_version", item.last.version}});
     }
+    json buffers = json::array();
+    for (const auto& [pool, buffer] : target.buffers()) {
+        json item = buffer_json(buffer);
+        item["name"] = pool.str();
+        item["vms"] = target.pools().controller().vms().members(pool).size();
+        buffers.push_back(std::move(item));
+    }
     json document = {{"node", target.node_settings().node.str()},
                      {"zone", target.node_settings().zone.str()},
                      {"ready", target.ready()},
@@ -37,6 +45,7 @@
                      {"configuration_version", fleet.version},
                      {"open_requests", target.open_requests()},
                      {"teams", teams},
+                     {"buffers", buffers},
                      {"removed_zones", removals},
                      {"invariant_violations", invariant_monitor::violations()}};
     if (sequence > 0) {
--- /dev/null
+++ b/src/node/buffer_driver.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "citronford/buffer_control.h"
+#include "citronford/fleet_configuration.h"
+#include "citronford/settings.h"
+#include "citronford/table_service.h"
+#include "citronford/timer_service.h"
+#include "node/pool_driver.h"
+
+#include <functional>
+#include <span>
+#include <vector>
+
+namespace citronford {
+
+/// Feeds the demand of the queues to the buffer planner, and its plans to the pools.
+class buffer_driver {
+  public:
+    /// Reads what the queues of this node need now.
+    using demand_reader = std::function<std::vector<pool_load>()>;
+
+    /// All references outlive the driver.
+    buffer_driver(const settings& node_settings, timer_service& timers, table_service& table,
+                  pool_driver& pools, demand_reader demand);
+
+    buffer_driver(const buffer_driver&) = delete;
+    buffer_driver& operator=(const buffer_driver&) = delete;
+    buffer_driver(buffer_driver&&) = delete;
+    buffer_driver& operator=(buffer_driver&&) = delete;
+    ~buffer_driver() = default;
+
+    void start();
+    void set_members(std::span<const node_id> nodes);
+
+    [[nodiscard]] const std::map<pool_id, pool_buffer>& buffers() const {
+        return control_.buffers();
+    }
+
+  private:
+    void handle(const buffer_input& input);
+    void perform(const write_demand& effect);
+    void perform(const erase_demand& effect);
+    void perform(const raise_wanted& effect);
+    void end_interval();
+    void take_scan(const table_scan& scan);
+    void commit(const table_check& check, const table_write& write);
+
+    timer_service& timers_;
+    table_service& table_;
+    pool_driver& pools_;
+    demand_reader demand_;
+    duration sample_period_;
+    buffer_control control_;
+    table_version scanned_ = 0;
+    bool scanning_ = false;
+    timer_subscription sample_timer_;
+    timer_subscription interval_timer_;
+};
+
+/// VMs that the pools need for slots of services and for workers. Slots are counted by the slots of
+/// one executor; worker pools share the workers by what they want.
+std::vector<pool_load> loads_of(const fleet_configuration& fleet,
+                                const std::map<service_id, std::size_t>& slots, double workers);
+
+} // namespace citronford
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -59,6 +59,11 @@
         return tasks.status();
     }
     created->tasks_ = *std::move(tasks);
+    created->buffers_ = std::make_unique<buffer_driver>(
+        node_settings, links.timers, links.table, *created->pools_, [target = created.get()] {
+            return loads_of(target->configuration_->fleet(), target->requests_->slots_wanted(),
+                            target->tasks_->scheduler().workers_wanted());
+        });
     created->on_stop_listening_ = std::move(on_stop_listening);
     created->on_leave_ = std::move(on_leave);
     return created;
@@ -78,6 +83,7 @@
     requests_->start();
     levels_->start();
     tasks_->start();
+    buffers_->start();
     member_timer_ = links_.timers.every(member_period, [this](instant now) { share_members(now); });
 }
 
@@ -98,6 +104,7 @@
     }
     tasks_->set_members(members);
     pools_->set_members(nodes);
+    buffers_->set_members(nodes);
     requests_->set_node_count(nodes.size());
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -3,6 +3,7 @@
 #include "citronford/drain.h"
 #include "citronford/settings.h"
 #include "citronford/team_limits.h"
+#include "node/buffer_driver.h"
 #include "node/control_driver.h"
 #include "node/node_links.h"
 #include "node/pool_driver.h"
@@ -67,6 +68,10 @@
     [[nodiscard]] control_driver& configuration() { return *configuration_; }
     [[nodiscard]] const control_driver& configuration() const { return *configuration_; }
     [[nodiscard]] pool_driver& pools() { return *pools_; }
+    /// The buffers of the pools with a demand.
+    [[nodiscard]] const std::map<pool_id, pool_buffer>& buffers() const {
+        return buffers_->buffers();
+    }
     [[nodiscard]] const team_limits& limits() const { return limits_; }
     [[nodiscard]] std::size_t open_requests() const { return requests_->open_requests(); }
     [[nodiscard]] const task_scheduler& tasks() const { return tasks_->scheduler(); }
@@ -95,6 +100,7 @@
     std::unique_ptr<pool_driver> pools_;
     std::unique_ptr<request_driver> requests_;
     std::unique_ptr<task_driver> tasks_;
+    std::unique_ptr<buffer_driver> buffers_;
     std::function<void()> on_stop_listening_;
     std::function<void()> on_leave_;
     timer_subscription drain_timer_;
--- a/src/node/pool_driver.cpp
+++ b/src/node/pool_driver.cpp
@@ -78,6 +78,10 @@
     handle(pool_node_listing{{nodes.begin(), nodes.end()}});
 }
 
+void pool_driver::plan_buffers(std::span<const pool_want> wants) {
+    handle(buffers_planned{{wants.begin(), wants.end()}});
+}
+
 std::optional<pool_id> pool_driver::pool_of(const vm_id& vm) const {
     const vm_entry* entry = controller_->vms().find(vm);
     return entry == nullptr ? std::nullopt : std::optional(entry->row.pool);
--- a/src/node/pool_driver.h
+++ b/src/node/pool_driver.h
@@ -49,6 +49,9 @@
     /// Takes in the live nodes; until the first call the node counts itself only.
     void set_members(std::span<const node_id> nodes);
 
+    /// Takes in the VMs that pools need with their buffers.
+    void plan_buffers(std::span<const pool_want> wants);
+
     /// Orders a move. Fails as `pool_controller::move_order`, with `conflict` naming the version
     /// that was committed first, `table_unavailable` or `commit_in_doubt`.
     void move(const vm_id& vm, const pool_id& target, std::string_view reason,
--- a/src/node/request_driver.h
+++ b/src/node/request_driver.h
@@ -52,6 +52,9 @@
     [[nodiscard]] std::size_t queued(const service_id& service) const {
         return router_->queued(service);
     }
+    [[nodiscard]] std::map<service_id, std::size_t> slots_wanted() const {
+        return router_->slots_wanted();
+    }
 
   private:
     request_driver(settings node_settings, node_links links, team_limits& limits,
--- a/tests/pool_controller_test.cpp
+++ b/tests/pool_controller_test.cpp
@@ -321,6 +321,21 @@
     cr_assert(fixture.row(vm_id("v5")).home.empty());
 }
 
+// Guards against buffers that are planned but do not move VMs, and against a plan that lowers what
+// operators want.
+Test(pool_controller, moves_vms_for_a_buffer) {
+    stored_rows table;
+    controller_fixture fixture(table);
+    fixture.pass_seconds(3);
+    fixture.handle(buffers_planned{{{quote, 1}}});
+    fixture.pass_second();
+    cr_assert(fixture.drains.empty());
+    fixture.handle(buffers_planned{{{quote, 5}}});
+    fixture.pass_second();
+    cr_assert(fixture.drains.size() == 1);
+    cr_assert(fixture.row(fixture.drains[0].vm).target == quote);
+}
+
 // Guards against planned steps that rely on a list from before a platform outage.
 Test(pool_controller, begins_no_step_on_an_old_list) {
     stored_rows table;
--- a/tests/process/reports.sh
+++ b/tests/process/reports.sh
@@ -42,6 +42,15 @@
     fail "the page loads something else"
 fi
 
+# Both the pool and the state, from a node that answered nothing, show the buffer for the bookings.
+output_has() { # TEXT COMMAND...
+    "$bin/citronford" "${@:2}" --entry "${operators[entry-b-1]}" --json | grep -q -- "$1"
+}
+# One slot in use is an eighth of a VM; a loss of one of two zones needs a second VM.
+wait_for 10 output_has '"buffer":{"burst":1,.*"largest_loss":1,.*"total":2}' pool show bookings ||
+    fail "no buffer: $("$bin/citronford" pool show bookings --json --entry "${operators[entry-b-1]}")"
+wait_for 5 output_has '"buffers":\[{.*"name":"bookings"' state || fail "no buffers in the state report"
+
 log=$work/entry-a-1.log
 [ "$(grep -c 'event=request_failed code=201' "$log")" -le 10 ] || fail "repeated events are not limited"
 grep -q 'event=request_failed code=201 request=rejected-' "$log" || fail "no line of a rejected key"
