Plan a pool only when its rows, the list or the configuration changed

Cause: each tick of the pool controller visited every VM row for the demand of the fleet and copied the members of each controlled pool twice, whether anything had changed or not. It hashed the owner of every pool anew and searched the pool definitions one by one for each pool. Ruled out: reading too many rows. The scans are unchanged; the stand-in now counts rows by prefix. Conclusion: the cost of a poll follows the changed rows and the number of pools. A transaction that was not written makes its pool due again.

--- a/include/citronford/availability_budget.h
+++ b/include/citronford/availability_budget.h
@@ -45,6 +45,10 @@
 /// The availability budget of `pool`: its exception `unavailable`, else its definition, else 1.
 std::int64_t budget_of(const fleet_configuration& fleet, const pool_id& pool);
 
+/// The same for a caller that has found the definition of the pool; null for none.
+std::int64_t budget_of(const fleet_configuration& fleet, const pool_id& pool,
+                       const pool_definition* definition);
+
 pool_availability availability_of(const vm_table& vms, const pool_id& pool,
                                   const fleet_configuration& fleet);
 
--- a/include/citronford/pool_steps.h
+++ b/include/citronford/pool_steps.h
@@ -4,6 +4,8 @@
 #include "citronford/rebalancer.h"
 #include "citronford/spare_lending.h"
 
+#include <cstdint>
+#include <map>
 #include <span>
 #include <vector>
 
@@ -15,17 +17,39 @@
     std::vector<pool_shortage> shortages; ///< Pools with VMs in a removed zone.
 };
 
-/// The demand of every configured pool. Visits every VM once.
-fleet_demand demand_of(const vm_table& vms, const fleet_configuration& fleet);
+/// VMs of each pool for the demand of the fleet. Rows are added and removed one by one, so that a
+/// changed row costs the same in a fleet of any size.
+class demand_counts {
+  public:
+    void add(const vm_record& row, const fleet_configuration& fleet) { count(row, fleet, 1); }
+    void remove(const vm_record& row, const fleet_configuration& fleet) { count(row, fleet, -1); }
+    void clear() { counts_.clear(); }
+
+    /// The demand of every configured pool by the rows counted and the VMs without a row.
+    [[nodiscard]] fleet_demand demand(const vm_table& vms, const fleet_configuration& fleet) const;
+
+  private:
+    struct pool_count {
+        std::int64_t members = 0;
+        std::int64_t remaining = 0;
+        std::int64_t in_removed_zones = 0;
+    };
+
+    void count(const vm_record& row, const fleet_configuration& fleet, std::int64_t sign);
+
+    std::map<pool_id, pool_count> counts_;
+};
 
 /// One pool at the moment its next steps are planned.
 struct pool_situation {
     pool_id pool;
-    std::span<const vm_entry> members;
+    std::span<const vm_entry* const> members;
     const fleet_configuration& fleet;
     const fleet_demand& demand;
-    table_version roll_out = 0; ///< Number of the last roll-out of the pool.
-    bool steps_held = false;    ///< A zone removal is in progress or the list is too old.
+    const pool_definition* definition = nullptr; ///< Null for a pool that is not configured.
+    std::int64_t budget = 0;                     ///< Availability budget of the pool.
+    table_version roll_out = 0;                  ///< Number of the last roll-out of the pool.
+    bool steps_held = false; ///< A zone removal is in progress or the list is too old.
     bool giving_back = false;
 };
 
--- a/include/citronford/vm_table.h
+++ b/include/citronford/vm_table.h
@@ -35,8 +35,8 @@
     /// Takes in the deletion of a row, unless a newer row is known.
     void erase(const vm_id& vm, table_version version);
 
-    /// Replaces the list.
-    void apply_list(std::span<const vm_listing> vms, instant read_at);
+    /// Replaces the list. Returns whether it differs from the last one.
+    bool apply_list(std::span<const vm_listing> vms, instant read_at);
 
     /// When the last list was asked for; `instant::min()` before the first.
     [[nodiscard]] instant listed_at() const { return listed_at_; }
--- a/src/decide/availability_budget.cpp
+++ b/src/decide/availability_budget.cpp
@@ -58,13 +58,17 @@
 }
 
 std::int64_t budget_of(const fleet_configuration& fleet, const pool_id& pool) {
+    return budget_of(fleet, pool, find_pool(fleet, pool.view()));
+}
+
+std::int64_t budget_of(const fleet_configuration& fleet, const pool_id& pool,
+                       const pool_definition* definition) {
     const auto text = exception_value(fleet, "pool/" + pool.str(), "unavailable");
     std::int64_t budget = 0;
     if (text &&
         std::from_chars(text->data(), text->data() + text->size(), budget).ec == std::errc()) {
         return std::max<std::int64_t>(0, budget);
     }
-    const pool_definition* definition = find_pool(fleet, pool.view());
     return definition == nullptr ? 1 : definition->unavailable;
 }
 
--- a/src/decide/pool_controller.cpp
+++ b/src/decide/pool_controller.cpp
@@ -38,6 +38,8 @@
 
 struct pool_state {
     pool_lease lease;
+    bool owned = false; ///< Whether this node is to control the pool.
+    bool due = true;    ///< Something changed since its steps were planned last.
     open_commit commit;
     std::optional<instant> read_after; ///< Rows must be read after this instant before acting.
     std::map<vm_id, vm_follow> follows;
@@ -62,6 +64,13 @@
         fleet_ = fleet;
         configured_pools_ = fleet.defaults.pools;
         raise_wanted_vms();
+        // A removed zone changes what its VMs count for.
+        counts_.clear();
+        for (const auto& [id, vm] : vms_.entries()) {
+            counts_.add(vm.row, fleet_);
+        }
+        operations_ += vms_.entries().size();
+        note_fleet_change();
     }
 
     std::vector<pool_effect> handle(const pool_input& input, instant now) {
@@ -93,22 +102,42 @@
   private:
     using effects_out = std::vector<pool_effect>&;
 
-    /// Copies of the members of a pool, changed step by step and then written together.
-    struct member {
-        vm_entry entry;
-        bool changed = false;
+    /// A member of a pool; a copy of its row is changed step by step and then written.
+    class member {
+      public:
+        explicit member(const vm_entry* known) : entry_(known) {}
+        /// A VM without a row.
+        explicit member(vm_entry added)
+            : changed_(std::make_unique<vm_entry>(std::move(added))), entry_(changed_.get()) {}
+
+        [[nodiscard]] const vm_entry& entry() const { return *entry_; }
+        [[nodiscard]] bool changed() const { return changed_ != nullptr; }
+        void change(vm_record row) {
+            vm_entry next = *entry_;
+            next.row = std::move(row);
+            changed_ = std::make_unique<vm_entry>(std::move(next));
+            entry_ = changed_.get();
+        }
+
+      private:
+        std::unique_ptr<vm_entry> changed_;
+        const vm_entry* entry_;
     };
 
     void take(const pool_rows_read& rows, instant now, effects_out /*effects*/) {
         for (const auto& item : rows.vms) {
             if (item.deleted) {
-                vms_.erase(item.row.id, item.version);
+                erase_row(item.row.id, item.version);
             } else {
                 take_row(item);
             }
         }
         for (const auto& item : rows.pools) {
-            vms_.apply(item.row, item.version);
+            if (item.version > vms_.roll_out(item.row.name)) {
+                vms_.apply(item.row, item.version);
+                state_of(item.row.name).due = true;
+                names_changed_ = true;
+            }
         }
         for (const auto& item : rows.leases) {
             state_of(item.row.pool).lease.observe(item.row, item.version, now);
@@ -125,23 +154,74 @@
             known->row.state != vm_states::moving && item.row.state != vm_states::moving;
         invariant_monitor::check(!comparable || known->row.epoch <= item.row.epoch, "one-pool",
                                  "a controller wrote a VM row after its successor");
-        vms_.apply(item.row, item.version);
+        apply_row(item.row, item.version);
+    }
+
+    void apply_row(const vm_record& row, table_version version) {
+        const vm_entry* known = vms_.find(row.id);
+        if (known != nullptr) {
+            if (version <= known->version) {
+                return;
+            }
+            counts_.remove(known->row, fleet_);
+            state_of(known->row.pool).due = true;
+        }
+        names_changed_ = names_changed_ || vms_.members(row.pool).empty();
+        vms_.apply(row, version);
+        counts_.add(row, fleet_);
+        state_of(row.pool).due = true;
+        demand_changed_ = true;
+        ++operations_;
+    }
+
+    void erase_row(const vm_id& vm, table_version version) {
+        const vm_entry* known = vms_.find(vm);
+        if (known == nullptr || version <= known->version) {
+            return;
+        }
+        counts_.remove(known->row, fleet_);
+        state_of(known->row.pool).due = true;
+        vms_.erase(vm, version);
+        demand_changed_ = true;
+        ++operations_;
+    }
+
+    /// Every pool is planned anew.
+    void note_fleet_change() {
+        for (auto& [name, pool] : pools_) {
+            pool.due = true;
+        }
+        demand_changed_ = true;
+        names_changed_ = true;
     }
 
     void take(const vms_listed& list, instant /*now*/, effects_out /*effects*/) {
-        vms_.apply_list(list.vms, list.begun);
+        if (vms_.apply_list(list.vms, list.begun)) {
+            operations_ += list.vms.size();
+            note_fleet_change();
+        }
     }
 
     void take(const pool_node_listing& listing, instant /*now*/, effects_out /*effects*/) {
+        if (listing.nodes == members_) {
+            return;
+        }
         members_ = listing.nodes;
+        for (auto& [name, pool] : pools_) {
+            pool.owned = pool_owner(name, members_) == options_.node;
+        }
     }
 
     void take(const buffers_planned& planned, instant /*now*/, effects_out /*effects*/) {
-        wants_.clear();
+        std::map<pool_id, std::int64_t> wants;
         for (const pool_want& want : planned.pools) {
-            wants_[want.pool] = want.vms;
+            wants[want.pool] = want.vms;
+        }
+        if (wants != wants_) {
+            wants_ = std::move(wants);
+            raise_wanted_vms();
+            note_fleet_change();
         }
-        raise_wanted_vms();
     }
 
     /// `fleet_` wants what is configured, or what the buffers need where that is more.
@@ -153,6 +233,10 @@
                 pool.wanted = std::max(pool.wanted, want->second);
             }
         }
+        definitions_.clear();
+        for (const pool_definition& pool : fleet_.defaults.pools) {
+            definitions_.emplace(pool.name, &pool);
+        }
     }
 
     void take(const vm_status_report& report, instant now, effects_out effects) {
@@ -176,6 +260,7 @@
         }
         const open_commit commit = std::exchange(pool.commit, {});
         using enum pool_commit_report::outcome;
+        pool.due = pool.due || commit.takes_lease || report.result != committed;
         const bool ignores_conflict = fault_planted("one-pool") && report.result == conflicted;
         if (report.result == committed) {
             pool.lease.renewed(commit.lease, report.version, commit.sent_at);
@@ -202,9 +287,9 @@
     void take_committed(const open_commit& commit, table_version version) {
         for (const vm_record& row : commit.rows) {
             if (row.state == vm_states::removed) {
-                vms_.erase(row.id, version);
+                erase_row(row.id, version);
             } else {
-                vms_.apply(row, version);
+                apply_row(row, version);
             }
         }
         seen_ = std::max(seen_, version);
@@ -214,23 +299,50 @@
         if (rows_begun_ == instant::min()) {
             return;
         }
-        demand_ = demand_of(vms_, fleet_);
-        operations_ += vms_.entries().size();
-        for (const pool_id& name : pools()) {
+        const bool list_was_too_old = std::exchange(list_too_old_, is_list_too_old(now));
+        if (list_was_too_old != list_too_old_) {
+            note_fleet_change();
+        }
+        update_demand();
+        if (std::exchange(names_changed_, false)) {
+            names_ = pools();
+        }
+        for (const pool_id& name : names_) {
             ++operations_;
             advance(name, state_of(name), now, true, effects);
         }
     }
 
+    [[nodiscard]] bool is_list_too_old(instant now) const {
+        return vms_.listed_at() == instant::min() || now - vms_.listed_at() > options_.list_limit;
+    }
+
+    /// The pools that give VMs for the new demand are planned anew.
+    void update_demand() {
+        if (!std::exchange(demand_changed_, false)) {
+            return;
+        }
+        demand_ = counts_.demand(vms_, fleet_);
+        operations_ += fleet_.defaults.pools.size();
+        for (const pool_transfer& transfer : demand_.transfers) {
+            state_of(transfer.from).due = true;
+        }
+        for (const pool_shortage& shortage : demand_.shortages) {
+            const pool_definition* definition = find_pool(fleet_, shortage.pool.view());
+            if (definition != nullptr && !definition->spare.empty()) {
+                state_of(definition->spare).due = true;
+            }
+        }
+    }
+
     /// Does for one pool what can be done now; new steps are planned on a tick only.
     void advance(const pool_id& name, pool_state& pool, instant now, bool plan,
                  effects_out effects) {
-        const bool owner = pool_owner(name, members_) == options_.node;
         if (pool.commit.number != 0) {
             return;
         }
         if (!pool.lease.held(now)) {
-            if (owner && pool.lease.may_take(now)) {
+            if (pool.owned && pool.lease.may_take(now)) {
                 commit(pool, {}, pool.lease.claim(name), now, effects);
             }
             return;
@@ -242,16 +354,21 @@
             return;
         }
         pool.read_after.reset();
-        if (!owner) {
+        if (!pool.owned) {
             commit(pool, {}, pool.lease.release(name), now, effects);
             return;
         }
+        if (!pool.due && pool.follows.empty()) {
+            write_changes(name, pool, {}, now, effects);
+            return;
+        }
         std::vector<member> members = members_of(name);
         follow_members(pool, members, now);
-        if (plan) {
+        if (plan && pool.due) {
             add_unwritten(name, members);
-            step_zones(pool, members);
-            begin_steps(name, pool, members, now);
+            // The next step of a zone can allow steps that this one holds.
+            pool.due = step_zones(pool, members);
+            begin_steps(name, pool, members);
         }
         write_changes(name, pool, members, now, effects);
         give_orders(pool, members, now, effects);
@@ -261,7 +378,7 @@
         std::vector<member> members;
         members.reserve(vms_.members(pool).size());
         for (const auto& [id, vm] : vms_.members(pool)) {
-            members.push_back({*vm});
+            members.emplace_back(vm);
         }
         operations_ += members.size();
         return members;
@@ -270,18 +387,17 @@
     /// A VM of the list without a row gets one in the pool where the platform started it.
     void add_unwritten(const pool_id& pool, std::vector<member>& members) const {
         for (const vm_listing& vm : vms_.without_row(pool)) {
-            member added;
-            added.entry.row.id = vm.id;
-            added.entry.row.pool = pool;
-            added.entry.row.zone = vm.zone;
-            added.entry.row.rack = vm.rack;
-            added.entry.row.maintained = seen_;
+            vm_entry added;
+            added.row.id = vm.id;
+            added.row.pool = pool;
+            added.row.zone = vm.zone;
+            added.row.rack = vm.rack;
+            added.row.maintained = seen_;
             // Orders to an earlier VM of this name had lower numbers than the table's version.
-            added.entry.row.order = seen_;
-            added.entry.listed = true;
-            added.entry.leaving = vm.leaving;
-            added.changed = true;
-            members.push_back(std::move(added));
+            added.row.order = seen_;
+            added.listed = true;
+            added.leaving = vm.leaving;
+            members.emplace_back(std::move(added));
         }
     }
 
@@ -291,8 +407,8 @@
             return vm == nullptr || !needs_follow(*vm);
         });
         for (member& item : members) {
-            if (needs_follow(item.entry)) {
-                follow(follow_of(pool, item.entry, now), item, now);
+            if (needs_follow(item.entry())) {
+                follow(follow_of(pool, item.entry(), now), item, now);
             }
         }
     }
@@ -325,13 +441,13 @@
     /// Takes one VM through what the platform and the clock say of it.
     void follow(const vm_follow& known, member& item, instant now) const {
         using enum vm_status::condition;
-        vm_record& row = item.entry.row;
-        const bool is_failed = row.state == vm_states::failed;
+        const std::string& state = item.entry().row.state;
+        const bool is_failed = state == vm_states::failed;
         if (is_failed && known.missing_since && now - *known.missing_since >= options_.gone_after) {
             step(item, vm_gone{});
             return;
         }
-        if ((row.state == vm_states::rebooting || row.state == vm_states::moving) &&
+        if ((state == vm_states::rebooting || state == vm_states::moving) &&
             now - known.since >= options_.reboot_limit) {
             step(item, vm_overdue{});
             return;
@@ -340,37 +456,44 @@
             return;
         }
         const vm_status& status = *known.status;
-        const bool carried_out = status.order >= row.order;
+        const bool carried_out = status.order >= item.entry().row.order;
         if (status.state == gone) {
             step(item, vm_lost{});
         } else if (status.state == drained && (is_failed || carried_out)) {
             if (step(item, vm_drained{})) {
                 step(item, vm_proceeds{});
             }
-        } else if (status.state == serving && (is_failed ? item.entry.listed : carried_out)) {
+        } else if (status.state == serving && (is_failed ? item.entry().listed : carried_out)) {
             step(item, vm_came_back{});
         }
     }
 
     bool step(member& item, const vm_event& event) const {
-        const bool stepped = vm_cycle_.step(item.entry.row, event, seen_);
-        item.changed = item.changed || stepped;
-        return stepped;
+        vm_record row = item.entry().row;
+        if (!vm_cycle_.step(row, event, seen_)) {
+            return false;
+        }
+        item.change(std::move(row));
+        return true;
     }
 
-    void step_zones(pool_state& pool, const std::vector<member>& members) {
+    /// Returns whether any zone took a step.
+    bool step_zones(pool_state& pool, const std::vector<member>& members) {
         std::set<zone_id> present;
         bool borrowed = false;
         bool any_removed = false;
         for (const member& item : members) {
-            present.insert(item.entry.row.zone);
-            borrowed = borrowed || !item.entry.row.home.empty();
-            any_removed = any_removed || zone_removed(fleet_, item.entry.row.zone);
+            const vm_record& row = item.entry().row;
+            present.insert(row.zone);
+            borrowed = borrowed || !row.home.empty();
+            any_removed = any_removed || zone_removed(fleet_, row.zone);
         }
         for (const zone_id& zone : present) {
             pool.zones.try_emplace(zone, zone_cycle_.begin());
         }
+        bool stepped = false;
         for (auto& [zone, situation] : pool.zones) {
+            const chart_position before = situation.position;
             situation.has_borrowed = borrowed;
             if (zone_removed(fleet_, zone) && present.contains(zone)) {
                 zone_cycle_.step(situation, removal_ordered{});
@@ -383,60 +506,64 @@
             if (!present.contains(zone)) {
                 zone_cycle_.step(situation, zone_emptied{});
             }
+            stepped = stepped || situation.position != before;
         }
         std::erase_if(pool.zones,
                       [&](const auto& item) { return zone_cycle_.closed(item.second); });
+        return stepped;
     }
 
-    void begin_steps(const pool_id& name, const pool_state& pool, std::vector<member>& members,
-                     instant now) {
-        std::vector<vm_entry> entries;
+    void begin_steps(const pool_id& name, const pool_state& pool, std::vector<member>& members) {
+        std::vector<const vm_entry*> entries;
         entries.reserve(members.size());
         for (const member& item : members) {
-            entries.push_back(item.entry);
+            entries.push_back(&item.entry());
         }
         operations_ += entries.size();
-        const bool list_too_old =
-            now - vms_.listed_at() > options_.list_limit || vms_.listed_at() == instant::min();
         const auto any_zone = [&](bool zone_situation::*flag) {
             return std::ranges::any_of(pool.zones,
                                        [&](const auto& item) { return item.second.*flag; });
         };
+        const auto found = definitions_.find(name);
+        const pool_definition* definition = found == definitions_.end() ? nullptr : found->second;
         const pool_situation situation{name,
                                        entries,
                                        fleet_,
                                        demand_,
+                                       definition,
+                                       budget_of(fleet_, name, definition),
                                        vms_.roll_out(name),
-                                       list_too_old ||
+                                       list_too_old_ ||
                                            any_zone(&zone_situation::planned_steps_held),
                                        any_zone(&zone_situation::giving_back)};
         const std::vector<pool_step> steps = planned_steps(situation);
         check_budget(situation, steps);
         for (const pool_step& planned : steps) {
-            const auto found = std::ranges::find(
-                members, planned.vm, [](const member& item) { return item.entry.row.id; });
-            step(*found, step_planned{planned.step, planned.target});
+            const auto member_found =
+                std::ranges::find(members, planned.vm, [](const member& item) -> const vm_id& {
+                    return item.entry().row.id;
+                });
+            step(*member_found, step_planned{planned.step, planned.target});
         }
     }
 
     static void check_budget(const pool_situation& situation, std::span<const pool_step> steps) {
         pool_availability before;
-        for (const vm_entry& vm : situation.members) {
-            before.count(availability_of(vm, situation.fleet));
+        for (const vm_entry* vm : situation.members) {
+            before.count(availability_of(*vm, situation.fleet));
         }
         const auto bound = std::ranges::count_if(
             steps, [](const pool_step& planned) { return planned.step != vm_step::lend; });
-        const std::int64_t budget = budget_of(situation.fleet, situation.pool);
-        invariant_monitor::check(bound == 0 || before.unavailable() + bound <= budget, "budgets",
-                                 "planned steps exceed the availability budget");
+        invariant_monitor::check(bound == 0 || before.unavailable() + bound <= situation.budget,
+                                 "budgets", "planned steps exceed the availability budget");
     }
 
     void write_changes(const pool_id& name, pool_state& pool, const std::vector<member>& members,
                        instant now, effects_out effects) {
         std::vector<vm_write> writes;
         for (const member& item : members) {
-            if (item.changed) {
-                writes.push_back({item.entry.row, item.entry.version});
+            if (item.changed()) {
+                writes.push_back({item.entry().row, item.entry().version});
             }
         }
         if (!writes.empty() || pool.lease.renewal_due(now)) {
@@ -459,9 +586,9 @@
     void give_orders(pool_state& pool, const std::vector<member>& members, instant now,
                      effects_out effects) const {
         for (const member& item : members) {
-            const vm_record& row = item.entry.row;
+            const vm_record& row = item.entry().row;
             const auto found = pool.follows.find(row.id);
-            if (item.changed || found == pool.follows.end()) {
+            if (item.changed() || found == pool.follows.end()) {
                 continue;
             }
             vm_follow& known = found->second;
@@ -487,8 +614,11 @@
         if (found != pools_.end()) {
             return found->second;
         }
+        const bool owned = pool_owner(pool, members_) == options_.node;
         return pools_
-            .emplace(pool, pool_state{pool_lease(options_.node, options_.lease), {}, {}, {}, {}})
+            .emplace(
+                pool,
+                pool_state{pool_lease(options_.node, options_.lease), owned, true, {}, {}, {}, {}})
             .first->second;
     }
 
@@ -497,11 +627,18 @@
     pool_controller_options options_;
     fleet_configuration fleet_; ///< With the buffers in `wanted`.
     std::vector<pool_definition> configured_pools_;
+    /// Of `fleet_`: searched one by one, the definitions cost the square of the number of pools.
+    std::map<pool_id, const pool_definition*> definitions_;
     std::map<pool_id, std::int64_t> wants_; ///< VMs that the buffers need.
     vm_table vms_;
+    demand_counts counts_; ///< Of all rows in `vms_`.
     fleet_demand demand_;
+    bool demand_changed_ = true; ///< `demand_` is to be worked out again.
+    bool list_too_old_ = true;
     std::vector<node_id> members_;
-    std::map<pool_id, pool_state> pools_;
+    std::map<pool_id, pool_state> pools_; ///< Also those of which only a lease is left.
+    std::set<pool_id> names_;             ///< `pools()` at the last tick.
+    bool names_changed_ = true;
     table_version seen_ = 0; ///< Highest version of the table that was read or written.
     instant rows_begun_ = instant::min();
     std::uint64_t last_number_ = 0;
--- a/src/decide/pool_steps.cpp
+++ b/src/decide/pool_steps.cpp
@@ -25,9 +25,9 @@
 class step_planner {
   public:
     explicit step_planner(const pool_situation& situation) : situation_(situation) {
-        availability_.budget = budget_of(situation.fleet, situation.pool);
-        for (const vm_entry& vm : situation.members) {
-            availability_.count(availability_of(vm, situation.fleet));
+        availability_.budget = situation.budget;
+        for (const vm_entry* vm : situation.members) {
+            availability_.count(availability_of(*vm, situation.fleet));
         }
         left_ = availability_.left();
     }
@@ -52,9 +52,9 @@
     template <class Condition>
     [[nodiscard]] std::vector<placed_vm> available_vms(Condition condition) const {
         std::vector<placed_vm> result;
-        for (const vm_entry& vm : situation_.members) {
-            if (is_available(vm) && condition(vm.row)) {
-                result.push_back(placed(vm));
+        for (const vm_entry* vm : situation_.members) {
+            if (is_available(*vm) && condition(vm->row)) {
+                result.push_back(placed(*vm));
             }
         }
         return result;
@@ -62,9 +62,9 @@
 
     [[nodiscard]] std::vector<placed_vm> in_state(std::string_view state) const {
         std::vector<placed_vm> result;
-        for (const vm_entry& vm : situation_.members) {
-            if (vm.row.state == state) {
-                result.push_back(placed(vm));
+        for (const vm_entry* vm : situation_.members) {
+            if (vm->row.state == state) {
+                result.push_back(placed(*vm));
             }
         }
         return result;
@@ -96,7 +96,7 @@
         }
         const auto candidates = available_vms(
             [](const vm_record& row) { return row.target.empty() && row.home.empty(); });
-        const pool_definition* own = find_pool(situation_.fleet, situation_.pool.view());
+        const pool_definition* own = situation_.definition;
         const std::int64_t floor = own == nullptr ? 0 : own->wanted;
         const auto lendable = static_cast<std::int64_t>(candidates.size()) - floor;
         std::size_t next = 0;
@@ -122,10 +122,10 @@
             return;
         }
         std::int64_t borrowed = 0;
-        for (const vm_entry& vm : situation_.members) {
-            borrowed += vm.row.home.empty() ? 0 : 1;
+        for (const vm_entry* vm : situation_.members) {
+            borrowed += vm->row.home.empty() ? 0 : 1;
         }
-        const pool_definition* own = find_pool(situation_.fleet, situation_.pool.view());
+        const pool_definition* own = situation_.definition;
         const std::int64_t needed =
             std::min(own == nullptr ? 0 : own->wanted, availability_.members - borrowed);
         std::int64_t spare = availability_.available - needed;
@@ -139,8 +139,8 @@
 
     [[nodiscard]] pool_id home_of(const vm_id& vm) const {
         const auto found =
-            std::ranges::find(situation_.members, vm, [](const vm_entry& e) { return e.row.id; });
-        return found->row.home;
+            std::ranges::find(situation_.members, vm, [](const vm_entry* e) { return e->row.id; });
+        return (*found)->row.home;
     }
 
     void rebalance() {
@@ -177,25 +177,22 @@
 
 } // namespace
 
-fleet_demand demand_of(const vm_table& vms, const fleet_configuration& fleet) {
-    struct pool_count {
-        std::int64_t members = 0;
-        std::int64_t remaining = 0;
-        bool lost_zone = false;
-    };
-    std::map<pool_id, pool_count> counts;
-    for (const auto& [id, vm] : vms.entries()) {
-        ++counts[demand_pool(vm.row)].members;
-        if (zone_removed(fleet, vm.row.zone)) {
-            counts[vm.row.pool].lost_zone = true;
-        } else if (vm.row.state != vm_states::failed) {
-            ++counts[vm.row.target.empty() ? vm.row.pool : vm.row.target].remaining;
-        }
+void demand_counts::count(const vm_record& row, const fleet_configuration& fleet,
+                          std::int64_t sign) {
+    counts_[demand_pool(row)].members += sign;
+    if (zone_removed(fleet, row.zone)) {
+        counts_[row.pool].in_removed_zones += sign;
+    } else if (row.state != vm_states::failed) {
+        counts_[row.target.empty() ? row.pool : row.target].remaining += sign;
     }
+}
+
+fleet_demand demand_counts::demand(const vm_table& vms, const fleet_configuration& fleet) const {
     fleet_demand result;
     std::vector<pool_demand> demands;
     for (const pool_definition& pool : fleet.defaults.pools) {
-        pool_count& count = counts[pool.name];
+        const auto known = counts_.find(pool.name);
+        pool_count count = known == counts_.end() ? pool_count() : known->second;
         // A listed VM belongs to its first pool before its row is written. Without it a pool looks
         // short while the rows of a new fleet are written, and VMs move for nothing.
         for (const vm_listing& vm : vms.without_row(pool.name)) {
@@ -203,7 +200,7 @@
             count.remaining += zone_removed(fleet, vm.zone) ? 0 : 1;
         }
         demands.push_back({pool.name, pool.wanted, count.members});
-        if (count.lost_zone) {
+        if (count.in_removed_zones > 0) {
             result.shortages.push_back({pool.name, pool.wanted, count.remaining});
         }
     }
--- a/src/decide/vm_table.cpp
+++ b/src/decide/vm_table.cpp
@@ -47,11 +47,12 @@
     }
 }
 
-void vm_table::apply_list(std::span<const vm_listing> vms, instant read_at) {
+bool vm_table::apply_list(std::span<const vm_listing> vms, instant read_at) {
+    const bool first = listed_at_ == instant::min();
     listed_at_ = read_at;
     // The list rarely changes; indexing it again costs more than all other work of a round.
-    if (std::ranges::equal(vms, last_list_)) {
-        return;
+    if (!first && std::ranges::equal(vms, last_list_)) {
+        return false;
     }
     last_list_.assign(vms.begin(), vms.end());
     list_.clear();
@@ -70,6 +71,7 @@
             found->second.leaving = vm.leaving;
         }
     }
+    return true;
 }
 
 const vm_entry* vm_table::find(const vm_id& vm) const {
--- a/src/node/buffer_driver.cpp
+++ b/src/node/buffer_driver.cpp
@@ -44,6 +44,7 @@
         }
     }
     std::vector<pool_load> loads;
+    loads.reserve(vms.size());
     for (const auto& [pool, count] : vms) {
         loads.push_back({pool, count});
     }
--- a/tests/pool_controller_test.cpp
+++ b/tests/pool_controller_test.cpp
@@ -321,6 +321,38 @@
     cr_assert(fixture.row(vm_id("v5")).home.empty());
 }
 
+// Guards against polls whose cost grows with the VMs of the fleet instead of the changed rows.
+Test(pool_controller, visits_the_changed_pools_only) {
+    stored_rows table;
+    controller_fixture fixture(table);
+    fixture.pass_seconds(5);
+    const auto cost_of_seconds = [&](int count) {
+        const std::uint64_t before = fixture.controller->operations();
+        fixture.pass_seconds(count);
+        return fixture.controller->operations() - before;
+    };
+    // A look at each of the two pools a second; renewals of leases visit no VM.
+    cr_assert(cost_of_seconds(30) == 60);
+    table.vms.at(vm_id("v0")).version = ++table.version;
+    // The row, the demand of two pools, and the four members of its pool twice.
+    cr_assert(cost_of_seconds(1) == 2 + 1 + 2 + 8);
+    cr_assert(cost_of_seconds(30) == 60);
+}
+
+// Guards against a plan that waits for a change of rows although its transaction was not written.
+Test(pool_controller, plans_again_after_a_transaction_that_was_not_written) {
+    stored_rows table;
+    controller_fixture fixture(table);
+    fixture.pass_seconds(3);
+    fixture.start_roll_out(quote);
+    fixture.outcome = pool_commit_report::outcome::not_written;
+    fixture.pass_seconds(2);
+    cr_assert(fixture.drains.empty());
+    fixture.outcome = pool_commit_report::outcome::committed;
+    fixture.pass_second();
+    cr_assert(fixture.drains.size() == 1);
+}
+
 // Guards against buffers that are planned but do not move VMs, and against a plan that lowers what
 // operators want.
 Test(pool_controller, moves_vms_for_a_buffer) {
--- a/tests/pool_driver_test.cpp
+++ b/tests/pool_driver_test.cpp
@@ -27,6 +27,7 @@
     table_version version = 0;
     bool outage = false;
     std::vector<std::vector<table_check>> checked;
+    std::size_t rows_read = 0;
     std::vector<std::unique_ptr<trompeloeil::expectation>> expectations;
     std::unique_ptr<pool_driver> driver;
 
@@ -71,6 +72,7 @@
                 result.rows.push_back(row);
             }
         }
+        rows_read += result.rows.size();
         done(result);
     }
 
@@ -138,6 +140,16 @@
               std::string_view::npos);
 }
 
+// Guards against polls that read every row again.
+Test(pool_driver, reads_only_the_rows_that_changed) {
+    driver_fixture fixture;
+    const table_version version = fixture.version;
+    fixture.rows_read = 0;
+    fixture.timers.advance(seconds(60));
+    // Every transaction of the minute renewed one lease, whose row is read once.
+    cr_assert(fixture.rows_read > 0 && fixture.rows_read <= fixture.version - version);
+}
+
 // Guards against orders that go out although their row could not be written.
 Test(pool_driver, orders_nothing_during_a_platform_outage) {
     driver_fixture fixture;
--- a/tools/measure/pool_round.h
+++ b/tools/measure/pool_round.h
@@ -10,10 +10,11 @@
 namespace citronford {
 
 /// One node that controls every pool of a fleet. Each round, half a second of virtual time, commits
-/// what the controller writes, carries out its orders and plans again; a roll-out never ends.
+/// what the controller writes, carries out its orders and plans again; a roll-out never ends,
+/// unless the fleet is `idle`.
 class pool_round {
   public:
-    pool_round(int vms, int pools) {
+    pool_round(int vms, int pools, bool idle = false) {
         const std::string charts = CITRONFORD_CHARTS;
         pool_controller_options options;
         options.node = node_id("n");
@@ -38,6 +39,9 @@
         for (int round = 0; round < 4; ++round) {
             advance();
         }
+        if (idle) {
+            return;
+        }
         pool_rows_read roll_out{{}, {}, {}, ++version_, now_};
         for (int pool = 0; pool < pools; ++pool) {
             roll_out.pools.push_back({{pool_name(pool), "kernel"}, ++version_ + far});
--- a/tools/standins/standin_platform.cpp
+++ b/tools/standins/standin_platform.cpp
@@ -171,7 +171,7 @@
             }
             rows.push_back(std::move(item));
         }
-        rows_read_ += rows.size();
+        rows_read_[prefix] += rows.size();
         responder.send({200, {}, json{{"rows", rows}, {"version", version_}}.dump()});
     }
 
@@ -276,7 +276,7 @@
     std::uint64_t version_ = 0;
     std::uint64_t transactions_ = 0;
     std::uint64_t scans_ = 0;
-    std::uint64_t rows_read_ = 0; ///< Rows that scans returned.
+    std::map<std::string, std::uint64_t> rows_read_; ///< Rows that scans returned, by prefix.
     fault_switches faults_;
 };
 
