Rank the VMs of a wave once instead of at every comparison

Cause: a profile of the pool controller's benchmark by function (cpu-clock) shows memcmp at 36% and next_wave at 13% of a round at 3,400 VMs: the sort looked up zone and rack by name in two maps at every comparison, and sorted all VMs due although a wave takes one or two.

--- a/src/decide/maintenance_planner.cpp
+++ b/src/decide/maintenance_planner.cpp
@@ -1,7 +1,9 @@
 #include "citronford/maintenance_planner.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <map>
+#include <string_view>
 #include <tuple>
 
 namespace citronford {
@@ -16,48 +18,58 @@
                             const domain_weight&) = default; // NOLINT(modernize-use-nullptr)
 };
 
+/// A due VM with the weights of its failure domains.
+struct ranked_vm {
+    const placed_vm* vm = nullptr;
+    domain_weight zone;
+    domain_weight rack;
+};
+
 template <class Domain>
-std::map<Domain, domain_weight> weights_of(std::span<const placed_vm> due,
-                                           std::span<const placed_vm> under_way,
-                                           Domain placed_vm::*domain) {
-    std::map<Domain, domain_weight> weights;
+std::map<std::string_view, domain_weight> weights_of(std::span<const placed_vm> due,
+                                                     std::span<const placed_vm> under_way,
+                                                     Domain placed_vm::*domain) {
+    std::map<std::string_view, domain_weight> weights;
     for (const placed_vm& vm : due) {
-        ++weights[vm.*domain].due;
+        ++weights[(vm.*domain).view()].due;
     }
     for (const placed_vm& vm : under_way) {
-        ++weights[vm.*domain].under_way;
+        ++weights[(vm.*domain).view()].under_way;
     }
     return weights;
 }
 
+bool goes_first(const ranked_vm& left, const ranked_vm& right) {
+    if (left.zone != right.zone) {
+        return left.zone > right.zone;
+    }
+    if (left.rack != right.rack) {
+        return left.rack > right.rack;
+    }
+    return std::tie(left.vm->zone, left.vm->rack, left.vm->id) <
+           std::tie(right.vm->zone, right.vm->rack, right.vm->id);
+}
+
 } // namespace
 
 std::vector<vm_id> next_wave(std::span<const placed_vm> due, std::span<const placed_vm> under_way,
                              std::size_t count) {
+    if (due.empty() || count == 0) {
+        return {};
+    }
     const auto zones = weights_of(due, under_way, &placed_vm::zone);
     const auto racks = weights_of(due, under_way, &placed_vm::rack);
-    std::vector<const placed_vm*> order;
+    std::vector<ranked_vm> order;
+    order.reserve(due.size());
     for (const placed_vm& vm : due) {
-        order.push_back(&vm);
+        order.push_back({&vm, zones.at(vm.zone.view()), racks.at(vm.rack.view())});
     }
-    std::ranges::sort(order, [&](const placed_vm* left, const placed_vm* right) {
-        const auto rank = [&](const placed_vm* vm) {
-            return std::tuple(zones.at(vm->zone), racks.at(vm->rack));
-        };
-        const auto left_rank = rank(left);
-        const auto right_rank = rank(right);
-        if (left_rank != right_rank) {
-            return left_rank > right_rank;
-        }
-        return std::tie(left->zone, left->rack, left->id) <
-               std::tie(right->zone, right->rack, right->id);
-    });
+    // A wave takes few of the VMs due, so the others need no order.
+    const auto end = order.begin() + static_cast<std::ptrdiff_t>(std::min(count, order.size()));
+    std::partial_sort(order.begin(), end, order.end(), goes_first);
     std::vector<vm_id> wave;
-    for (const placed_vm* vm : order) {
-        if (wave.size() == count) {
-            break;
-        }
-        wave.push_back(vm->id);
+    for (const ranked_vm& item : std::span(order.begin(), end)) {
+        wave.push_back(item.vm->id);
     }
     return wave;
 }
