Bound the memory of configuration updates

Ruled out: dropping the index; without it every update would carry the whole configuration. Before: 1,000 changes of the test leave 1,000 rows and 1,000 versions. After: `configuration_log` keeps 128 versions and the deleted rows that they lack: at most 628 rows in the same test. A peer further behind gets all rows, as before one of an unknown version. Conclusion: memory follows the size of the configuration, not its history.

--- a/src/node/control_driver.cpp
+++ b/src/node/control_driver.cpp
@@ -193,9 +193,10 @@
             if (done.ok() && done->committed) {
                 report.version = done->version;
                 for (const table_write& write : writes) {
-                    rows_[write.key] = {write.key, write.value, done->version};
+                    const table_row row{write.key, write.value, done->version};
+                    log_.note_rows(std::span(&row, 1));
                 }
-                version_rows_[effect.version] = done->version;
+                log_.note_version(effect.version, done->version);
             } else if (done.ok()) {
                 report.version = done->conflict_version;
                 report.registration_changed = done->conflict_key != configuration_version_key;
@@ -224,17 +225,9 @@
     if (peer == membership_->members().end()) {
         return;
     }
-    configuration_update update;
-    update.version = fleet().version;
-    update.version_row = configuration_->version_row();
-    const auto base = version_rows_.find(peer->second.last.version);
-    update.base = base == version_rows_.end() ? 0 : base->first;
-    for (const auto& [key, row] : rows_) {
-        if (update.base == 0 ? row.value.has_value() : row.version > base->second) {
-            update.rows.push_back(row);
-        }
-    }
-    perform(send_peer{effect.to, effect.address, std::move(update)});
+    perform(send_peer{
+        effect.to, effect.address,
+        log_.update(peer->second.last.version, fleet().version, configuration_->version_row())});
 }
 
 void control_driver::perform(const read_table& /*effect*/) {
@@ -313,18 +306,17 @@
                               reading_ = false;
                               return;
                           }
+                          log_.note_rows(scan->rows);
                           for (const table_row& row : scan->rows) {
                               const absl::Status status = apply_row(row, scanned_fleet_);
                               if (!status.ok()) {
                                   log_event(log_level::error, "configuration_row_invalid",
                                             {{"row", row.key}, {"reason", message_of(status)}});
                               }
-                              table_row& known = rows_[row.key];
-                              known = row.version >= known.version ? row : known;
                               if (row.key == configuration_version_key) {
                                   version_row_ = row.version;
                                   author_ = author_of(row.value.value_or(""));
-                                  version_rows_[scanned_fleet_.version] = row.version;
+                                  log_.note_version(scanned_fleet_.version, row.version);
                               }
                           }
                           scanned_ = std::max(scanned_, scan->version);
@@ -378,11 +370,8 @@
     if (updated.version != update.version) {
         return;
     }
-    for (const table_row& row : update.rows) {
-        table_row& known = rows_[row.key];
-        known = row.version >= known.version ? row : known;
-    }
-    version_rows_[update.version] = update.version_row;
+    log_.note_rows(update.rows);
+    log_.note_version(update.version, update.version_row);
     handle(configuration_input(configuration_pushed{from, updated, update.version_row}));
 }
 
--- a/src/node/control_driver.h
+++ b/src/node/control_driver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "citronford/configuration.h"
+#include "citronford/configuration_log.h"
 #include "citronford/peer_link.h"
 #include "citronford/settings.h"
 #include "citronford/table_service.h"
@@ -115,8 +116,7 @@
     table_version version_row_ = 0;
     member_id author_;
     table_version scanned_units_ = 0;
-    std::map<std::string, table_row> rows_; ///< Rows of the configuration, for updates to peers.
-    std::map<configuration_version, table_version> version_rows_;
+    configuration_log log_; ///< For updates to peers.
     bool reading_ = false;
     bool read_again_ = false;
     bool leaving_ = false;
