Measure the bytes of worker and configuration messages

Cause: the capacity page counted idle workers only, and gave no bytes for a configuration change, whose full form would not fit the budget of a node. Ruled out: full updates in the normal case; a peer one version behind gets the rows of that change.

--- a/tools/capacity/main.cpp
+++ b/tools/capacity/main.cpp
@@ -112,23 +112,29 @@
         std::vector<double> sizes;
         std::vector<double> cpu;
         std::vector<double> heap;
+        std::vector<double> bytes;
         for (const std::size_t size : probe.sizes) {
             const cost_sample sample = probe.sample(size);
             sizes.push_back(sample.size);
             cpu.push_back(sample.cpu_us);
             heap.push_back(sample.heap_bytes);
-            std::printf("sample role=%s %s=%zu cpu_us_per_%s=%.3f heap_bytes=%.0f\n",
+            bytes.push_back(sample.message_bytes);
+            std::printf("sample role=%s %s=%zu cpu_us_per_%s=%.3f heap_bytes=%.0f "
+                        "message_bytes=%.0f\n",
                         probe.role.c_str(), probe.variable.c_str(), size, probe.cost_unit.c_str(),
-                        sample.cpu_us, sample.heap_bytes);
+                        sample.cpu_us, sample.heap_bytes, sample.message_bytes);
         }
         const line_fit cpu_fit = fit_line(sizes, cpu);
         const line_fit heap_fit = fit_line(sizes, heap);
+        const line_fit bytes_fit = fit_line(sizes, bytes);
         std::printf("fit role=%s variable=%s cpu_us_per_%s_slope=%.6f cpu_us_intercept=%.3f "
                     "cpu_residual=%.2f heap_bytes_slope=%.1f heap_intercept=%.0f "
-                    "heap_residual=%.2f\n",
+                    "heap_residual=%.2f message_bytes_slope=%.1f message_bytes_intercept=%.0f "
+                    "message_bytes_residual=%.2f\n",
                     probe.role.c_str(), probe.variable.c_str(), probe.cost_unit.c_str(),
                     cpu_fit.slope, cpu_fit.intercept, cpu_fit.residual, heap_fit.slope,
-                    heap_fit.intercept, heap_fit.residual);
+                    heap_fit.intercept, heap_fit.residual, bytes_fit.slope, bytes_fit.intercept,
+                    bytes_fit.residual);
     }
     return EXIT_SUCCESS;
 }
--- a/tools/capacity/slope.h
+++ b/tools/capacity/slope.h
@@ -10,9 +10,10 @@
 
 /// Cost of one size of a scenario.
 struct cost_sample {
-    double size = 0;       ///< Independent variable, for example the number of workers.
-    double cpu_us = 0;     ///< Processor time of the decisions, in microseconds.
-    double heap_bytes = 0; ///< Heap held by the state.
+    double size = 0;          ///< Independent variable, for example the number of workers.
+    double cpu_us = 0;        ///< Processor time of the decisions, in microseconds.
+    double heap_bytes = 0;    ///< Heap held by the state.
+    double message_bytes = 0; ///< Payload of one exchange of messages.
 };
 
 /// Least-squares line through samples of one quantity.
