Hold a registration as long as the confirmation limit of its zone

Cause: the exception `key_confirmation_limit_ms` of a zone had no effect beyond 10 s: keyed work also needs units of the team's limit, which end with the registration of the node, and that lasted 10 s after the last table write. Ruled out: longer registrations everywhere (units of lost nodes would return late in every zone), and units without registration (they are given to others 30 s after it ends, so the limit would be exceeded). Before: with a limit of 60 s a node that is cut off holds its units for at most 10 s. The row names the lease; the holder relies on it once written and on the shortest of the writes without reply, and others delete nothing within it.

--- a/include/citronford/membership.h
+++ b/include/citronford/membership.h
@@ -18,6 +18,7 @@
     member_id member;
     zone_id zone;
     endpoint address;
+    duration lease{}; ///< Lifetime without renewal.
 };
 
 struct registration_row {
@@ -59,12 +60,17 @@
 };
 /// Write the registration again now; used to invalidate a commit in doubt.
 struct renewal_asked {};
+/// The node may act on its last confirmation for `limit`: its registration, and with it its part of
+/// the teams' limits, is to last as long.
+struct confirmation_limit_set {
+    duration limit{};
+};
 /// The node stops: delete the registration and say goodbye.
 struct membership_stop {};
 
-using membership_input =
-    std::variant<membership_tick, registrations_read, registration_written, hello_heard,
-                 heartbeat_heard, goodbye_heard, peer_refused, renewal_asked, membership_stop>;
+using membership_input = std::variant<membership_tick, registrations_read, registration_written,
+                                      hello_heard, heartbeat_heard, goodbye_heard, peer_refused,
+                                      renewal_asked, confirmation_limit_set, membership_stop>;
 
 // Effects of membership.
 
@@ -96,7 +102,8 @@
     member_id self;
     zone_id zone;
     endpoint address;
-    duration lease = seconds(10);           ///< Lifetime of the registration without renewal.
+    /// Lifetime of the registration without renewal; longer where the confirmation limit is.
+    duration lease = seconds(10);
     duration retention = seconds(600);      ///< Lifetime with renewal by unanimity alone.
     duration heartbeat_period = seconds(1); ///< Pause between two probes of a peer.
     /// A registration is deleted this long after its lease, so that its holder does not act on its
@@ -130,11 +137,11 @@
 
 /// Registration of this node, the other nodes and what is known of them.
 ///
-/// The registration is held until `held_until`: `lease` after the last successful write, or after
-/// probes that every registered node answered. A node that answers a probe does not delete the
-/// sender's registration for `lease`; a node that not every other node knows yet waits for
-/// `retention`. So no node is deleted that still relies on its registration, and a platform outage
-/// without partition ends no registration before `retention`.
+/// The registration is held until `held_until`: the lease that it names after the last successful
+/// write, or `lease` after probes that every registered node answered. A node that answers a probe
+/// does not delete the sender's registration for `lease`; a node that not every other node knows
+/// yet waits for `retention`. So no node is deleted that still relies on its registration, and a
+/// platform outage without partition ends no registration before `retention`.
 class membership {
   public:
     /// `lease` and `life_cycle` are the charts `lease` and `member`.
@@ -218,12 +225,15 @@
     void take(const goodbye_heard& input, instant now, effects_out effects);
     void take(const peer_refused& input, instant now, effects_out effects);
     void take(const renewal_asked& input, instant now, effects_out effects);
+    void take(const confirmation_limit_set& input, instant now, effects_out effects);
     void take(const membership_stop& input, instant now, effects_out effects);
 
     void read_own(const registrations_read& input, instant now, effects_out effects);
     void read_members(const registrations_read& input, instant now, effects_out effects);
     void write(instant now, effects_out effects);
-    void confirm_row(table_version version, instant sent_at, instant now, effects_out effects);
+    void confirm_row(table_version version, instant sent_at, duration lease, instant now,
+                     effects_out effects);
+    [[nodiscard]] duration held_lease() const;
     void step_lease(const lease_event& event, instant now, effects_out effects);
     void step_member(member& item, const member_event& event, instant now, effects_out effects);
     [[nodiscard]] bool removable(const member& item, instant now) const;
@@ -243,9 +253,13 @@
     bool read_once_ = false;
     bool writing_ = false;
     bool renew_now_ = false;
-    instant written_at_{};       ///< When the last write was sent.
-    instant unresolved_since_{}; ///< First write sent since the row was last known.
-    instant renewed_at_{};       ///< When the last successful write was sent.
+    instant written_at_{};        ///< When the last write was sent.
+    instant unresolved_since_{};  ///< First write sent since the row was last known.
+    instant renewed_at_{};        ///< When the last successful write was sent.
+    duration wanted_lease_;       ///< Named by the next write.
+    duration written_lease_{};    ///< Named by the last write sent.
+    duration unresolved_lease_{}; ///< Shortest of the writes sent since the row was last known.
+    duration row_lease_{};        ///< Named by the row as last known.
     instant registered_since_{};
     instant probed_at_{};
     instant read_at_{};
--- a/src/decide/membership.cpp
+++ b/src/decide/membership.cpp
@@ -98,7 +98,7 @@
 
 membership::membership(lease_machine lease, member_machine life_cycle, membership_options options)
     : lease_(std::move(lease)), life_cycle_(std::move(life_cycle)), options_(std::move(options)),
-      position_(lease_.initial()) {}
+      position_(lease_.initial()), wanted_lease_(options_.lease) {}
 
 std::vector<membership_effect> membership::handle(const membership_input& input, instant now) {
     std::vector<membership_effect> effects;
@@ -147,7 +147,12 @@
     const instant unanimous = unanimous_at();
     const instant by_peers =
         unanimous < instant::max() - options_.lease ? unanimous + options_.lease : bound;
-    return std::min(bound, std::max(renewed_at_ + options_.lease, by_peers));
+    return std::min(bound, std::max(renewed_at_ + held_lease(), by_peers));
+}
+
+/// The lease that the row names for sure: a write without reply may have shortened it.
+duration membership::held_lease() const {
+    return unresolved_since_ == instant() ? row_lease_ : std::min(row_lease_, unresolved_lease_);
 }
 
 instant membership::confirmed_by_peers(configuration_version version, instant now) const {
@@ -185,7 +190,8 @@
 /// A registration may be deleted once its holder cannot rely on it any more.
 bool membership::removable(const member& item, instant now) const {
     const duration unchanged = now - item.row_seen;
-    const duration lease = options_.lease + options_.removal_grace + options_.margin;
+    const duration lease = std::max(item.registration.lease, options_.lease) +
+                           options_.removal_grace + options_.margin;
     if (unchanged < lease || now - item.answered_to < lease ||
         now - item.erased_at < options_.heartbeat_period) {
         return false;
@@ -198,13 +204,17 @@
     writing_ = true;
     renew_now_ = false;
     written_at_ = now;
-    unresolved_since_ = unresolved_since_ == instant() ? now : unresolved_since_;
-    effects.emplace_back(write_registration{now,
-                                            registered() ? row_version_ : foreign_row_,
-                                            {options_.self, options_.zone, options_.address}});
+    written_lease_ = wanted_lease_;
+    const bool first = unresolved_since_ == instant();
+    unresolved_lease_ = first ? written_lease_ : std::min(unresolved_lease_, written_lease_);
+    unresolved_since_ = first ? now : unresolved_since_;
+    effects.emplace_back(
+        write_registration{now,
+                           registered() ? row_version_ : foreign_row_,
+                           {options_.self, options_.zone, options_.address, written_lease_}});
 }
 
-void membership::confirm_row(table_version version, instant sent_at, instant now,
+void membership::confirm_row(table_version version, instant sent_at, duration lease, instant now,
                              effects_out effects) {
     if (!registered()) {
         registered_since_ = now;
@@ -212,6 +222,7 @@
     }
     row_version_ = version;
     renewed_at_ = sent_at;
+    row_lease_ = lease;
     unresolved_since_ = instant();
     step_lease(registered_event{}, now, effects);
 }
@@ -222,7 +233,7 @@
     }
     writing_ = false;
     if (input.outcome == write_outcome::committed) {
-        confirm_row(input.version, written_at_, now, effects);
+        confirm_row(input.version, written_at_, written_lease_, now, effects);
     }
 }
 
@@ -243,7 +254,7 @@
         foreign_row_ != absent_row && own->registration.address != options_.address;
     if (present && own->version > row_version_) {
         // The row may be from any of the writes whose reply was lost.
-        confirm_row(own->version, unresolved_since_, now, effects);
+        confirm_row(own->version, unresolved_since_, own->registration.lease, now, effects);
     }
 }
 
@@ -263,6 +274,7 @@
     if (version > item.version) {
         item.version = version;
         item.row_seen = now;
+        item.registration.lease = registration.lease;
     }
     return item;
 }
@@ -280,7 +292,7 @@
         const auto known = members_.find(id.node);
         const bool newer = known == members_.end() || row.version >= known->second.version;
         if (id.node != options_.self.node && newer) {
-            admit(row.registration, row.version, now);
+            admit(row.registration, row.version, now).registration.lease = row.registration.lease;
         }
     }
     std::vector<node_id> gone;
@@ -345,8 +357,9 @@
         ended_.contains(input.from) ||
         (known != members_.end() && known->second.version > input.message.registered);
     if (input.from.node != options_.self.node && !stale) {
-        admit({input.from, input.message.zone, input.message.address}, input.message.registered,
-              now);
+        // A hello does not tell the lease: until the row is read, the longest one counts.
+        admit({input.from, input.message.zone, input.message.address, options_.retention},
+              input.message.registered, now);
     }
 }
 
@@ -408,6 +421,14 @@
     step_lease(tick{}, now, effects);
 }
 
+void membership::take(const confirmation_limit_set& input, instant now, effects_out effects) {
+    const duration lease = std::clamp(input.limit, options_.lease, options_.retention);
+    if (lease != wanted_lease_) {
+        wanted_lease_ = lease;
+        take(renewal_asked{}, now, effects);
+    }
+}
+
 void membership::take(const membership_stop& /*input*/, instant now, effects_out effects) {
     step_lease(stop{}, now, effects);
 }
--- a/src/io/control_codec.cpp
+++ b/src/io/control_codec.cpp
@@ -34,7 +34,8 @@
     return json{{"member", json_of(registration.member)},
                 {"zone", registration.zone.str()},
                 {"address", registration.address.address},
-                {"port", registration.address.port}}
+                {"port", registration.address.port},
+                {"lease_ms", to_ms(registration.lease)}}
         .dump();
 }
 
@@ -42,7 +43,8 @@
     return parsed<node_registration>(text, [](const json& item) {
         return node_registration{member_of(item.at("member")),
                                  zone_id(item.at("zone").get<std::string>()),
-                                 {item.at("address"), item.at("port")}};
+                                 {item.at("address"), item.at("port")},
+                                 milliseconds(item.at("lease_ms").get<std::int64_t>())};
     });
 }
 
--- a/src/node/control_driver.cpp
+++ b/src/node/control_driver.cpp
@@ -246,6 +246,7 @@
         limits.limits[team.name] = limit_of(fleet(), team);
     }
     handle(escrow_input(limits));
+    handle(membership_input(confirmation_limit_set{confirmation_limit(view())}));
     for (const listener& function : listeners_) {
         function(fleet());
     }
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -85,6 +85,51 @@
     cr_assert(std::holds_alternative<commit_change>(accepted.at(0)));
 }
 
+// Guards against an exception without effect: a zone that may go on for a minute without
+// confirmation, but whose units of the teams' limits end with a registration of ten seconds.
+Test(membership, holds_the_registration_as_long_as_the_confirmation_limit) {
+    control_fixture fixture;
+    const auto effects = fixture.members->handle(confirmation_limit_set{seconds(60)}, fixture.now);
+    const auto& write = std::get<write_registration>(effects.at(0));
+    cr_assert(write.registration.lease == seconds(60));
+    // The longer lease counts from the write that was confirmed.
+    cr_assert(fixture.members->held_until() <= fixture.now + seconds(10));
+    fixture.members->handle(registration_written{write.sent_at, write_outcome::committed, 3},
+                            fixture.now);
+    cr_assert(fixture.members->held_until() == fixture.now + seconds(60));
+    // A write without reply may have shortened it.
+    fixture.members->handle(confirmation_limit_set{seconds(3)}, fixture.now);
+    cr_assert(fixture.members->held_until() == fixture.now + seconds(10));
+}
+
+// Guards against the deletion of a registration whose holder relies on a longer lease than others.
+Test(membership, deletes_no_registration_within_its_lease) {
+    control_fixture fixture;
+    fixture.answer_probe();
+    const auto read = [&](duration lease) {
+        fixture.members->handle(
+            registrations_read{fixture.now,
+                               {{{fixture.b, zone_id("z"), {"127.0.0.1", 2}, lease}, 3},
+                                {{fixture.members->self(), zone_id("z"), {"127.0.0.1", 1}}, 2}},
+                               3},
+            fixture.now);
+    };
+    const auto erased_within = [&](duration span) {
+        bool erased = false;
+        for (const instant end = fixture.now + span; fixture.now < end;) {
+            fixture.now += milliseconds(500);
+            fixture.members->handle(peer_refused{fixture.b.node, fixture.now}, fixture.now);
+            for (const auto& effect : fixture.members->handle(membership_tick{}, fixture.now)) {
+                erased = erased || std::holds_alternative<erase_registration>(effect);
+            }
+        }
+        return erased;
+    };
+    read(seconds(60));
+    cr_assert(!erased_within(seconds(60)));
+    cr_assert(erased_within(seconds(10)));
+}
+
 // Guards against a confirmation limit below the time for which a refused connection is trusted.
 Test(configuration, refuses_a_confirmation_limit_that_is_too_short) {
     fleet_defaults defaults;
--- a/tests/proofs/control_world.cpp
+++ b/tests/proofs/control_world.cpp
@@ -327,6 +327,8 @@
                         limits.limits[team.name] = team.limit;
                     }
                     input(index, escrow_input(limits));
+                    input(index, membership_input(confirmation_limit_set{
+                                     confirmation_limit(node.fleet->view())}));
                 },
                 [&](const send_peer& message) { send(index, message); },
             },
--- a/tests/proofs/limits.cpp
+++ b/tests/proofs/limits.cpp
@@ -26,6 +26,39 @@
     return limit;
 }
 
+/// Cuts one zone off from all others and from the platform for long stretches, so that a longer
+/// lease of its nodes decides whether their units are given to others too early.
+class long_cut {
+  public:
+    explicit long_cut(control_world& world) : world_(world) {}
+
+    void step() {
+        if (world_.now >= until_ && world_.chance() < 0.01) {
+            zone_ = world_.below(world_.cut.size());
+            until_ = world_.now + seconds(10 + world_.below(30));
+        }
+        const bool active = world_.now < until_;
+        if (active || was_active_) {
+            set(active);
+        }
+        was_active_ = active;
+    }
+
+  private:
+    void set(bool value) {
+        for (std::size_t other = 0; other < world_.cut.size(); ++other) {
+            world_.cut[zone_][other] = value && other != zone_;
+            world_.cut[other][zone_] = value && other != zone_;
+        }
+        world_.platform_cut[zone_] = value;
+    }
+
+    control_world& world_;
+    std::size_t zone_ = 0;
+    instant until_;
+    bool was_active_ = false;
+};
+
 proof_result prove_limits(std::uint64_t seed) {
     control_world world(seed, 2 + seed % 2, 3 + seed % 3, first_fleet());
     proof_result result;
@@ -62,7 +95,11 @@
             }
         }
     };
+    long_cut cut(world);
     run_with_faults(world, seconds(90), [&] {
+        if (seed % 2 == 0) {
+            cut.step();
+        }
         if (world.chance() < 0.02) {
             demand[world.below(demand.size())] = world.chance() < 0.5 ? 0 : world.chance();
         }
@@ -71,6 +108,14 @@
             defaults.teams[world.below(2)].limit = static_cast<std::int64_t>(world.below(40));
             world.change(world.below(world.nodes.size()), set_defaults{defaults});
         }
+        if (world.chance() < 0.005) {
+            const std::string zone = "z" + std::to_string(world.below(2));
+            const std::int64_t limit_ms = 3000 + static_cast<std::int64_t>(world.below(20000));
+            const exception_rule longer{exception_id(zone), "zone/" + zone,
+                                        "key_confirmation_limit_ms", std::to_string(limit_ms),
+                                        "network work"};
+            world.change(world.below(world.nodes.size()), add_exception{longer});
+        }
         std::erase_if(work, [&](const running_work& item) {
             const bool ended = world.now >= item.ends || world.now > item.renewed + backend_lease;
             if (ended && serving(item)) {
