Judge starts by what a team would use without the throttle

Cause: a trace of task_shares showed the throttle of all three small teams at its limit of 60% at all times, and the large team below its share with 100 to 170 jobs waiting. The throttle brought the usage of a team to its share, so the team counted as at its share and started another task, which lowered the throttle again. The team kept about 1.6 times the tasks that its share covers, and the throttle had nothing left to absorb a task far above its declared size.

Ruled out: a limit of 30% (the teams reach it as well), a heavier weight of the faded usage, order by half the weight of the next task.

--- a/include/citronford/share_ledger.h
+++ b/include/citronford/share_ledger.h
@@ -32,6 +32,9 @@
     /// The lower, the sooner the team is served: present and faded dominant use over the share.
     [[nodiscard]] double priority(const team_id& team) const;
 
+    /// The priority that `team` would have if none of its tasks were throttled.
+    [[nodiscard]] double unthrottled_priority(const team_id& team) const;
+
     /// The priority that every one of `teams` would have if their use were divided by share.
     [[nodiscard]] double mean_priority(std::span<const team_id> teams) const;
 
--- a/src/decide/share_ledger.cpp
+++ b/src/decide/share_ledger.cpp
@@ -52,6 +52,11 @@
     return found == accounts_.end() ? 0 : present(found->second) + found->second.faded;
 }
 
+double share_ledger::unthrottled_priority(const team_id& team) const {
+    const auto found = accounts_.find(team);
+    return found == accounts_.end() ? 0 : weight(team, found->second.wanted) + found->second.faded;
+}
+
 double share_ledger::mean_priority(std::span<const team_id> teams) const {
     double use = 0;
     double shares = 0;
--- a/src/decide/task_scheduler_placement.cpp
+++ b/src/decide/task_scheduler_placement.cpp
@@ -287,7 +287,7 @@
     std::set<std::pair<double, team_id>> teams;
     for (const auto& [team, queue] : queues_) {
         if (!queue.empty()) {
-            teams.emplace(ledger_.priority(team), team);
+            teams.emplace(ledger_.unthrottled_priority(team), team);
         }
     }
     bool first = true;
@@ -298,7 +298,7 @@
             first || !full() ? std::numeric_limits<double>::infinity() : highest_priority();
         first = false;
         if (start_one_of(team, now, effects) && !queues_[team].empty()) {
-            teams.emplace(ledger_.priority(team), team);
+            teams.emplace(ledger_.unthrottled_priority(team), team);
         }
     }
 }
@@ -332,7 +332,7 @@
     for (job_entry* entry : queues_[team].oldest()) {
         ++operations_;
         if (entry->reserved_on || entry->not_before > now ||
-            ledger_.priority(team) + ledger_.weight(team, expected_size(*entry)) / 2 >
+            ledger_.unthrottled_priority(team) + ledger_.weight(team, expected_size(*entry)) / 2 >
                 served_below_) {
             continue;
         }
--- a/tests/task_scheduler_test.cpp
+++ b/tests/task_scheduler_test.cpp
@@ -1,5 +1,6 @@
 #include "test_support.h"
 
+#include "citronford/share_ledger.h"
 #include "citronford/task_scheduler.h"
 
 using namespace citronford;
@@ -325,3 +326,13 @@
     fixture.fill_beside_a_peer();
     cr_assert(fixture.given_away(seconds(5)).empty());
 }
+
+// Guards against a team that starts more and more tasks while the throttle keeps its usage at its
+// share.
+Test(share_ledger, counts_what_throttled_tasks_would_use_without_the_throttle) {
+    share_ledger ledger(seconds(30));
+    ledger.set_capacity({10000, 10000, 0});
+    ledger.add(sales, {3000, 0, 0}, 60);
+    cr_assert_float_eq(ledger.priority(sales), 0.3, 1e-9);
+    cr_assert_float_eq(ledger.unthrottled_priority(sales), 0.5, 1e-9);
+}
