Add one-shot calls to the timer service

Cause: a one-shot timer needs a subscription that outlives its call, so a driver and three stand-ins let a shared subscription own itself. A service that ends before the call leaks it. Ruled out: a subscription kept by each caller, which needs a container and its clean-up there. Before: four self-owning subscriptions in the tree.

--- a/include/citronford/timer_service.h
+++ b/include/citronford/timer_service.h
@@ -2,7 +2,9 @@
 
 #include "citronford/instant.h"
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <utility>
 
@@ -41,6 +43,25 @@
 
     /// Calls `function` every `period`, first after one period. Missed periods are not made up for.
     [[nodiscard]] virtual timer_subscription every(duration period, callback function) = 0;
+
+    /// Calls `function` once after `delay`, with no subscription to hold. A call still pending when
+    /// the service ends is dropped.
+    void once(duration delay, callback function) {
+        const std::uint64_t number = next_++;
+        pending_.emplace(number,
+                         after(delay, [this, number, function = std::move(function)](instant now) {
+                             const auto fired = pending_.extract(number);
+                             function(now);
+                         }));
+    }
+
+  protected:
+    /// Drops the calls that are pending, for a service whose timers end before this base does.
+    void drop_pending() { pending_.clear(); }
+
+  private:
+    std::map<std::uint64_t, timer_subscription> pending_;
+    std::uint64_t next_ = 0;
 };
 
 } // namespace citronford
--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -43,6 +43,7 @@
 }
 
 event_loop::~event_loop() {
+    drop_pending();
     uv_walk(
         &loop_,
         [](uv_handle_t* handle, void* /*argument*/) {
--- a/tools/standins/standin_executor.cpp
+++ b/tools/standins/standin_executor.cpp
@@ -72,12 +72,8 @@
                             {"bytes", request.body.size()},
                             {"echo", std::string(request.body)}}
                            .dump();
-        auto timer = std::make_shared<timer_subscription>();
-        *timer = loop_.after(work_ + milliseconds(faults_.delay_ms),
-                             [this, timer, id, attempt, responder](instant) {
-                                 finish(id, attempt, responder);
-                                 timer->cancel();
-                             });
+        loop_.once(work_ + milliseconds(faults_.delay_ms),
+                   [this, id, attempt, responder](instant) { finish(id, attempt, responder); });
     }
 
     void finish(const std::string& id, const std::string& attempt,
--- a/tools/standins/standin_platform.cpp
+++ b/tools/standins/standin_platform.cpp
@@ -74,12 +74,8 @@
             function();
             return;
         }
-        auto timer = std::make_shared<timer_subscription>();
-        *timer = loop_.after(milliseconds(faults_.delay_ms),
-                             [timer, function = std::move(function)](instant) {
-                                 function();
-                                 timer->cancel();
-                             });
+        loop_.once(milliseconds(faults_.delay_ms),
+                   [function = std::move(function)](instant) { function(); });
     }
 
     void serve(const std::vector<std::string>& path, const std::string& method,
