Accept the backlog before a listening socket closes

Cause: connections that the kernel accepted and the process did not are reset when the listener closes. A daemon that a busy machine holds up at that moment has such connections. This is a failure that process_graceful_stop can show, since all its load goes to the stopping daemon. Conclusion: the backlog is emptied before the close. A connection that arrives between the last accept and the close is still reset; the kernel offers no way around it.

--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -6,7 +6,11 @@
 
 #include <h2o.h>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
+#include <cerrno>
 #include <new>
 
 namespace citronford {
@@ -202,23 +206,50 @@
     free(connection);
 }
 
-void accept_connection(uv_stream_t* listener, int status) {
-    if (status != 0) {
-        return;
-    }
-    auto* server = static_cast<http_server::implementation*>(listener->data);
+/// Serves a connection whose socket `attach(stream)` takes in; libuv errors end it.
+template <class Attach> void serve_connection(http_server::implementation* server, Attach attach) {
     auto* connection = static_cast<counted_connection*>(h2o_mem_alloc(sizeof(counted_connection)));
     connection->server = server;
     ++server->connections;
-    uv_tcp_init(listener->loop, &connection->handle);
+    uv_tcp_init(server->loop, &connection->handle);
     auto* stream = reinterpret_cast<uv_stream_t*>(&connection->handle);
-    if (uv_accept(listener, stream) != 0) {
+    if (attach(stream) != 0) {
         uv_close(reinterpret_cast<uv_handle_t*>(stream), release_connection);
         return;
     }
     uv_tcp_nodelay(&connection->handle, 1);
-    h2o_socket_t* socket = h2o_uv_socket_create(stream, release_connection);
-    h2o_accept(&server->accept, socket);
+    h2o_accept(&server->accept, h2o_uv_socket_create(stream, release_connection));
+}
+
+void accept_connection(uv_stream_t* listener, int status) {
+    if (status != 0) {
+        return;
+    }
+    auto* server = static_cast<http_server::implementation*>(listener->data);
+    serve_connection(server, [&](uv_stream_t* stream) { return uv_accept(listener, stream); });
+}
+
+/// Accepts what the kernel has queued: a connection left in the queue is reset when the listening
+/// socket closes, although its client may have sent a request.
+void accept_backlog(http_server::implementation& server) {
+    uv_os_fd_t listener = -1;
+    if (uv_fileno(reinterpret_cast<uv_handle_t*>(server.listener), &listener) != 0) {
+        return;
+    }
+    while (true) {
+        const int socket = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (socket >= 0) {
+            serve_connection(&server, [&](uv_stream_t* stream) {
+                const int error = uv_tcp_open(reinterpret_cast<uv_tcp_t*>(stream), socket);
+                if (error != 0) {
+                    close(socket);
+                }
+                return error;
+            });
+        } else if (errno != EINTR && errno != ECONNABORTED) {
+            return;
+        }
+    }
 }
 
 absl::Status listen_on(http_server::implementation& server, const endpoint& at) {
@@ -339,6 +370,9 @@
 
 void http_server::stop_accepting() {
     body_->stopping = true;
+    if (body_->listener != nullptr) {
+        accept_backlog(*body_);
+    }
     close_listener(*body_);
     h2o_context_request_shutdown(&body_->context);
 }
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -75,7 +75,8 @@
 
     [[nodiscard]] std::uint16_t port() const;
 
-    /// Closes the listening socket. Open connections are closed after their present request.
+    /// Accepts the connections that wait and closes the listening socket. Open connections are
+    /// closed after their present request.
     void stop_accepting();
 
     /// Connections of clients, also idle ones.
