Exit only when no request is open

Cause: a daemon that finds itself idle leaves 0.4 s later without another look, although a request may arrive on a connection that was open before its listener closed. Ruled out: the backlog, since the connection of the test was accepted and used before the stop. Conclusion: the process ends once the caller server has no open request; the deadlines of the requests bound the wait.

--- a/daemons/citronfordd.cpp
+++ b/daemons/citronfordd.cpp
@@ -47,6 +47,16 @@
     std::_Exit(invariant_monitor::violations() == 0 ? EXIT_SUCCESS : EXIT_FAILURE);
 }
 
+/// Leaves once every request is answered: one may have arrived on an open connection after the node
+/// had found itself idle. Their own deadlines bound the wait.
+void leave_when_answered(const settings& own, timer_service& timers, const http_server& server) {
+    constexpr duration pause = milliseconds(20);
+    if (server.open_requests() == 0) {
+        leave_process(own);
+    }
+    timers.once(pause, [&](instant) { leave_when_answered(own, timers, server); });
+}
+
 int run(const settings& own) {
     auto loop = event_loop::create();
     if (!loop.ok()) {
@@ -64,7 +74,8 @@
     std::unique_ptr<http_server> caller_server;
     auto created = node::create(
         own, {**loop, table, platform, platform, executors, callers, workers, vm_controls, peers},
-        [&] { caller_server->stop_accepting(); }, [&] { leave_process(own); });
+        [&] { caller_server->stop_accepting(); },
+        [&] { leave_when_answered(own, **loop, *caller_server); });
     if (!created.ok()) {
         return fail(created.status());
     }
