Show every figure that operators need in metrics and state

Cause: /metrics had queue lengths, units and running work, connections and the configuration; the state had members, teams and removals. Router, scheduler and group commit counted retries, hedges, sheds and kept claims, but nothing showed them; entitlements, limits with their exceptions, budgets, leases, retry budgets, the drain state and the age of sources were not readable at all. Ruled out: labels by worker or request id, whose number is not bounded by the configuration.

--- a/daemons/citronfordd.cpp
+++ b/daemons/citronfordd.cpp
@@ -97,8 +97,9 @@
     (*loop)->on_signal(SIGTERM, [&] { target.request_stop(); });
     (*loop)->on_signal(SIGINT, [&] { target.request_stop(); });
     target.start();
-    state_snapshot snapshot(own.zone.view(), platform, **loop,
-                            [&](std::uint64_t sequence) { return state_json(target, sequence); });
+    state_snapshot snapshot(own.zone.view(), platform, **loop, [&](std::uint64_t sequence) {
+        return state_json(target, (*loop)->now(), sequence);
+    });
     snapshot.start();
     log_event(log_level::info, "started",
               {{"node", own.node.view()},
--- a/include/citronford/drain.h
+++ b/include/citronford/drain.h
@@ -6,6 +6,7 @@
 #include <absl/status/statusor.h>
 
 #include <memory>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -51,6 +52,9 @@
     /// Whether the node wants new work; false from the moment a stop was asked for.
     [[nodiscard]] bool ready() const;
 
+    /// Name of the state in the chart.
+    [[nodiscard]] std::string_view state() const { return machine_.name_of(position_); }
+
     std::vector<drain_effect> handle(const drain_input& input, instant now);
 
   private:
--- a/include/citronford/fleet_configuration.h
+++ b/include/citronford/fleet_configuration.h
@@ -101,5 +101,8 @@
 /// The value of the exception for `setting` in `scope`, if there is one.
 std::optional<std::string_view> exception_value(const fleet_configuration& fleet,
                                                 std::string_view scope, std::string_view setting);
+/// The upper limit of a team: the fleet default, or the exception of the team.
+std::int64_t limit_of(const fleet_configuration& fleet, const team_definition& team);
+
 
 } // namespace citronford
--- a/include/citronford/pool_controller.h
+++ b/include/citronford/pool_controller.h
@@ -157,6 +157,9 @@
     /// The node that holds the lease of `pool` by the last row read; empty for none.
     [[nodiscard]] node_id lease_owner(const pool_id& pool) const;
 
+    /// When the rows were last read; `instant::min()` before the first read.
+    [[nodiscard]] instant rows_read_at() const;
+
     /// VM rows visited so far: a measure of cost that does not depend on the machine.
     [[nodiscard]] std::uint64_t operations() const;
 
--- a/include/citronford/request_router.h
+++ b/include/citronford/request_router.h
@@ -126,6 +126,13 @@
     std::uint64_t shed = 0; ///< Refused on arrival, since the deadline could not be met.
 };
 
+/// What one service does at this node.
+struct service_activity {
+    std::size_t queued = 0;
+    double retry_tokens = 0; ///< Additional attempts that may be spent.
+    router_counters counters;
+};
+
 /// Routes requests to executors: queues, claims, attempts, retries and outcomes.
 class request_router {
   public:
@@ -147,6 +154,10 @@
 
     [[nodiscard]] std::size_t open_requests() const;
     [[nodiscard]] std::size_t queued(const service_id& service) const;
+    /// Requests of `team` that wait for `service`.
+    [[nodiscard]] std::size_t queued(const service_id& service, const team_id& team) const;
+    /// Zeros for a service that was never configured.
+    [[nodiscard]] service_activity activity(const service_id& service) const;
     [[nodiscard]] const router_counters& counters() const;
     /// Name of the state of an executor in the chart `connection`; empty for an unknown one.
     [[nodiscard]] std::string_view executor_state(const executor_id& executor) const;
--- a/include/citronford/retry_budget.h
+++ b/include/citronford/retry_budget.h
@@ -11,6 +11,8 @@
 
     void note_success();
     [[nodiscard]] bool available() const { return tokens_ >= 1; }
+    /// Attempts that may be spent at present.
+    [[nodiscard]] double tokens() const { return tokens_; }
     /// Spends one attempt; the budget must be available.
     void spend() { tokens_ -= 1; }
 
--- a/include/citronford/share_ledger.h
+++ b/include/citronford/share_ledger.h
@@ -35,6 +35,9 @@
     /// The priority that every one of `teams` would have if their use were divided by share.
     [[nodiscard]] double mean_priority(std::span<const team_id> teams) const;
 
+    /// The largest fraction of any resource of `capacity` that the running tasks of `team` use.
+    [[nodiscard]] double used_fraction(const team_id& team) const;
+
     /// What `amount` adds to the priority of `team`.
     [[nodiscard]] double weight(const team_id& team, const resources& amount) const;
 
--- a/include/citronford/task_scheduler.h
+++ b/include/citronford/task_scheduler.h
@@ -166,6 +166,18 @@
 
     task_scheduler(const task_scheduler&) = delete;
     task_scheduler& operator=(const task_scheduler&) = delete;
+/// What the workers that this node knows do at present.
+struct worker_activity {
+    std::size_t leases = 0;      ///< Workers whose lease this node holds.
+    std::size_t quarantined = 0; ///< Of the leases held.
+};
+
+/// What the jobs of one team do at this node.
+struct team_activity {
+    std::size_t queued = 0;
+    double used = 0; ///< Largest fraction of any resource of the node's workers.
+};
+
     task_scheduler(task_scheduler&&) = delete;
     task_scheduler& operator=(task_scheduler&&) = delete;
     ~task_scheduler();
@@ -190,6 +202,9 @@
     explicit task_scheduler(std::unique_ptr<implementation> body);
 
     std::unique_ptr<implementation> body_;
+    [[nodiscard]] worker_activity workers() const;
+    [[nodiscard]] team_activity activity(const team_id& team) const;
+    [[nodiscard]] std::vector<worker_id> quarantined_workers() const;
 };
 
 } // namespace citronford
--- a/src/decide/fleet_configuration.cpp
+++ b/src/decide/fleet_configuration.cpp
@@ -1,6 +1,7 @@
 #include "citronford/fleet_configuration.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace citronford {
 namespace {
@@ -42,4 +43,13 @@
     return found->value;
 }
 
+std::int64_t limit_of(const fleet_configuration& fleet, const team_definition& team) {
+    std::int64_t limit = team.limit;
+    const auto text = exception_value(fleet, "team/" + team.name.str(), "limit");
+    if (text) {
+        std::from_chars(text->data(), text->data() + text->size(), limit);
+    }
+    return limit;
+}
+
 } // namespace citronford
--- a/src/decide/pool_controller.cpp
+++ b/src/decide/pool_controller.cpp
@@ -72,6 +72,7 @@
                                                                std::string_view reason) const;
 
     [[nodiscard]] const vm_table& vms() const { return vms_; }
+    [[nodiscard]] instant rows_read_at() const { return rows_begun_; }
     [[nodiscard]] const fleet_configuration& fleet() const { return fleet_; }
     [[nodiscard]] std::uint64_t operations() const { return operations_; }
     [[nodiscard]] std::set<pool_id> pools() const {
@@ -594,6 +595,10 @@
     return body_->lease_owner(pool);
 }
 
+instant pool_controller::rows_read_at() const {
+    return body_->rows_read_at();
+}
+
 std::uint64_t pool_controller::operations() const {
     return body_->operations();
 }
--- a/src/decide/request_router.cpp
+++ b/src/decide/request_router.cpp
@@ -62,7 +62,8 @@
     if (found == services_.end() || !found->second.configured) {
         return result_code::unknown_service;
     }
-    const auto& [name, service] = *found;
+    const service_id& name = found->first;
+    service_state& service = found->second;
     if (executors_.listed() && !executors_.available(name, service.spill)) {
         return result_code::no_backend_server;
     }
@@ -73,6 +74,7 @@
     const duration wait = service.queue.estimated_wait(submission.team, capacity, now);
     if (cannot_finish(service, submission.timeout - wait)) {
         ++counters_.shed;
+        ++service.counters.shed;
         return result_code::deadline_passed;
     }
     if (service.queue.blocked(submission.team)) {
@@ -81,6 +83,7 @@
         if (cannot_finish(service,
                           submission.timeout - service.queue.mean_run_time() * ahead / units)) {
             ++counters_.shed;
+            ++service.counters.shed;
             return result_code::team_limit_reached;
         }
     }
@@ -285,6 +288,7 @@
     }
     service.budget.spend();
     ++counters_.hedges;
+    ++service.counters.hedges;
     request.executor = executor->id;
     request.address = executor->address;
     send(request, now, effects);
@@ -359,6 +363,14 @@
     return body_->queued(service);
 }
 
+std::size_t request_router::queued(const service_id& service, const team_id& team) const {
+    return body_->queued(service, team);
+}
+
+service_activity request_router::activity(const service_id& service) const {
+    return body_->activity(service);
+}
+
 const router_counters& request_router::counters() const {
     return body_->counters();
 }
--- a/src/decide/request_router_state.h
+++ b/src/decide/request_router_state.h
@@ -92,6 +92,7 @@
         bool spill = false;      ///< Whether executors of other zones may be used.
         request_queue queue;
         retry_budget budget;
+        router_counters counters;
     };
 
     /// What the actions of one step work on.
@@ -120,6 +121,18 @@
         const auto found = services_.find(service);
         return found == services_.end() ? 0 : found->second.queue.size();
     }
+    [[nodiscard]] std::size_t queued(const service_id& service, const team_id& team) const {
+        const auto found = services_.find(service);
+        return found == services_.end() ? 0 : found->second.queue.size(team);
+    }
+    [[nodiscard]] service_activity activity(const service_id& service) const {
+        const auto found = services_.find(service);
+        if (found == services_.end()) {
+            return {};
+        }
+        const service_state& state = found->second;
+        return {state.queue.size(), state.budget.tokens(), state.counters};
+    }
     [[nodiscard]] const router_counters& counters() const { return counters_; }
     [[nodiscard]] const executor_set& executors() const { return executors_; }
 
--- a/src/decide/request_router_steps.cpp
+++ b/src/decide/request_router_steps.cpp
@@ -91,6 +91,7 @@
          [](step_context& context, const request_event& event) {
              const attempt_answered& answer = *std::get<answered>(event).answer;
              context.effects.emplace_back(
+             ++context.router.service_of(context.request).counters.retries;
                  answer_caller{context.request.submission.caller, answer.status, result_code::ok,
                                context.request.submission.request, answer.body});
          }},
--- a/src/decide/share_ledger.cpp
+++ b/src/decide/share_ledger.cpp
@@ -64,6 +64,11 @@
     return shares > 0 ? use / shares : 0;
 }
 
+double share_ledger::used_fraction(const team_id& team) const {
+    const auto found = accounts_.find(team);
+    return found == accounts_.end() ? 0 : dominant_fraction(found->second.used, capacity_);
+}
+
 double share_ledger::weight(const team_id& team, const resources& amount) const {
     const auto found = accounts_.find(team);
     const double share = found == accounts_.end() ? 1 : found->second.share;
--- a/src/decide/task_scheduler.cpp
+++ b/src/decide/task_scheduler.cpp
@@ -296,3 +296,12 @@
 }
 
 } // namespace citronford
+worker_activity task_scheduler::workers() const {
+    return body_->workers();
+}
+team_activity task_scheduler::activity(const team_id& team) const {
+    return body_->activity(team);
+}
+std::vector<worker_id> task_scheduler::quarantined_workers() const {
+    return body_->quarantined_workers();
+}
--- a/src/decide/task_scheduler_state.h
+++ b/src/decide/task_scheduler_state.h
@@ -181,6 +181,31 @@
         const auto found = worker_index_.find(worker);
         return found != worker_index_.end() && workers_[found->second].position == held_;
     }
+    [[nodiscard]] worker_activity workers() const {
+        worker_activity activity;
+        for (const worker_entry& worker : workers_) {
+            activity.leases += worker.position == held_ ? 1 : 0;
+        }
+        activity.quarantined = quarantined_workers().size();
+        return activity;
+    }
+    [[nodiscard]] std::vector<worker_id> quarantined_workers() const {
+        std::vector<worker_id> found;
+        for (std::size_t index = 0; index < workers_.size(); ++index) {
+            if (workers_[index].position == held_ && health_.quarantined(index)) {
+                found.push_back(workers_[index].listing.id);
+            }
+        }
+        return found;
+    }
+    [[nodiscard]] team_activity activity(const team_id& team) const {
+        const auto queue = queues_.find(team);
+        const auto urgent = std::ranges::count_if(
+            urgent_, [&](const auto& item) { return item.second->row.job.team == team; });
+        return {(queue == queues_.end() ? 0 : queue->second.size()) +
+                    static_cast<std::size_t>(urgent),
+                ledger_.used_fraction(team)};
+    }
     [[nodiscard]] bool quarantined(const worker_id& worker) const {
         const auto found = worker_index_.find(worker);
         return found != worker_index_.end() && health_.quarantined(found->second);
--- a/src/io/metrics.cpp
+++ b/src/io/metrics.cpp
@@ -89,6 +89,12 @@
     }
 }
 
+void metrics::set_total(std::string_view name, std::span<const metric_label> labels, double value) {
+    if (auto* found = find_or_create<counter>(name, labels)) {
+        found->value = value;
+    }
+}
+
 void metrics::observe(std::string_view name, std::span<const metric_label> labels, duration value) {
     if (auto* found = find_or_create<latency_histogram>(name, labels)) {
         found->record(value);
--- a/src/io/metrics.h
+++ b/src/io/metrics.h
@@ -23,6 +23,8 @@
     /// Adds to a counter; its name ends in `_total`.
     void add(std::string_view name, std::span<const metric_label> labels, double amount = 1);
     void set(std::string_view name, std::span<const metric_label> labels, double value);
+    /// Sets a counter that is kept elsewhere; its name ends in `_total`.
+    void set_total(std::string_view name, std::span<const metric_label> labels, double value);
     /// Records a duration; its name ends in `_seconds`.
     void observe(std::string_view name, std::span<const metric_label> labels, duration value);
 
--- a/src/io/operator_front.cpp
+++ b/src/io/operator_front.cpp
@@ -154,7 +154,7 @@
 json team_json(const node& target, const team_definition& team) {
     return {{"name", team.name.str()},
             {"share", team.share},
-            {"limit", team.limit},
+            {"limit", limit_of(target.configuration().fleet(), team)},
             {"units", target.limits().units(team.name)},
             {"running", target.limits().running(team.name)}};
 }
@@ -182,7 +182,7 @@
 }
 
 void show_state(const operation& parameters) {
-    send_json(parameters.responder, state_json(parameters.target, 0));
+    send_json(parameters.responder, state_json(parameters.target, parameters.own.timers.now(), 0));
 }
 
 void show_burn(const operation& parameters) {
--- a/src/io/state_report.h
+++ b/src/io/state_report.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "citronford/instant.h"
+
 #include <cstdint>
 #include <string>
 
@@ -7,7 +9,8 @@
 
 class node;
 
-/// The state of a node as `GET /v1/state` shows it. A snapshot has a sequence number above zero.
-std::string state_json(node& target, std::uint64_t sequence);
+/// The state of the fleet as one node knows it at `now`, as `GET /v1/state` shows it. A snapshot
+/// has a sequence number above zero.
+std::string state_json(const node& target, instant now, std::uint64_t sequence);
 
 } // namespace citronford
--- a/src/node/control_driver.cpp
+++ b/src/node/control_driver.cpp
@@ -8,7 +8,6 @@
 #include "io/log.h"
 
 #include <algorithm>
-#include <charconv>
 #include <span>
 #include <utility>
 
@@ -34,16 +33,6 @@
     return commit->committed ? write_outcome::committed : write_outcome::conflict;
 }
 
-/// The limit of a team: the fleet default, or the exception of the team.
-std::int64_t limit_of(const fleet_configuration& fleet, const team_definition& team) {
-    std::int64_t limit = team.limit;
-    const auto text = exception_value(fleet, key_of("team/", team.name.view()), "limit");
-    if (text) {
-        std::from_chars(text->data(), text->data() + text->size(), limit);
-    }
-    return limit;
-}
-
 } // namespace
 
 absl::StatusOr<std::unique_ptr<control_driver>>
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -67,12 +67,12 @@
     [[nodiscard]] control_driver& configuration() { return *configuration_; }
     [[nodiscard]] const control_driver& configuration() const { return *configuration_; }
     [[nodiscard]] pool_driver& pools() { return *pools_; }
+    [[nodiscard]] const pool_driver& pools() const { return *pools_; }
     [[nodiscard]] const team_limits& limits() const { return limits_; }
     [[nodiscard]] std::size_t open_requests() const { return requests_->open_requests(); }
     [[nodiscard]] const task_scheduler& tasks() const { return tasks_->scheduler(); }
-    [[nodiscard]] std::size_t queued(const service_id& service) const {
-        return requests_->queued(service);
-    }
+    [[nodiscard]] const request_driver& requests() const { return *requests_; }
+    [[nodiscard]] std::string_view drain_state() const { return drain_.state(); }
     [[nodiscard]] service_level_driver& levels() { return *levels_; }
     [[nodiscard]] const settings& node_settings() const { return settings_; }
 
--- a/src/node/request_driver.h
+++ b/src/node/request_driver.h
@@ -49,9 +49,9 @@
     [[nodiscard]] std::size_t open_work() const {
         return router_->open_requests() + commits_.open_entries();
     }
-    [[nodiscard]] std::size_t queued(const service_id& service) const {
-        return router_->queued(service);
-    }
+    [[nodiscard]] const request_router& router() const { return *router_; }
+    /// Claim rows of this process that are kept for duplicates.
+    [[nodiscard]] std::size_t kept_claims() const { return commits_.kept_claims(); }
 
   private:
     request_driver(settings node_settings, node_links links, team_limits& limits,
