Count jobs in the error budgets and log refused jobs

Cause: the burn report was fed by answers to requests only, so a team whose jobs waited or were lost had an untouched error budget. Refused jobs left no log line, and the line of a failed request lacked the zone; the refusal of a duplicate job also lacked its id. Ruled out: counting a job at its end only, since a job that never starts would never count; counting every failed job, since most fail by themselves. A failure counts only on a quarantined worker. Before: no job in the report; request_failed without zone; job_refused did not exist. After: one measurement a job, at a late first start or at its end; job_objective, job_wait_ms and urgent_job_wait_ms are fleet defaults; table, JSON and page show the kind. Both lines carry code, id, team, zone and version. The failure on a quarantined worker has no unit test: a fixture with one worker has no peers to compare with.

--- a/include/citronford/fleet_configuration.h
+++ b/include/citronford/fleet_configuration.h
@@ -48,7 +48,10 @@
     milliseconds key_confirmation_limit{3000};
     milliseconds request_timeout{10000};
     milliseconds claim_retention{86400000};
-    double retry_ratio = 0.1; ///< Retries per success, at most.
+    double retry_ratio = 0.1;           ///< Retries per success, at most.
+    double job_objective = 0.99;        ///< Share of jobs to be served well, in (0, 1).
+    milliseconds job_wait{60000};       ///< A job that starts within this time is served well.
+    milliseconds urgent_job_wait{1000}; ///< The same for an urgent job.
 };
 
 /// Overrides one default in one scope; `reason` is mandatory.
@@ -98,11 +101,11 @@
 const pool_definition* find_pool(const fleet_configuration& fleet, std::string_view name);
 bool zone_removed(const fleet_configuration& fleet, const zone_id& zone);
 
-/// The value of the exception for `setting` in `scope`, if there is one.
-std::optional<std::string_view> exception_value(const fleet_configuration& fleet,
-                                                std::string_view scope, std::string_view setting);
 /// The upper limit of a team: the fleet default, or the exception of the team.
 std::int64_t limit_of(const fleet_configuration& fleet, const team_definition& team);
 
+/// The value of the exception for `setting` in `scope`, if there is one.
+std::optional<std::string_view> exception_value(const fleet_configuration& fleet,
+                                                std::string_view scope, std::string_view setting);
 
 } // namespace citronford
--- a/include/citronford/service_levels.h
+++ b/include/citronford/service_levels.h
@@ -24,10 +24,15 @@
     int http_status = 200; ///< Status sent to the caller.
     duration latency{};
 };
+/// A job was served well or badly (`job_measured` of the task scheduler).
+struct job_served {
+    team_id team; ///< Empty on an open queue.
+    bool bad = false;
+};
 /// Time passed; alerts are checked.
 struct service_level_tick {};
 
-using service_level_input = std::variant<answer_given, service_level_tick>;
+using service_level_input = std::variant<answer_given, job_served, service_level_tick>;
 
 // Effects of the service levels.
 
@@ -36,7 +41,7 @@
 
 /// The error budget burns above the rate of a rule, over its long and its short window.
 struct alert_raised {
-    service_id service;
+    service_id service; ///< Empty for the jobs of the team.
     team_id team;
     alert_urgency urgency = alert_urgency::page;
     duration window{}; ///< The long window of the rule.
@@ -80,13 +85,13 @@
     double burn_rate = 0;
 };
 
-/// State of the error budget of one service and team, since the start of the process but at most
-/// over `budget_period`.
+/// State of the error budget of one service and team, or of the jobs of one team, since the start
+/// of the process but at most over `budget_period`.
 struct burn_report {
-    service_id service;
+    service_id service; ///< Empty for the jobs of the team.
     team_id team;
     double objective = 0;
-    milliseconds latency{};
+    milliseconds latency{}; ///< Of an answer, or the wait of a job that is not urgent.
     answer_counts answers;
     double budget = 0;      ///< Bad answers that the objective allows.
     double spent_share = 0; ///< Bad answers over `budget`; above 1 the objective is missed.
@@ -97,18 +102,19 @@
 /// Whether an answer counts for the service level: a caller's own errors do not.
 bool counts_for_service(result_code code);
 
-/// Keeps the error budget of every service and team. An answer is good when the request was
-/// executed without a server error within the latency objective.
+/// Keeps the error budget of every service and team, and of the jobs of every team. An answer is
+/// good when the request was executed without a server error within the latency objective.
 class service_levels {
   public:
     /// Objectives are those of the service, unless an exception for the team, then one for the
-    /// service, overrides `objective` or `latency_ms`. Series of services and teams that are no
-    /// longer configured are dropped.
+    /// service, overrides `objective` or `latency_ms`; those of jobs are in the defaults. Series of
+    /// services and teams that are no longer configured are dropped.
     void configure(const fleet_configuration& fleet);
 
     std::vector<service_level_effect> handle(const service_level_input& input, instant now);
 
-    /// One report per service and team that had an answer, in order of service, then team.
+    /// One report per service and team that had an answer, in order of service, then team; those of
+    /// jobs first.
     [[nodiscard]] std::vector<burn_report> reports(instant now) const;
 
   private:
@@ -135,9 +141,11 @@
         count_ring hours;         ///< For longer windows and the budget.
         std::vector<bool> raised; ///< By rule: whether its alert is raised.
     };
+    /// The service is empty for the jobs of a team.
     using series_key = std::pair<service_id, team_id>;
 
     void take(const answer_given& answer, instant now, std::vector<service_level_effect>& effects);
+    void take(const job_served& job, instant now, std::vector<service_level_effect>& effects);
     void take(const service_level_tick& tick, instant now,
               std::vector<service_level_effect>& effects);
     [[nodiscard]] double objective_of(const series_key& key) const;
--- a/include/citronford/task_scheduler.h
+++ b/include/citronford/task_scheduler.h
@@ -112,7 +112,16 @@
     job_row row;
 };
 
-using scheduler_effect = std::variant<write_job, take_worker_lease, sync_worker, answer_job>;
+/// Whether a job was served well. Reported once a job by the node that owns it then: when its first
+/// start comes too late, or when it ends.
+struct job_measured {
+    job_id job;
+    team_id team;     ///< Empty on an open queue.
+    bool bad = false; ///< Started late, ended as unknown, or failed on a quarantined worker.
+};
+
+using scheduler_effect =
+    std::variant<write_job, take_worker_lease, sync_worker, answer_job, job_measured>;
 
 struct scheduler_options {
     live_member self;
@@ -157,15 +166,6 @@
     std::uint64_t operations = 0; ///< Workers and jobs examined; the cost of the decisions.
 };
 
-/// Decides which job runs on which worker owned by this node, and when.
-class task_scheduler {
-  public:
-    /// `limits` must outlive the scheduler.
-    static absl::StatusOr<std::unique_ptr<task_scheduler>>
-    create(const scheduler_charts& charts, scheduler_options options, team_limits& limits);
-
-    task_scheduler(const task_scheduler&) = delete;
-    task_scheduler& operator=(const task_scheduler&) = delete;
 /// What the workers that this node knows do at present.
 struct worker_activity {
     std::size_t leases = 0;      ///< Workers whose lease this node holds.
@@ -178,6 +178,15 @@
     double used = 0; ///< Largest fraction of any resource of the node's workers.
 };
 
+/// Decides which job runs on which worker owned by this node, and when.
+class task_scheduler {
+  public:
+    /// `limits` must outlive the scheduler.
+    static absl::StatusOr<std::unique_ptr<task_scheduler>>
+    create(const scheduler_charts& charts, scheduler_options options, team_limits& limits);
+
+    task_scheduler(const task_scheduler&) = delete;
+    task_scheduler& operator=(const task_scheduler&) = delete;
     task_scheduler(task_scheduler&&) = delete;
     task_scheduler& operator=(task_scheduler&&) = delete;
     ~task_scheduler();
@@ -193,6 +202,9 @@
     /// Jobs owned by this node that have not ended.
     [[nodiscard]] std::size_t open_jobs() const;
     [[nodiscard]] std::size_t queued_jobs() const;
+    [[nodiscard]] worker_activity workers() const;
+    [[nodiscard]] team_activity activity(const team_id& team) const;
+    [[nodiscard]] std::vector<worker_id> quarantined_workers() const;
     [[nodiscard]] bool holds(const worker_id& worker) const;
     [[nodiscard]] bool quarantined(const worker_id& worker) const;
     [[nodiscard]] const scheduler_counts& counts() const;
@@ -202,9 +214,6 @@
     explicit task_scheduler(std::unique_ptr<implementation> body);
 
     std::unique_ptr<implementation> body_;
-    [[nodiscard]] worker_activity workers() const;
-    [[nodiscard]] team_activity activity(const team_id& team) const;
-    [[nodiscard]] std::vector<worker_id> quarantined_workers() const;
 };
 
 } // namespace citronford
--- a/scripts/fleet_functions.sh
+++ b/scripts/fleet_functions.sh
@@ -8,6 +8,7 @@
 declare -A executors=() # endpoint of each executor and worker
 vm_rows=()              # rows of the VM list
 fleet_secret="loopback-fleet-secret"
+secrets=("$fleet_secret") # keys and secrets, which no log may show
 
 fail() {
     echo "${0##*/}: $*" >&2
@@ -23,6 +24,12 @@
         kill -KILL "${pids[$name]}" 2>/dev/null || true
     done
     wait 2>/dev/null || true
+    for name in "${secrets[@]}"; do
+        if grep -lF -- "$name" "$work"/*.log 2>/dev/null; then
+            echo "${0##*/}: a key or secret is in these logs" >&2
+            status=1
+        fi
+    done
     if [ "$status" -ne 0 ] && [ -n "${KEEP_LOGS:-}" ]; then
         echo "logs: $work" >&2
     else
@@ -181,6 +188,7 @@
     key_id=${BASH_REMATCH[1]}
     [[ $document =~ \"key\":\"([^\"]*)\" ]] || fail "no key in the answer"
     key=${BASH_REMATCH[1]}
+    secrets+=("$key")
 }
 
 # wait_key DAEMON KEY: until the daemon accepts the key.
--- a/src/decide/configuration_change.cpp
+++ b/src/decide/configuration_change.cpp
@@ -99,6 +99,12 @@
     if (status.ok() && (defaults.retry_ratio < 0 || defaults.retry_ratio > 1)) {
         status = invalid("retry_ratio must lie between 0 and 1");
     }
+    if (status.ok() && (defaults.job_objective <= 0 || defaults.job_objective >= 1)) {
+        status = invalid("job_objective must lie between 0 and 1");
+    }
+    if (status.ok() && std::min(defaults.job_wait, defaults.urgent_job_wait) <= milliseconds(0)) {
+        status = invalid("job_wait_ms and urgent_job_wait_ms must be above 0");
+    }
     return status;
 }
 
--- a/src/decide/service_levels.cpp
+++ b/src/decide/service_levels.cpp
@@ -102,7 +102,7 @@
     fleet_ = fleet;
     std::erase_if(series_, [this](const auto& item) {
         const auto& [service, team] = item.first;
-        return find_service(fleet_, service.view()) == nullptr ||
+        return (!service.empty() && find_service(fleet_, service.view()) == nullptr) ||
                (!team.empty() && find_team(fleet_, team.view()) == nullptr);
     });
 }
@@ -131,6 +131,16 @@
     counts.hours.add(now, bad);
 }
 
+void service_levels::take(const job_served& job, instant now,
+                          std::vector<service_level_effect>& /*effects*/) {
+    if (!job.team.empty() && find_team(fleet_, job.team.view()) == nullptr) {
+        return;
+    }
+    series& counts = series_[{service_id(), job.team}];
+    counts.minutes.add(now, job.bad);
+    counts.hours.add(now, job.bad);
+}
+
 void service_levels::take(const service_level_tick& /*tick*/, instant now,
                           std::vector<service_level_effect>& effects) {
     for (auto& [key, counts] : series_) {
@@ -158,6 +168,9 @@
 
 double service_levels::objective_of(const series_key& key) const {
     const auto& [service, team] = key;
+    if (service.empty()) {
+        return fleet_.defaults.job_objective;
+    }
     const service_definition* definition = find_service(fleet_, service.view());
     return overridden(fleet_, service, team, "objective", 0, 1)
         .value_or(definition == nullptr ? service_definition().objective : definition->objective);
@@ -165,6 +178,9 @@
 
 milliseconds service_levels::latency_of(const series_key& key) const {
     const auto& [service, team] = key;
+    if (service.empty()) {
+        return fleet_.defaults.job_wait;
+    }
     constexpr double longest_ms = 600000;
     const auto number = overridden(fleet_, service, team, "latency_ms", 0, longest_ms);
     if (number) {
--- a/src/decide/task_scheduler.cpp
+++ b/src/decide/task_scheduler.cpp
@@ -52,12 +52,12 @@
         {"answer_duplicate",
          [](job_context& context, const job_event&) {
              context.effects.emplace_back(
-                 answer_job{context.job.caller, result_code::duplicate_request, {}});
+                 answer_job{context.job.caller, result_code::duplicate_request, context.job.row});
          }},
         {"answer_unavailable",
          [](job_context& context, const job_event&) {
              context.effects.emplace_back(
-                 answer_job{context.job.caller, result_code::table_unavailable, {}});
+                 answer_job{context.job.caller, result_code::table_unavailable, context.job.row});
          }},
         {"write_adoption",
          [](job_context& context, const job_event&) {
@@ -85,6 +85,9 @@
                  scheduler.queues_[job.team].insert(context.job.order, job.size, &context.job);
              }
              context.job.refused_at.reset();
+             if (context.job.row.attempt == 0 && !context.job.waits_since) {
+                 context.job.waits_since = context.now;
+             }
              scheduler.dirty_ = true;
          }},
         {"dequeue",
@@ -101,6 +104,8 @@
         {"take_place",
          [](job_context& context, const job_event&) {
              auto& scheduler = context.scheduler;
+             scheduler.measure_wait(context.job, context.now, context.effects);
+             context.job.waits_since.reset();
              worker_entry& worker = scheduler.workers_[*context.job.worker];
              worker.jobs.insert(context.job.row.job.id);
              const resources size = scheduler.expected_size(context.job);
@@ -180,10 +185,16 @@
              context.scheduler.leave_place(context.job, context.now);
          }},
         {"record_done",
-         [](job_context& context, const job_event&) { end(context, job_state::done); }},
+         [](job_context& context, const job_event&) {
+             measure(context.job, false, context.effects);
+             end(context, job_state::done);
+         }},
         {"record_failed",
          [](job_context& context, const job_event&) {
              context.job.row.reason = "the task failed on worker " + context.job.row.worker.str();
+             // A worker that fails everything is a fault of the fleet, not of the job.
+             measure(context.job, context.scheduler.quarantined(context.job.row.worker),
+                     context.effects);
              end(context, job_state::failed);
          }},
         {"record_cancelled",
@@ -191,6 +202,7 @@
         {"record_unknown",
          [](job_context& context, const job_event&) {
              context.job.row.reason = "worker " + context.job.row.worker.str() + " was lost";
+             measure(context.job, true, context.effects);
              end(context, job_state::unknown);
          }},
         {"record_cannot_run",
@@ -285,6 +297,15 @@
 std::size_t task_scheduler::queued_jobs() const {
     return body_->queued_jobs();
 }
+worker_activity task_scheduler::workers() const {
+    return body_->workers();
+}
+team_activity task_scheduler::activity(const team_id& team) const {
+    return body_->activity(team);
+}
+std::vector<worker_id> task_scheduler::quarantined_workers() const {
+    return body_->quarantined_workers();
+}
 bool task_scheduler::holds(const worker_id& worker) const {
     return body_->holds(worker);
 }
@@ -296,12 +317,3 @@
 }
 
 } // namespace citronford
-worker_activity task_scheduler::workers() const {
-    return body_->workers();
-}
-team_activity task_scheduler::activity(const team_id& team) const {
-    return body_->activity(team);
-}
-std::vector<worker_id> task_scheduler::quarantined_workers() const {
-    return body_->quarantined_workers();
-}
--- a/src/decide/task_scheduler_review.cpp
+++ b/src/decide/task_scheduler_review.cpp
@@ -10,6 +10,9 @@
     for (std::size_t index = 0; index < workers_.size(); ++index) {
         review_worker(index, now, effects);
     }
+    for (job_entry* entry : unplaced_jobs()) {
+        measure_wait(*entry, now, effects);
+    }
     review_queued(now, effects);
     review_attached(now, effects);
     review_throttle();
@@ -54,6 +57,33 @@
     });
 }
 
+std::vector<job_entry*> task_scheduler::implementation::unplaced_jobs() const {
+    std::vector<job_entry*> waiting;
+    for (const auto& [team, queue] : queues_) {
+        queue.for_each(
+            [&](std::uint64_t /*order*/, job_entry* entry) { waiting.push_back(entry); });
+    }
+    for (const auto& [order, entry] : urgent_) {
+        waiting.push_back(entry);
+    }
+    return waiting;
+}
+
+void task_scheduler::implementation::measure(job_entry& entry, bool bad, effects_out effects) {
+    if (!std::exchange(entry.counted, true)) {
+        effects.emplace_back(job_measured{entry.row.job.id, entry.row.job.team, bad});
+    }
+}
+
+void task_scheduler::implementation::measure_wait(job_entry& entry, instant now,
+                                                  effects_out effects) const {
+    const fleet_defaults& defaults = fleet_.defaults;
+    const duration allowed = entry.row.job.urgent ? defaults.urgent_job_wait : defaults.job_wait;
+    if (entry.waits_since && now - *entry.waits_since > allowed) {
+        measure(entry, true, effects);
+    }
+}
+
 void task_scheduler::implementation::review_queued(instant now, effects_out effects) {
     if (!settled(now)) {
         return;
@@ -67,14 +97,7 @@
         }
         any_usable = any_usable || usable(worker);
     }
-    std::vector<job_entry*> waiting;
-    for (const auto& [team, queue] : queues_) {
-        queue.for_each(
-            [&](std::uint64_t /*order*/, job_entry* entry) { waiting.push_back(entry); });
-    }
-    for (const auto& [order, entry] : urgent_) {
-        waiting.push_back(entry);
-    }
+    const std::vector<job_entry*> waiting = unplaced_jobs();
     operations_ += waiting.size();
     for (job_entry* entry : waiting) {
         const bool fits = std::ranges::any_of(
--- a/src/decide/task_scheduler_state.h
+++ b/src/decide/task_scheduler_state.h
@@ -55,6 +55,10 @@
     std::uint32_t failures = 0;
     instant since{}; ///< When the present state was entered.
 
+    // The service level.
+    std::optional<instant> waits_since; ///< When it was first queued here; none after a start.
+    bool counted = false;               ///< `job_measured` was reported.
+
     // The wait for a place.
     std::uint64_t order = 0;
     std::optional<instant> refused_at; ///< When a place was first looked for in vain.
@@ -177,10 +181,6 @@
         }
         return total;
     }
-    [[nodiscard]] bool holds(const worker_id& worker) const {
-        const auto found = worker_index_.find(worker);
-        return found != worker_index_.end() && workers_[found->second].position == held_;
-    }
     [[nodiscard]] worker_activity workers() const {
         worker_activity activity;
         for (const worker_entry& worker : workers_) {
@@ -206,6 +206,10 @@
                     static_cast<std::size_t>(urgent),
                 ledger_.used_fraction(team)};
     }
+    [[nodiscard]] bool holds(const worker_id& worker) const {
+        const auto found = worker_index_.find(worker);
+        return found != worker_index_.end() && workers_[found->second].position == held_;
+    }
     [[nodiscard]] bool quarantined(const worker_id& worker) const {
         const auto found = worker_index_.find(worker);
         return found != worker_index_.end() && health_.quarantined(found->second);
@@ -412,6 +416,14 @@
 
     void review_queued(instant now, effects_out effects);
 
+    [[nodiscard]] std::vector<job_entry*> unplaced_jobs() const;
+
+    /// Reports whether the job was served well, unless that was reported before.
+    static void measure(job_entry& entry, bool bad, effects_out effects);
+
+    /// Reports a job that has waited for its first start longer than the fleet defaults allow.
+    void measure_wait(job_entry& entry, instant now, effects_out effects) const;
+
     void pass_on(job_entry& entry, const job_event& event, const live_member* to, instant now,
                  effects_out effects);
 
--- a/src/io/burn_page.cpp
+++ b/src/io/burn_page.cpp
@@ -70,13 +70,15 @@
 std::string section_of(const burn_report& report) {
     // A burn rate of 20 spends the budget of a month in a day and a half; bars end there.
     constexpr double longest_bar = 20;
+    const bool of_jobs = report.service.empty();
     std::string html = fmt::format(
-        "<h2>{}{}{}</h2><p>objective {:.4g}% within {} ms; {} answers, {} bad; budget {:.2f}, "
+        "<h2>{}{}{}</h2><p>objective {:.4g}% within {} ms; {} {}, {} bad; budget {:.2f}, "
         "spent {:.1f}%</p>",
-        escaped(report.service.view()), report.team.empty() ? "" : " / ",
+        of_jobs ? "jobs" : escaped(report.service.view()), report.team.empty() ? "" : " / ",
         escaped(report.team.view()), report.objective * 100, report.latency.count(),
-        report.answers.total, report.answers.bad, report.budget, report.spent_share * 100);
-    html += "<table><tr><th>window</th><th>burn rate</th><th></th><th>answers</th></tr>";
+        report.answers.total, of_jobs ? "jobs" : "answers", report.answers.bad, report.budget,
+        report.spent_share * 100);
+    html += "<table><tr><th>window</th><th>burn rate</th><th></th><th>count</th></tr>";
     for (const window_burn& window : report.windows) {
         html += fmt::format("<tr><td>{}</td><td>{:.2f}</td><td>{}</td><td>{}</td></tr>",
                             window_name(window.window), window.burn_rate,
@@ -93,10 +95,15 @@
 }
 
 json json_of(const burn_report& report) {
-    json document = {{"service", report.service.str()}, {"team", report.team.str()},
-                     {"objective", report.objective},   {"latency_ms", report.latency.count()},
-                     {"answers", report.answers.total}, {"bad", report.answers.bad},
-                     {"budget", report.budget},         {"spent_share", report.spent_share},
+    json document = {{"kind", report.service.empty() ? "jobs" : "requests"},
+                     {"service", report.service.str()},
+                     {"team", report.team.str()},
+                     {"objective", report.objective},
+                     {"latency_ms", report.latency.count()},
+                     {"answers", report.answers.total},
+                     {"bad", report.answers.bad},
+                     {"budget", report.budget},
+                     {"spent_share", report.spent_share},
                      {"alerts", json::array()}};
     for (const window_burn& window : report.windows) {
         document["burn_" + window_name(window.window)] = window.burn_rate;
--- a/src/io/configuration_codec.cpp
+++ b/src/io/configuration_codec.cpp
@@ -84,7 +84,8 @@
 
 fleet_defaults defaults_of(const json& object) {
     require_members(object, {"services", "teams", "pools", "key_confirmation_limit_ms",
-                             "request_timeout_ms", "claim_retention_ms", "retry_ratio"});
+                             "request_timeout_ms", "claim_retention_ms", "retry_ratio",
+                             "job_objective", "job_wait_ms", "urgent_job_wait_ms"});
     fleet_defaults defaults;
     defaults.services = list_of<service_definition>(object, "services", service_of);
     defaults.teams = list_of<team_definition>(object, "teams", team_of);
@@ -94,6 +95,9 @@
     defaults.request_timeout = ms_of(object, "request_timeout_ms", defaults.request_timeout);
     defaults.claim_retention = ms_of(object, "claim_retention_ms", defaults.claim_retention);
     defaults.retry_ratio = object.value("retry_ratio", defaults.retry_ratio);
+    defaults.job_objective = object.value("job_objective", defaults.job_objective);
+    defaults.job_wait = ms_of(object, "job_wait_ms", defaults.job_wait);
+    defaults.urgent_job_wait = ms_of(object, "urgent_job_wait_ms", defaults.urgent_job_wait);
     return defaults;
 }
 
@@ -104,7 +108,10 @@
                      {"key_confirmation_limit_ms", defaults.key_confirmation_limit.count()},
                      {"request_timeout_ms", defaults.request_timeout.count()},
                      {"claim_retention_ms", defaults.claim_retention.count()},
-                     {"retry_ratio", defaults.retry_ratio}};
+                     {"retry_ratio", defaults.retry_ratio},
+                     {"job_objective", defaults.job_objective},
+                     {"job_wait_ms", defaults.job_wait.count()},
+                     {"urgent_job_wait_ms", defaults.urgent_job_wait.count()}};
     for (const service_definition& service : defaults.services) {
         document["services"].push_back({{"name", service.name.str()},
                                         {"pool", service.pool.str()},
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -66,7 +66,7 @@
 
 node::node(settings node_settings, node_links links, drain stop)
     : settings_(std::move(node_settings)), links_(links), drain_(std::move(stop)),
-      levels_(std::make_unique<service_level_driver>(links.timers)) {}
+      levels_(std::make_unique<service_level_driver>(links.timers, settings_.zone)) {}
 
 void node::start() {
     configuration_->subscribe([this](const fleet_configuration& fleet) { apply(fleet); });
@@ -74,6 +74,10 @@
     requests_->on_answer([this](const answer_caller& answer) {
         levels_->answered(answer.caller, answer.request, answer.code, answer.status);
     });
+    tasks_->subscribe({[this](const job_measured& job) { levels_->served(job.team, job.bad); },
+                       [this](const job_id& id, const team_id& team, result_code code) {
+                           levels_->job_refused(id, team, code);
+                       }});
     pools_->start();
     requests_->start();
     levels_->start();
@@ -203,6 +207,7 @@
 
 void node::refuse_job(caller_id caller, const job_id& id, const absl::Status& status) {
     const result_code_entry& entry = entry_of(code_of(status));
+    levels_->job_refused(id, {}, entry.code);
     links_.callers.answer(caller, {entry.http_status, entry.code, entry.state,
                                    request_id(id.view()), message_of(status)});
 }
--- a/src/node/service_level_driver.cpp
+++ b/src/node/service_level_driver.cpp
@@ -3,6 +3,7 @@
 #include "citronford/overloaded.h"
 
 #include <string>
+#include <utility>
 
 namespace citronford {
 namespace {
@@ -16,8 +17,8 @@
 
 } // namespace
 
-service_level_driver::service_level_driver(timer_service& timers)
-    : timers_(timers), started_at_(timers.now()) {}
+service_level_driver::service_level_driver(timer_service& timers, zone_id zone)
+    : timers_(timers), zone_(std::move(zone)), started_at_(timers.now()) {}
 
 void service_level_driver::start() {
     tick_timer_ = timers_.every(tick_period, [this](instant) { handle(service_level_tick{}); });
@@ -50,6 +51,16 @@
     observe({service, {}, code, entry_of(code).http_status, {}}, request);
 }
 
+void service_level_driver::job_refused(const job_id& job, const team_id& team, result_code code) {
+    limiter_.log_repeated(log_level::warning, "job_refused", std::to_string(static_cast<int>(code)),
+                          timers_.now(),
+                          {{"code", static_cast<std::int64_t>(code)},
+                           {"job", job.view()},
+                           {"team", team.view()},
+                           {"zone", zone_.view()},
+                           {"version", static_cast<std::int64_t>(version_)}});
+}
+
 void service_level_driver::left(caller_id caller) {
     open_.erase(caller);
 }
@@ -66,6 +77,7 @@
                                {"request", request.view()},
                                {"service", answer.service.view()},
                                {"team", answer.team.view()},
+                               {"zone", zone_.view()},
                                {"version", static_cast<std::int64_t>(version_)}});
     }
 }
--- a/src/node/service_level_driver.h
+++ b/src/node/service_level_driver.h
@@ -16,8 +16,8 @@
   public:
     using listener = std::function<void(const answer_given&)>;
 
-    /// `timers` must outlive the driver.
-    explicit service_level_driver(timer_service& timers);
+    /// `timers` must outlive the driver. `zone` is that of the node.
+    service_level_driver(timer_service& timers, zone_id zone);
     service_level_driver(const service_level_driver&) = delete;
     service_level_driver& operator=(const service_level_driver&) = delete;
     service_level_driver(service_level_driver&&) = delete;
@@ -37,6 +37,10 @@
     void answered(caller_id caller, const request_id& request, result_code code, int http_status);
     /// A request was refused before it was accepted.
     void refused(const service_id& service, const request_id& request, result_code code);
+    /// A job was served well or badly.
+    void served(const team_id& team, bool bad) { handle(job_served{team, bad}); }
+    /// A job was refused; it counts for no service level.
+    void job_refused(const job_id& job, const team_id& team, result_code code);
     /// The caller has gone away; nobody waits for the answer.
     void left(caller_id caller);
 
@@ -55,6 +59,7 @@
     void handle(const service_level_input& input);
 
     timer_service& timers_;
+    zone_id zone_;
     instant started_at_;
     service_levels levels_;
     configuration_version version_ = 0;
--- a/src/node/task_driver.cpp
+++ b/src/node/task_driver.cpp
@@ -205,7 +205,7 @@
     if (effect.code == result_code::ok) {
         answer(effect.caller, effect.row);
     } else {
-        refuse(effect.caller, effect.row.job.id,
+        refuse(effect.caller, effect.row.job.team, effect.row.job.id,
                make_status(effect.code, entry_of(effect.code).meaning));
     }
 }
@@ -217,8 +217,18 @@
         caller, {ok, result_code::ok, run_state_of(row), request_id(row.job.id.view()), body});
 }
 
-void task_driver::refuse(caller_id caller, const job_id& id, const absl::Status& status) {
+void task_driver::perform(const job_measured& effect) {
+    if (listeners_.measured) {
+        listeners_.measured(effect);
+    }
+}
+
+void task_driver::refuse(caller_id caller, const team_id& team, const job_id& id,
+                         const absl::Status& status) {
     const result_code_entry& entry = entry_of(code_of(status));
+    if (listeners_.refused) {
+        listeners_.refused(id, team, entry.code);
+    }
     links_.callers.answer(caller, {entry.http_status, entry.code, entry.state,
                                    request_id(id.view()), message_of(status)});
 }
@@ -253,9 +263,9 @@
     }
     read_row(id, [this, caller, team, id](const absl::StatusOr<job_row_seen>& seen) {
         if (!seen.ok()) {
-            refuse(caller, id, seen.status());
+            refuse(caller, team, id, seen.status());
         } else if (seen->row.job.team != team) {
-            refuse(caller, id, make_status(result_code::not_found, "there is no such job"));
+            refuse(caller, team, id, make_status(result_code::not_found, "there is no such job"));
         } else {
             answer(caller, seen->row);
         }
@@ -273,9 +283,9 @@
     }
     read_row(id, [this, caller, team, id](const absl::StatusOr<job_row_seen>& seen) {
         if (!seen.ok()) {
-            refuse(caller, id, seen.status());
+            refuse(caller, team, id, seen.status());
         } else if (seen->row.job.team != team) {
-            refuse(caller, id, make_status(result_code::not_found, "there is no such job"));
+            refuse(caller, team, id, make_status(result_code::not_found, "there is no such job"));
         } else if (ended(seen->row.state)) {
             answer(caller, seen->row);
         } else {
@@ -293,9 +303,9 @@
         std::span(&check, 1), std::span(&write, 1),
         [this, caller, row](const absl::StatusOr<table_commit>& commit) {
             if (!commit.ok()) {
-                refuse(caller, row.job.id, commit.status());
+                refuse(caller, row.job.team, row.job.id, commit.status());
             } else if (!commit->committed) {
-                refuse(caller, row.job.id,
+                refuse(caller, row.job.team, row.job.id,
                        make_status(result_code::conflict, "the job changed meanwhile; try again"));
             } else {
                 answer(caller, row);
--- a/src/node/task_driver.h
+++ b/src/node/task_driver.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <utility>
 
 namespace citronford {
 
@@ -20,6 +21,12 @@
     /// Reads when the node's copy of the configuration was confirmed.
     using confirmation = std::function<instant()>;
 
+    /// Told of jobs; empty functions are not called.
+    struct job_listeners {
+        std::function<void(const job_measured&)> measured;
+        std::function<void(const job_id&, const team_id&, result_code)> refused;
+    };
+
     /// `incarnation` is that of the node's registration. Fails with `chart_invalid`.
     static absl::StatusOr<std::unique_ptr<task_driver>>
     create(const settings& node_settings, node_links links, team_limits& limits,
@@ -31,6 +38,8 @@
     task_driver& operator=(task_driver&&) = delete;
     ~task_driver() = default;
 
+    void subscribe(job_listeners listeners) { listeners_ = std::move(listeners); }
+
     /// Begins to place tasks and to read the VM list and the rows of jobs.
     void start();
 
@@ -58,6 +67,7 @@
     void perform(const take_worker_lease& effect);
     void perform(const sync_worker& effect);
     void perform(const answer_job& effect);
+    void perform(const job_measured& effect);
 
     /// Finds out by reading whether a write took effect whose result is not certain.
     void resolve(const write_job& effect);
@@ -65,7 +75,8 @@
     void read_row(const job_id& id, row_callback done);
     void commit_cancellation(caller_id caller, const job_row_seen& seen);
     void answer(caller_id caller, const job_row& row);
-    void refuse(caller_id caller, const job_id& id, const absl::Status& status);
+    void refuse(caller_id caller, const team_id& team, const job_id& id,
+                const absl::Status& status);
     void poll_jobs();
     void poll_vms();
 
@@ -75,6 +86,7 @@
     live_member self_;
     std::unique_ptr<task_scheduler> scheduler_;
     confirmation confirmed_at_;
+    job_listeners listeners_;
     fleet_configuration fleet_;
     table_version scanned_ = 0;
     bool polling_ = false;
--- a/tests/process/reports.sh
+++ b/tests/process/reports.sh
@@ -45,7 +45,20 @@
 log=$work/entry-a-1.log
 [ "$(grep -c 'event=request_failed code=201' "$log")" -le 10 ] || fail "repeated events are not limited"
 grep -q 'event=request_failed code=201 request=rejected-' "$log" || fail "no line of a rejected key"
+reject_job() {
+    http -o /dev/null -X POST "http://${callers[entry-a-1]}/v1/jobs" -H 'Authorization: Bearer wrong' \
+        -d '{"id":"rejected-job","processors":1}'
+}
+reject_job
+grep -q 'event=job_refused code=201 job=rejected-job team="" zone=a version=[0-9]' "$log" ||
+    fail "no line of a rejected job: $(grep job_refused "$log")"
 http -f -X POST "http://$operator/v1/log-level" -d '{"level":"error"}' >/dev/null
+lines=$(grep -c 'event=job_refused' "$log")
+reject_job
+[ "$(grep -c 'event=job_refused' "$log")" -eq "$lines" ] || fail "the level has no effect"
+http -f -X POST "http://$operator/v1/log-level" -d '{"level":"debug"}' >/dev/null
+reject_job
+[ "$(grep -c 'event=job_refused' "$log")" -gt "$lines" ] || fail "the level does not change back"
 grep -q 'event=log_level_changed level=error' "$log" || fail "the change of the level is not logged"
 http -X POST "http://$operator/v1/log-level" -d '{"level":"loud"}' | grep -q '"code":105' ||
     fail "a wrong level was accepted"
--- a/tests/service_levels_test.cpp
+++ b/tests/service_levels_test.cpp
@@ -140,3 +140,24 @@
     fixture.levels.configure(fixture.fleet);
     cr_assert(fixture.levels.reports(fixture.now).empty());
 }
+
+// Guards against jobs that are served badly and spend no error budget, and against objectives of
+// jobs that operators cannot set.
+Test(service_levels, counts_jobs_against_the_objective_of_the_defaults) {
+    levels_fixture fixture;
+    fixture.fleet.defaults.job_objective = 0.9;
+    fixture.fleet.defaults.job_wait = seconds(7);
+    fixture.levels.configure(fixture.fleet);
+    for (int index = 0; index < 40; ++index) {
+        fixture.levels.handle(job_served{sales, index % 20 == 0}, fixture.now);
+        fixture.levels.handle(job_served{team_id("stranger"), true}, fixture.now);
+    }
+    fixture.answer(result_code::ok);
+    const auto reports = fixture.levels.reports(fixture.now);
+    cr_assert_eq(reports.size(), 2,
+                 "jobs and requests are counted apart, unknown teams not at all");
+    cr_assert(reports[0].service.empty() && reports[0].team == sales);
+    cr_assert(reports[0].answers.total == 40 && reports[0].answers.bad == 2);
+    cr_assert(reports[0].objective == 0.9 && reports[0].latency == milliseconds(7000));
+    cr_assert(std::abs(reports[0].spent_share - 0.5) < 1e-9);
+}
--- a/tests/task_scheduler_test.cpp
+++ b/tests/task_scheduler_test.cpp
@@ -207,6 +207,62 @@
     cr_assert(fixture.state("j") == job_state::done);
 }
 
+// Guards against jobs that the fleet served badly and that spend no error budget, or spend it
+// twice.
+Test(task_scheduler, measures_every_job_once) {
+    struct example {
+        const char* description;
+        duration wait;  ///< Before the worker takes a job.
+        task_state end; ///< As the worker reports.
+        bool lost;      ///< The worker restarts and forgets the task.
+        bool bad;
+    };
+    const example examples[] = {
+        {"served in time", {}, task_state::done, false, false},
+        {"started late", seconds(61), task_state::done, false, true},
+        {"failed by itself", {}, task_state::failed, false, false},
+        {"unknown", {}, task_state::running, true, true},
+    };
+    for (const example& item : examples) {
+        scheduler_fixture fixture;
+        std::vector<job_measured> measured;
+        const auto note = [&] {
+            for (const scheduler_effect& effect : fixture.effects) {
+                if (const auto* found = std::get_if<job_measured>(&effect)) {
+                    measured.push_back(*found);
+                }
+            }
+        };
+        const auto run = [&](task_state end) {
+            const sync_request sent = fixture.start_once();
+            fixture.report(sent,
+                           item.lost
+                               ? sync_result(sync_lost{})
+                               : sync_result(sync_done{
+                                     1, false, {8000, 8000, 0}, {{sent.start.at(0).id, end, {}}}}));
+            note();
+        };
+        if (item.wait > duration()) {
+            fixture.confirming = false;
+            fixture.now += seconds(3);
+            fixture.submit("j", 2, false);
+            for (duration waited{}; waited <= item.wait; waited += seconds(1)) {
+                fixture.tick(seconds(1));
+                note();
+            }
+            cr_assert_eq(measured.size(), 1, "%s: a job that still waits counts", item.description);
+        } else {
+            run(item.end);
+            if (item.lost) {
+                fixture.answer({}, 2);
+                note();
+            }
+        }
+        cr_assert_eq(measured.size(), 1, "%s: %zu", item.description, measured.size());
+        cr_assert(measured[0].bad == item.bad && measured[0].team == sales, "%s", item.description);
+    }
+}
+
 // Guards against a worker that attracts all work by failing it at once.
 Test(worker_health, quarantines_a_worker_that_fails_far_more_than_its_peers) {
     auto health = worker_health::create(installed_chart("worker_health"), {});
--- a/tools/standins/worker_model.h
+++ b/tools/standins/worker_model.h
@@ -378,6 +378,8 @@
 
     void perform(model_node& /*node*/, const answer_job& effect) { answers.push_back(effect); }
 
+    void perform(model_node& /*node*/, const job_measured& /*effect*/) {}
+
     table_version version_ = 0;
     std::uint64_t next_event_ = 0;
     std::map<std::uint64_t, timer_subscription> events_;
