--- a/src/decide/request_router_steps.cpp
+++ b/src/decide/request_router_steps.cpp
@@ -56,7 +56,12 @@
          [](step_context& context, const request_event&) {
              request_entry& request = context.request;
              request_queue& queue = context.router.service_of(request).queue;
-             request.waited_for_limit = queue.blocked(request.submission.team);
+             const team_id& team = request.submission.team;
+             // A queue is also unblocked to try the team again, so the units tell more.
+             const team_limits& limits = context.router.limits_;
+             request.waited_for_limit =
+                 queue.blocked(team) ||
+                 (!team.empty() && limits.running(team) >= limits.units(team));
              queue.erase(request.submission.team, request.place);
          }},
         {"send_attempt",
@@ -86,12 +91,12 @@
          [](step_context& context, const request_event&) {
              context.router.service_of(context.request).budget.spend();
              ++context.router.counters_.retries;
+             ++context.router.service_of(context.request).counters.retries;
          }},
         {"answer_caller",
          [](step_context& context, const request_event& event) {
              const attempt_answered& answer = *std::get<answered>(event).answer;
              context.effects.emplace_back(
-             ++context.router.service_of(context.request).counters.retries;
                  answer_caller{context.request.submission.caller, answer.status, result_code::ok,
                                context.request.submission.request, answer.body});
          }},
