--- a/tests/metrics_test.cpp
+++ b/tests/metrics_test.cpp
@@ -4,6 +4,9 @@
 #include "io/log.h"
 #include "io/metrics.h"
 
+#include <cstdio>
+#include <unistd.h>
+
 using namespace citronford;
 
 // Guards against quantiles that hide slow answers.
@@ -65,6 +68,35 @@
     cr_assert(limiter.log_repeated(log_level::error, "e", "1", now, {}));
 }
 
+// Guards against a count of suppressed lines that is lost, and against a level that does not change
+// while the process runs.
+Test(log, writes_the_count_of_suppressed_lines_at_the_level_in_force) {
+    std::FILE* const file = std::tmpfile();
+    cr_assert(file != nullptr && dup2(fileno(file), STDERR_FILENO) >= 0);
+    log_limiter limiter;
+    const instant now{};
+    for (int index = 0; index < 12; ++index) {
+        limiter.log_repeated(log_level::warning, "e", "1", now, {});
+    }
+    limiter.log_repeated(log_level::warning, "e", "1", now + log_limiter::period, {});
+    set_log_level(log_level::error);
+    log_event(log_level::warning, "hidden", {});
+    set_log_level(log_level::warning);
+    log_event(log_level::warning, "shown", {});
+    std::rewind(file);
+    std::string text(4096, ' ');
+    text.resize(std::fread(text.data(), 1, text.size(), file));
+    std::fclose(file);
+    std::size_t lines = 0;
+    for (std::size_t at = text.find("event=e"); at != std::string::npos;
+         at = text.find("event=e", at + 1)) {
+        ++lines;
+    }
+    cr_assert_eq(lines, log_limiter::burst + 1);
+    cr_assert(text.find("event=e suppressed=7\n") != std::string::npos, "%s", text.c_str());
+    cr_assert(text.find("hidden") == std::string::npos && text.find("shown") != std::string::npos);
+}
+
 // Guards against a page that executes a name as markup.
 Test(burn_page, escapes_names) {
     burn_report report;
