Limit the log lines of rejected peers

Cause: every rejected connection at the port of peers and every dropped message wrote a line, so that anybody who reaches the port could fill the log. Ruled out: lines of invalid rows; a row is read again only when it changes. Before: 30 connections with a wrong frame gave 30 lines. After: 5 lines, then one with the count of those left out. Conclusion: bad_input bounds the lines.

--- a/src/io/thrift_peer_link.cpp
+++ b/src/io/thrift_peer_link.cpp
@@ -53,6 +53,7 @@
     uv_loop_t* loop = nullptr;
     timer_service* timers = nullptr;
     std::string secret;
+    log_limiter limiter; ///< Anybody who reaches the port can cause rejections.
     uv_tcp_t* listener = nullptr;
     receiver received;
     refusal refused;
@@ -89,7 +90,8 @@
         if (uv_stream_get_write_queue_size(reinterpret_cast<uv_stream_t*>(&link->handle)) +
                 data.size() >
             send_limit) {
-            log_event(log_level::warning, "peer_send_dropped", {{"node", link->to.view()}});
+            limiter.log_repeated(log_level::warning, "peer_send_dropped", {}, timers->now(),
+                                 {{"node", link->to.view()}});
             return;
         }
         sent += data.size();
@@ -158,9 +160,10 @@
             auto envelope =
                 content.ok() ? decoded(**content) : absl::StatusOr<peer_envelope>(content.status());
             if (!envelope.ok()) {
-                log_event(log_level::warning, "peer_rejected",
-                          {{"code", static_cast<std::int64_t>(result_code::peer_rejected)},
-                           {"reason", message_of(envelope.status())}});
+                limiter.log_repeated(
+                    log_level::warning, "peer_rejected", {}, timers->now(),
+                    {{"code", static_cast<std::int64_t>(result_code::peer_rejected)},
+                     {"reason", message_of(envelope.status())}});
                 close(link);
                 return;
             }
--- a/tests/process/bad_input.sh
+++ b/tests/process/bad_input.sh
@@ -50,6 +50,16 @@
 expect 200 -X POST -d x "$caller/v1/services/quote/requests"
 expect 201 -X POST -H 'Authorization: Bearer wrong' -d x "$caller/v1/services/quote/requests"
 
+# Strangers at the port of peers are rejected, and their number does not fill the log.
+for _ in {1..30}; do
+    exec 3<>"/dev/tcp/${peer_endpoints[entry-a-1]/://}"
+    printf '%032d\377\377\377\377' 0 >&3
+    timeout 5 cat <&3 >/dev/null || true
+    exec 3>&-
+done
+rejections=$(grep -c 'event=peer_rejected code=' "$work/entry-a-1.log")
+[[ $rejections -ge 1 && $rejections -le 5 ]] || fail "30 rejected peers gave $rejections lines"
+
 # refuse_start CODE TEXT: the daemon must not start with the present settings file.
 refuse_start() {
     local status=0
