Test that failures on a quarantined worker count as those of the fleet

Cause: the rule had no test, since the fixture had one worker and no peers to compare with. Ruled out: earlier failures on a single worker. The faded part of its own failures is taken for those of its peers, so a worker without peers is not quarantined. Before: no test. Conclusion: the rule holds from the failure that quarantines the worker.

--- a/tests/task_scheduler_test.cpp
+++ b/tests/task_scheduler_test.cpp
@@ -2,6 +2,9 @@
 
 #include "citronford/task_scheduler.h"
 
+#include <algorithm>
+#include <deque>
+
 using namespace citronford;
 
 namespace {
@@ -263,6 +266,69 @@
     }
 }
 
+// Guards against a team that is not told of the jobs it lost to a worker that fails everything.
+Test(task_scheduler, counts_failures_on_a_quarantined_worker_as_those_of_the_fleet) {
+    scheduler_fixture fixture;
+    const worker_id other("w2");
+    std::vector<job_measured> measured_jobs;
+    // Writes succeed; tasks end at once, badly on the first worker and well on the other.
+    const auto perform = [&] {
+        std::deque<scheduler_effect> due(fixture.effects.begin(), fixture.effects.end());
+        while (!due.empty()) {
+            const scheduler_effect effect = due.front();
+            due.pop_front();
+            if (const auto* write = std::get_if<write_job>(&effect)) {
+                fixture.handle(job_write_result{write->row.job.id, write->write,
+                                                job_write_result::outcome::written,
+                                                ++fixture.version});
+            } else if (const auto* sync = std::get_if<sync_worker>(&effect)) {
+                const bool fails = sync->worker == first_worker;
+                sync_done answer{1, false, {8000, 8000, 0}, {}};
+                for (const auto& start : sync->message.start) {
+                    answer.tasks.push_back(
+                        {start.id, fails ? task_state::failed : task_state::done, {}});
+                }
+                fixture.handle(sync_report{sync->worker, sync->message.sequence, answer});
+            } else {
+                const auto* measured = std::get_if<job_measured>(&effect);
+                if (measured != nullptr) {
+                    measured_jobs.push_back(*measured);
+                }
+                continue;
+            }
+            due.insert(due.end(), fixture.effects.begin(), fixture.effects.end());
+        }
+    };
+    fixture.handle(worker_listing{{{first_worker, zone_id("a"), {"127.0.0.1", 1}, false},
+                                   {other, zone_id("a"), {"127.0.0.1", 2}, false}}});
+    fixture.handle(worker_lease_granted{other, 4});
+    perform();
+    bool quarantined = false;
+    std::size_t blamed = 0;
+    for (int round = 0; round < 40 && !quarantined; ++round) {
+        // Two jobs, each larger than half a worker, need both workers.
+        for (const char* name : {"j", "k"}) {
+            job_definition job;
+            job.id = job_id(name + std::to_string(round));
+            job.team = sales;
+            job.size = {5000, 100, 0};
+            fixture.handle(job_submission{{}, job});
+            perform();
+        }
+        measured_jobs.clear();
+        for (int count = 0; count < 50; ++count) {
+            fixture.tick();
+            perform();
+        }
+        quarantined = fixture.scheduler->quarantined(first_worker);
+        blamed =
+            static_cast<std::size_t>(std::ranges::count(measured_jobs, true, &job_measured::bad));
+        cr_assert(quarantined == (blamed == 1), "round %d: %zu failures of the fleet", round,
+                  blamed);
+    }
+    cr_assert(quarantined, "the worker that fails everything is not quarantined");
+}
+
 // Guards against a worker that attracts all work by failing it at once.
 Test(worker_health, quarantines_a_worker_that_fails_far_more_than_its_peers) {
     auto health = worker_health::create(installed_chart("worker_health"), {});
