--- a/include/citronford/task_scheduler.h
+++ b/include/citronford/task_scheduler.h
@@ -205,6 +205,9 @@
     [[nodiscard]] worker_activity workers() const;
     [[nodiscard]] team_activity activity(const team_id& team) const;
     [[nodiscard]] std::vector<worker_id> quarantined_workers() const;
+    /// Workers that the open jobs of this node need, by the mean size of the workers that it
+    /// holds; zero while it holds none that has reported its capacity.
+    [[nodiscard]] double workers_wanted() const;
     [[nodiscard]] bool holds(const worker_id& worker) const;
     [[nodiscard]] bool quarantined(const worker_id& worker) const;
     [[nodiscard]] const scheduler_counts& counts() const;
--- a/src/decide/request_router.cpp
+++ b/src/decide/request_router.cpp
@@ -371,6 +371,10 @@
     return body_->activity(service);
 }
 
+std::map<service_id, std::size_t> request_router::slots_wanted() const {
+    return body_->slots_wanted();
+}
+
 const router_counters& request_router::counters() const {
     return body_->counters();
 }
--- a/src/decide/task_scheduler.cpp
+++ b/src/decide/task_scheduler.cpp
@@ -306,6 +306,9 @@
 std::vector<worker_id> task_scheduler::quarantined_workers() const {
     return body_->quarantined_workers();
 }
+double task_scheduler::workers_wanted() const {
+    return body_->workers_wanted();
+}
 bool task_scheduler::holds(const worker_id& worker) const {
     return body_->holds(worker);
 }
--- a/src/io/state_report.cpp
+++ b/src/io/state_report.cpp
@@ -1,6 +1,7 @@
 #include "io/state_report.h"
 
 #include "citronford/invariant.h"
+#include "io/buffer_report.h"
 #include "io/node_metrics.h"
 #include "node/node.h"
 
@@ -159,6 +160,13 @@
     for (const worker_id& worker : target.tasks().quarantined_workers()) {
         quarantined.push_back(worker.str());
     }
+    json buffers = json::array();
+    for (const auto& [pool, buffer] : target.buffers()) {
+        json item = buffer_json(buffer);
+        item["name"] = pool.str();
+        item["vms"] = target.pools().controller().vms().members(pool).size();
+        buffers.push_back(std::move(item));
+    }
     json document = {{"node", target.node_settings().node.str()},
                      {"zone", target.node_settings().zone.str()},
                      {"ready", target.ready()},
@@ -172,6 +180,7 @@
                      {"waves", waves_of(target)},
                      {"teams", teams_of(target, fleet)},
                      {"exceptions", exceptions_of(fleet)},
+                     {"buffers", buffers},
                      {"removed_zones", removals},
                      {"quarantined_workers", quarantined},
                      {"sources", sources_of(target, now)},
