--- a/include/citronford/task_scheduler.h
+++ b/include/citronford/task_scheduler.h
@@ -112,7 +112,16 @@
     job_row row;
 };
 
-using scheduler_effect = std::variant<write_job, take_worker_lease, sync_worker, answer_job>;
+/// Whether a job was served well. Reported once a job by the node that owns it then: when its first
+/// start comes too late, or when it ends.
+struct job_measured {
+    job_id job;
+    team_id team;     ///< Empty on an open queue.
+    bool bad = false; ///< Started late, ended as unknown, or failed on a quarantined worker.
+};
+
+using scheduler_effect =
+    std::variant<write_job, take_worker_lease, sync_worker, answer_job, job_measured>;
 
 struct scheduler_options {
     live_member self;
@@ -157,6 +166,18 @@
     std::uint64_t operations = 0; ///< Workers and jobs examined; the cost of the decisions.
 };
 
+/// What the workers that this node knows do at present.
+struct worker_activity {
+    std::size_t leases = 0;      ///< Workers whose lease this node holds.
+    std::size_t quarantined = 0; ///< Of the leases held.
+};
+
+/// What the jobs of one team do at this node.
+struct team_activity {
+    std::size_t queued = 0;
+    double used = 0; ///< Largest fraction of any resource of the node's workers.
+};
+
 /// Decides which job runs on which worker owned by this node, and when.
 class task_scheduler {
   public:
@@ -181,6 +202,9 @@
     /// Jobs owned by this node that have not ended.
     [[nodiscard]] std::size_t open_jobs() const;
     [[nodiscard]] std::size_t queued_jobs() const;
+    [[nodiscard]] worker_activity workers() const;
+    [[nodiscard]] team_activity activity(const team_id& team) const;
+    [[nodiscard]] std::vector<worker_id> quarantined_workers() const;
     /// Workers that the open jobs of this node need, by the mean size of the workers that it
     /// holds; zero while it holds none that has reported its capacity.
     [[nodiscard]] double workers_wanted() const;
--- a/src/decide/task_scheduler_state.h
+++ b/src/decide/task_scheduler_state.h
@@ -55,6 +55,10 @@
     std::uint32_t failures = 0;
     instant since{}; ///< When the present state was entered.
 
+    // The service level.
+    std::optional<instant> waits_since; ///< When it was first queued here; none after a start.
+    bool counted = false;               ///< `job_measured` was reported.
+
     // The wait for a place.
     std::uint64_t order = 0;
     std::optional<instant> refused_at; ///< When a place was first looked for in vain.
@@ -177,6 +181,31 @@
         }
         return total;
     }
+    [[nodiscard]] worker_activity workers() const {
+        worker_activity activity;
+        for (const worker_entry& worker : workers_) {
+            activity.leases += worker.position == held_ ? 1 : 0;
+        }
+        activity.quarantined = quarantined_workers().size();
+        return activity;
+    }
+    [[nodiscard]] std::vector<worker_id> quarantined_workers() const {
+        std::vector<worker_id> found;
+        for (std::size_t index = 0; index < workers_.size(); ++index) {
+            if (workers_[index].position == held_ && health_.quarantined(index)) {
+                found.push_back(workers_[index].listing.id);
+            }
+        }
+        return found;
+    }
+    [[nodiscard]] team_activity activity(const team_id& team) const {
+        const auto queue = queues_.find(team);
+        const auto urgent = std::ranges::count_if(
+            urgent_, [&](const auto& item) { return item.second->row.job.team == team; });
+        return {(queue == queues_.end() ? 0 : queue->second.size()) +
+                    static_cast<std::size_t>(urgent),
+                ledger_.used_fraction(team)};
+    }
     [[nodiscard]] double workers_wanted() const {
         resources capacity;
         std::int64_t workers = 0;
@@ -404,6 +433,14 @@
 
     void review_queued(instant now, effects_out effects);
 
+    [[nodiscard]] std::vector<job_entry*> unplaced_jobs() const;
+
+    /// Reports whether the job was served well, unless that was reported before.
+    static void measure(job_entry& entry, bool bad, effects_out effects);
+
+    /// Reports a job that has waited for its first start longer than the fleet defaults allow.
+    void measure_wait(job_entry& entry, instant now, effects_out effects) const;
+
     /// Under full load, evens out the waiting jobs of each team between the nodes with an open
     /// zone: a node can give a team its share only while jobs of the team wait there.
     void balance_queues(instant now, effects_out effects);
