Hand over jobs and workers in a planned stop by message

Cause: a stopping daemon sent goodbye and left 0.4 s later without regard to its tasks. Peers took over then, if the table answered and the message arrived; nobody renewed the leases until then. Ruled out: a gap until the leases lapse in the good case. Before: with a table outage of 8 s from the signal on, a restartable task was started a second time (attempt 2), since the daemon had left. Conclusion: the node writes the next owners into the rows while it renews the leases, gives each worker up by job_handover and leaves when peers have confirmed. Units of tasks handed over return as those of a dead node do, so that the limit holds.

The task driver and the worker stand-in use one-shot calls.

--- a/include/citronford/drain.h
+++ b/include/citronford/drain.h
@@ -20,7 +20,8 @@
 /// Time passed.
 struct drain_tick {
     static constexpr std::string_view event_name = "tick";
-    std::size_t open_work = 0; ///< Requests and handovers not finished yet.
+    std::size_t open_work = 0;      ///< Requests not finished yet.
+    std::size_t open_handovers = 0; ///< Jobs and workers that no peer has taken over yet.
 };
 
 using drain_input = std::variant<stop_requested, drain_tick>;
--- a/include/citronford/peer_link.h
+++ b/include/citronford/peer_link.h
@@ -67,9 +67,12 @@
     team_id team;
     std::int64_t total = 0;
 };
-/// Jobs that the receiver is to take over from a stopping node.
+/// Says that the sender stops, and what it has given up to the receiver so far; repeated until the
+/// receiver has sent back, with `confirms`, what it has taken over.
 struct job_handover {
-    std::vector<job_id> jobs;
+    std::vector<job_id> jobs;       ///< Their rows name the receiver.
+    std::vector<worker_id> workers; ///< The sender renews their leases no more.
+    bool confirms = false;          ///< The lists name what the sender has taken over.
 };
 /// The sender stops and commits nothing any more.
 struct peer_goodbye {
--- a/include/citronford/task_scheduler.h
+++ b/include/citronford/task_scheduler.h
@@ -5,6 +5,7 @@
 #include "citronford/fleet_configuration.h"
 #include "citronford/instant.h"
 #include "citronford/job.h"
+#include "citronford/peer_link.h"
 #include "citronford/result_code.h"
 #include "citronford/table_service.h"
 #include "citronford/team_limits.h"
@@ -75,6 +76,13 @@
     std::uint64_t sequence = 0;
     sync_result result;
 };
+/// This node stops as planned: it starts nothing more and hands over its jobs and workers.
+struct scheduler_stop {};
+/// Another node hands over its jobs and workers, or confirms what it has taken over.
+struct handover_heard {
+    member_id from;
+    job_handover message;
+};
 /// Time passed; places tasks and sends what is due.
 struct scheduler_tick {
     instant confirmed_at{}; ///< Of the node's copy of the configuration.
@@ -83,7 +91,7 @@
 using scheduler_input =
     std::variant<job_submission, job_cancellation, job_write_result, job_row_seen, worker_listing,
                  member_listing, worker_lease_granted, worker_lease_refused, sync_report,
-                 scheduler_tick>;
+                 scheduler_stop, handover_heard, scheduler_tick>;
 
 // Effects of the scheduler.
 
@@ -111,8 +119,11 @@
     result_code code = result_code::ok;
     job_row row;
 };
+/// Read the rows of jobs that have changed.
+struct read_jobs {};
 
-using scheduler_effect = std::variant<write_job, take_worker_lease, sync_worker, answer_job>;
+using scheduler_effect =
+    std::variant<write_job, take_worker_lease, sync_worker, answer_job, send_peer, read_jobs>;
 
 struct scheduler_options {
     live_member self;
@@ -124,7 +135,10 @@
     duration reservation_delay{10000000}; ///< Wait of a job before capacity is kept free for it.
     duration reservation_delay_below_share{500000}; ///< The same for a team below its share.
     duration unit_hold{15000000}; ///< Of a task handed over, until its new owner counts the unit.
-    duration settle{5000000};     ///< Wait for workers to report their capacity.
+    duration handover_repeat{200000}; ///< Between two messages of a stopping node to a peer.
+    /// Wait of a stopping node for its peers to learn of the stop, before it hands over.
+    duration handover_notice{2000000};
+    duration settle{5000000};           ///< Wait for workers to report their capacity.
     duration unclaimed_grace{60000000}; ///< Before a task without a job is stopped.
     std::size_t reserve_every = 16;     ///< One worker in so many takes no task that must not stop.
     double overcommitment = 0.08;       ///< Of the processors of a worker.
@@ -181,6 +195,8 @@
     /// Jobs owned by this node that have not ended.
     [[nodiscard]] std::size_t open_jobs() const;
     [[nodiscard]] std::size_t queued_jobs() const;
+    /// Jobs and workers that a stopping node has not handed over yet.
+    [[nodiscard]] std::size_t open_handovers() const;
     [[nodiscard]] bool holds(const worker_id& worker) const;
     [[nodiscard]] bool quarantined(const worker_id& worker) const;
     [[nodiscard]] const scheduler_counts& counts() const;
--- a/include/citronford/worker_ownership.h
+++ b/include/citronford/worker_ownership.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "citronford/endpoint.h"
 #include "citronford/identifier.h"
 
 #include <cstdint>
@@ -13,6 +14,7 @@
     node_id id;
     zone_id zone;
     std::uint64_t incarnation = 0;
+    endpoint address{}; ///< For messages of other nodes.
 };
 
 /// The member that owns `name` by rendezvous hash; none when there is no member. All members with
--- a/src/decide/drain.cpp
+++ b/src/decide/drain.cpp
@@ -15,7 +15,9 @@
          }},
         {"idle",
          [](const step_context&, const drain_input& input) {
-             return std::get<drain_tick>(input).open_work == 0 || fault_planted("graceful-stop");
+             const auto& tick = std::get<drain_tick>(input);
+             return (tick.open_work == 0 && tick.open_handovers == 0) ||
+                    fault_planted("graceful-stop");
          }},
         {"timeout_passed",
          [](const step_context& context, const drain_input&) {
--- a/src/decide/task_scheduler.cpp
+++ b/src/decide/task_scheduler.cpp
@@ -282,6 +282,9 @@
 std::size_t task_scheduler::open_jobs() const {
     return body_->open_jobs();
 }
+std::size_t task_scheduler::open_handovers() const {
+    return body_->open_handovers();
+}
 std::size_t task_scheduler::queued_jobs() const {
     return body_->queued_jobs();
 }
--- a/src/decide/task_scheduler_inputs.cpp
+++ b/src/decide/task_scheduler_inputs.cpp
@@ -39,6 +39,7 @@
         break;
     case job_write_result::outcome::conflict:
         entry.rewrite = false;
+        entry.next_owner.reset();
         step(entry, row_conflict{}, now, effects);
         break;
     case job_write_result::outcome::unavailable:
@@ -72,6 +73,9 @@
         if (same && row.cancel) {
             cancellations_.insert(row.job.id);
         } else if (!same && input.version > entry.version && entry.version != absent_row) {
+            if (entry.next_owner && entry.next_owner->id != row.owner) {
+                entry.next_owner.reset();
+            }
             step(entry, job_taken_over{}, now, effects);
             settle_job(row.job.id, now, effects);
         }
@@ -115,7 +119,8 @@
 
 void task_scheduler::implementation::take(const member_listing& input, instant now,
                                           effects_out effects) {
-    members_ = input.members;
+    live_ = input.members;
+    update_members();
     update_ownership(now, effects);
     adopt_orphans(now, effects);
 }
@@ -168,7 +173,9 @@
         next_review_ = now + review_period;
         review(now, effects);
     }
-    if (dirty_) {
+    if (stopping_since_) {
+        hand_over(now, effects);
+    } else if (dirty_) {
         dirty_ = false;
         schedule(now, effects);
     }
--- a/src/decide/task_scheduler_jobs.cpp
+++ b/src/decide/task_scheduler_jobs.cpp
@@ -41,6 +41,10 @@
         send_write(entry, effects);
     }
     if (left || (final && entry.open_write == 0 && !entry.rewrite)) {
+        if (left && stopping_since_ && entry.next_owner) {
+            unconfirmed_jobs_[id] = {entry.next_owner->id, entry.next_owner->incarnation};
+            next_offer_ = now;
+        }
         left_[id] = {entry.version, now};
         jobs_.erase(found);
     }
@@ -98,7 +102,7 @@
     std::vector<foreign_job> orphans;
     for (const auto& item : foreign_) {
         const foreign_job& foreign = item.second;
-        const bool live = std::ranges::any_of(members_, [&](const live_member& member) {
+        const bool live = std::ranges::any_of(live_, [&](const live_member& member) {
             return member.id == foreign.row.owner && member.incarnation == foreign.row.epoch;
         });
         const live_member* successor = live ? nullptr : successor_of(foreign.row);
--- a/src/decide/task_scheduler_review.cpp
+++ b/src/decide/task_scheduler_review.cpp
@@ -10,7 +10,9 @@
     for (std::size_t index = 0; index < workers_.size(); ++index) {
         review_worker(index, now, effects);
     }
-    review_queued(now, effects);
+    if (!stopping_since_) {
+        review_queued(now, effects);
+    }
     review_attached(now, effects);
     review_throttle();
     dirty_ = true;
--- a/src/decide/task_scheduler_state.h
+++ b/src/decide/task_scheduler_state.h
@@ -139,6 +139,7 @@
           ledger_(options_.half_life), held_(lease_machine_.position_of("held")),
           queued_(job_machine_.position_of("queued")),
           attached_(job_machine_.position_of("attached")),
+          handing_over_(job_machine_.position_of("handing_over")),
           starting_(job_machine_.position_of("starting")),
           evicting_(job_machine_.position_of("evicting")),
           running_(job_machine_.position_of("running")) {}
@@ -177,6 +178,7 @@
         }
         return total;
     }
+    [[nodiscard]] std::size_t open_handovers() const;
     [[nodiscard]] bool holds(const worker_id& worker) const {
         const auto found = worker_index_.find(worker);
         return found != worker_index_.end() && workers_[found->second].position == held_;
@@ -213,6 +215,10 @@
 
     void take(const sync_report& report, instant now, effects_out effects);
 
+    void take(const scheduler_stop& input, instant now, effects_out effects);
+
+    void take(const handover_heard& input, instant now, effects_out effects);
+
     void take(const scheduler_tick& tick, instant now, effects_out effects);
 
     // Jobs.
@@ -307,6 +313,26 @@
 
     void send_sync(worker_entry& worker, bool may_start, instant now, effects_out effects);
 
+    // Planned stop.
+
+    /// Who owns jobs and workers: the live nodes that do not stop.
+    void update_members();
+
+    /// Whether a stopping node still renews the lease of the worker.
+    [[nodiscard]] bool kept_by_stopping(const worker_entry& worker) const;
+
+    void confirm_handover(const member_id& from, const job_handover& offered, effects_out effects);
+
+    /// Hands over what is ready for it, and repeats what is not confirmed.
+    void hand_over(instant now, effects_out effects);
+
+    void hand_over_jobs(std::size_t index, instant now, effects_out effects);
+
+    /// Whether no task of the worker depends on another message of this node.
+    [[nodiscard]] bool may_release(const worker_entry& worker) const;
+
+    void send_offers(instant now, effects_out effects);
+
     // Placement.
 
     /// What a task of the job is likely to use, from what tasks of its team used.
@@ -433,13 +459,22 @@
     chart_position held_;
     chart_position queued_;
     chart_position attached_;
+    chart_position handing_over_;
     chart_position starting_;
     chart_position evicting_;
     chart_position running_;
     placement placement_;
     fleet_configuration fleet_;
     instant confirmed_at_{};
-    std::vector<live_member> members_;
+    std::vector<live_member> live_;           ///< The live nodes, this one included.
+    std::vector<live_member> members_;        ///< Those of them that own jobs and workers.
+    std::set<member_id> leaving_;             ///< Live nodes that stop.
+    std::map<worker_id, member_id> released_; ///< Workers given up, by the node that stops.
+    std::optional<instant> stopping_since_;
+    instant next_offer_{};
+    std::set<member_id> informed_;                 ///< Peers that know of the stop.
+    std::map<job_id, member_id> unconfirmed_jobs_; ///< Handed over, by the new owner.
+    std::set<worker_id> unconfirmed_workers_;
     std::map<job_id, job_entry> jobs_;
     std::map<job_id, foreign_job> foreign_; ///< Jobs of other owners that have not ended.
     std::map<job_id, std::pair<table_version, instant>> left_; ///< Jobs that left this node.
--- a/src/decide/task_scheduler_workers.cpp
+++ b/src/decide/task_scheduler_workers.cpp
@@ -37,7 +37,7 @@
     for (std::size_t index = 0; index < workers_.size(); ++index) {
         const worker_entry& worker = workers_[index];
         const live_member* owner = worker_owner(members_, worker.listing.id, worker.listing.zone);
-        if (owner == nullptr) {
+        if (owner == nullptr || kept_by_stopping(worker)) {
             continue;
         }
         if (owner->id != options_.self.id) {
@@ -267,7 +267,7 @@
 }
 
 void task_scheduler::implementation::send_syncs(instant now, effects_out effects) {
-    const bool may_start = starts_confirmed(now);
+    const bool may_start = starts_confirmed(now) && !stopping_since_;
     for (std::size_t index = 0; index < workers_.size(); ++index) {
         worker_entry& worker = workers_[index];
         const bool urgent =
--- a/src/io/peer_codec.cpp
+++ b/src/io/peer_codec.cpp
@@ -131,6 +131,10 @@
                        for (const job_id& id : item.jobs) {
                            handover.jobs.push_back(id.str());
                        }
+                       for (const worker_id& id : item.workers) {
+                           handover.workers.push_back(id.str());
+                       }
+                       handover.confirms = item.confirms;
                        result.__set_job_handover(handover);
                    },
                    [&](const peer_goodbye& item) {
@@ -177,6 +181,10 @@
         for (const std::string& id : item.job_handover.jobs) {
             handover.jobs.emplace_back(id);
         }
+        for (const std::string& id : item.job_handover.workers) {
+            handover.workers.emplace_back(id);
+        }
+        handover.confirms = item.job_handover.confirms;
         return handover;
     }
     if (item.__isset.goodbye) {
--- a/src/node/control_driver.cpp
+++ b/src/node/control_driver.cpp
@@ -408,7 +408,11 @@
                    [&](const unit_transfer_ack& item) {
                        handle(escrow_input(unit_transfer_ack_heard{from, item}));
                    },
-                   [](const job_handover& /*item*/) {},
+                   [&](const job_handover& item) {
+                       if (handover_heard_) {
+                           handover_heard_(from, item);
+                       }
+                   },
                    [&](const peer_goodbye& item) {
                        handle(membership_input(goodbye_heard{from, item}));
                    },
--- a/src/node/control_driver.h
+++ b/src/node/control_driver.h
@@ -34,6 +34,7 @@
 class control_driver {
   public:
     using listener = std::function<void(const fleet_configuration&)>;
+    using handover_listener = std::function<void(const member_id&, const job_handover&)>;
     using change_callback = std::function<void(const absl::StatusOr<change_result>&)>;
 
     /// Fails with `chart_invalid`. `limits` must outlive the driver.
@@ -52,6 +53,9 @@
     /// Calls `function` after every change of the copy of the configuration.
     void subscribe(listener function) { listeners_.push_back(std::move(function)); }
 
+    /// Sets the function that receives handovers of peers.
+    void on_handover(handover_listener function) { handover_heard_ = std::move(function); }
+
     /// Commits a change, or previews it. `done` is called once, when the change is in force or
     /// after 4 s with the nodes that are missing. Fails with the code of `validated`, `conflict`,
     /// `table_unavailable`, `commit_in_doubt`, `lease_lost` or `node_joining`.
@@ -123,6 +127,7 @@
     std::uint64_t next_change_ = 1;
     std::map<change_id, change_callback> changes_;
     std::vector<listener> listeners_;
+    handover_listener handover_heard_;
     timer_subscription leave_timer_;
     timer_subscription tick_timer_;
     timer_subscription poll_timer_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -74,6 +74,9 @@
     requests_->on_answer([this](const answer_caller& answer) {
         levels_->answered(answer.caller, answer.request, answer.code, answer.status);
     });
+    configuration_->on_handover([this](const member_id& from, const job_handover& message) {
+        tasks_->handle(handover_heard{from, message});
+    });
     pools_->start();
     requests_->start();
     levels_->start();
@@ -93,7 +96,7 @@
     std::vector<live_member> members;
     std::vector<node_id> nodes;
     for (const node_registration& item : registered.live(now)) {
-        members.push_back({item.member.node, item.zone, item.member.incarnation});
+        members.push_back({item.member.node, item.zone, item.member.incarnation, item.address});
         nodes.push_back(item.member.node);
     }
     tasks_->set_members(members);
@@ -211,8 +214,9 @@
     log_event(log_level::info, "stop_requested", {{"node", settings_.node.view()}});
     handle(stop_requested{});
     if (!drain_timer_.active()) {
-        drain_timer_ = links_.timers.every(
-            drain_tick_period, [this](instant) { handle(drain_tick{requests_->open_work()}); });
+        drain_timer_ = links_.timers.every(drain_tick_period, [this](instant) {
+            handle(drain_tick{requests_->open_work(), tasks_->scheduler().open_handovers()});
+        });
     }
 }
 
@@ -220,8 +224,18 @@
     for (const drain_effect& effect : drain_.handle(input, links_.timers.now())) {
         std::visit(overloaded{
                        [this](const stop_listening&) { on_stop_listening_(); },
-                       [this](const hand_over&) { configuration_->hand_over(); },
-                       [this](const leave&) { configuration_->leave(on_leave_); },
+                       [this](const hand_over&) {
+                           configuration_->hand_over();
+                           tasks_->handle(scheduler_stop{});
+                       },
+                       [this](const leave&) {
+                           const std::size_t open = tasks_->scheduler().open_handovers();
+                           if (open > 0) {
+                               log_event(log_level::warning, "handover_incomplete",
+                                         {{"open", static_cast<std::int64_t>(open)}});
+                           }
+                           configuration_->leave(on_leave_);
+                       },
                    },
                    effect);
     }
--- a/src/node/task_driver.cpp
+++ b/src/node/task_driver.cpp
@@ -128,11 +128,7 @@
         using outcome = job_write_result::outcome;
         const job_id& id = effect.row.job.id;
         if (!seen.ok() && code_of(seen.status()) != result_code::not_found) {
-            auto timer = std::make_shared<timer_subscription>();
-            *timer = links_.timers.after(resolve_pause, [this, effect, timer](instant) {
-                timer->cancel();
-                resolve(effect);
-            });
+            links_.timers.once(resolve_pause, [this, effect](instant) { resolve(effect); });
             return;
         }
         const bool exists = seen.ok();
@@ -210,6 +206,14 @@
     }
 }
 
+void task_driver::perform(const send_peer& effect) {
+    links_.peers.send({self_.id, self_.incarnation}, effect);
+}
+
+void task_driver::perform(const read_jobs& /*effect*/) {
+    poll_jobs();
+}
+
 void task_driver::answer(caller_id caller, const job_row& row) {
     const std::string body = job_row_json(row);
     constexpr int ok = 200;
--- a/src/node/task_driver.h
+++ b/src/node/task_driver.h
@@ -58,6 +58,8 @@
     void perform(const take_worker_lease& effect);
     void perform(const sync_worker& effect);
     void perform(const answer_job& effect);
+    void perform(const send_peer& effect);
+    void perform(const read_jobs& effect);
 
     /// Finds out by reading whether a write took effect whose result is not certain.
     void resolve(const write_job& effect);
--- a/tests/proofs/task_once_proof.cpp
+++ b/tests/proofs/task_once_proof.cpp
@@ -14,6 +14,7 @@
                           worker.listing.id.str());
         }
     };
+    model_node* stopping = nullptr; // One node stops as planned.
     proof.run(50, [&](int /*second*/) {
         model_node& node = *model.nodes[model.below(model.nodes.size())];
         if (model.chance(60)) {
@@ -41,6 +42,13 @@
             node.dead = true;
             model.announce();
         }
+        if (stopping != nullptr && !stopping->dead && stopping->scheduler->open_handovers() == 0) {
+            stopping->dead = true;
+            model.announce();
+        } else if (stopping == nullptr && model.chance(60) && model.nodes.size() > 2) {
+            stopping = &node;
+            model.deliver(node, scheduler_stop{});
+        }
     });
     return proof.finish();
 }
--- a/tests/task_scheduler_test.cpp
+++ b/tests/task_scheduler_test.cpp
@@ -260,3 +260,54 @@
     cr_assert(last_renewal + scheduler_options().lease + scheduler_options().sync_timeout <
               lost_at + units_return);
 }
+
+// Guards against a worker that is given up before the rows of its tasks name the next owner, and
+// against a next owner that takes a worker whose lease is still renewed.
+Test(task_scheduler, hands_over_the_rows_before_the_worker) {
+    scheduler_fixture fixture;
+    const live_member self{node_id("n1"), zone_id("a"), 7};
+    const live_member next{node_id("n2"), zone_id("b"), 8};
+    const member_id next_id{next.id, next.incarnation};
+    fixture.handle(member_listing{{self, next}});
+    fixture.start_once();
+    fixture.answer({{task_id("j~1"), task_state::running, {}}});
+    fixture.handle(scheduler_stop{});
+    const auto* notice = fixture.effect<send_peer>();
+    cr_assert(notice != nullptr && notice->to == next.id);
+    cr_assert(std::get<job_handover>(notice->message).workers.empty());
+    fixture.handle(handover_heard{next_id, {{}, {}, true}});
+    fixture.tick();
+    const auto* row = fixture.effect<write_job>();
+    cr_assert(row != nullptr && row->row.owner == next.id && row->row.generation == 1);
+    cr_assert(fixture.scheduler->holds(first_worker), "the row is not written yet");
+    fixture.written();
+    fixture.tick();
+    cr_assert(!fixture.scheduler->holds(first_worker));
+    const auto* offer = fixture.effect<send_peer>();
+    cr_assert(offer != nullptr);
+    const auto& offered = std::get<job_handover>(offer->message);
+    expect_equal(offered.workers.at(0).str(), first_worker.str());
+    expect_equal(offered.jobs.at(0).str(), std::string("j"));
+    cr_assert(fixture.scheduler->open_handovers() == 2);
+    fixture.handle(handover_heard{next_id, {offered.jobs, offered.workers, true}});
+    cr_assert(fixture.scheduler->open_handovers() == 0);
+}
+
+Test(task_scheduler, takes_a_worker_of_a_stopping_node_when_it_is_given_up) {
+    scheduler_fixture fixture;
+    const live_member self{node_id("n1"), zone_id("a"), 7};
+    const live_member other{node_id("n2"), zone_id("b"), 8};
+    const member_id other_id{other.id, other.incarnation};
+    const worker_id worker("w2");
+    fixture.handle(member_listing{{self, other}});
+    fixture.handle(worker_listing{{{worker, zone_id("b"), {"127.0.0.1", 2}, false}}});
+    fixture.handle(handover_heard{other_id, {}});
+    cr_assert(fixture.effect<take_worker_lease>() == nullptr, "the lease is still renewed");
+    fixture.handle(handover_heard{other_id, {{}, {worker}, false}});
+    cr_assert(fixture.effect<take_worker_lease>() != nullptr);
+    fixture.handle(worker_lease_granted{worker, 20});
+    fixture.handle(handover_heard{other_id, {{}, {worker}, false}});
+    const auto* reply = fixture.effect<send_peer>();
+    cr_assert(reply != nullptr && std::get<job_handover>(reply->message).confirms);
+    cr_assert(std::get<job_handover>(reply->message).workers.size() == 1);
+}
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -62,6 +62,8 @@
 
 struct JobHandover {
   1: list<string> jobs
+  2: list<string> workers
+  3: bool confirms
 }
 
 struct Goodbye {
--- a/tools/standins/standin_worker.cpp
+++ b/tools/standins/standin_worker.cpp
@@ -74,6 +74,10 @@
             responder.send({409, {}, json{{"epoch", epoch_}}.dump()});
             return;
         }
+        if (epoch != epoch_ && epoch_ != 0) {
+            longest_change_ = std::max(longest_change_, loop_.now() - heard_at_);
+        }
+        heard_at_ = loop_.now();
         epoch_ = epoch;
         sequence_ = sequence;
         expire();
@@ -149,12 +153,9 @@
             unanswered_.push_back(responder);
             return;
         }
-        auto timer = std::make_shared<timer_subscription>();
-        *timer = loop_.after(milliseconds(faults_.delay_ms),
-                             [timer, responder, body = document.dump()](instant) {
-                                 responder.send({200, {}, body});
-                                 timer->cancel();
-                             });
+        loop_.once(milliseconds(faults_.delay_ms), [responder, body = document.dump()](instant) {
+            responder.send({200, {}, body});
+        });
     }
 
     json usage_of(const task& entry) {
@@ -210,11 +211,12 @@
     }
 
     void tell_stats(const http_responder& responder) {
-        const json document = {{"starts", starts_},     {"most_running", most_running_},
-                               {"done", done_},         {"failed", failed_},
-                               {"expired", expired_},   {"stopped", stopped_},
-                               {"rejected", rejected_}, {"epoch", epoch_},
-                               {"tasks", tasks_.size()}};
+        const json document = {
+            {"starts", starts_},      {"most_running", most_running_},
+            {"done", done_},          {"failed", failed_},
+            {"expired", expired_},    {"stopped", stopped_},
+            {"rejected", rejected_},  {"epoch", epoch_},
+            {"tasks", tasks_.size()}, {"longest_change_ms", longest_change_.count() / 1000}};
         responder.send({200, {}, document.dump()});
     }
 
@@ -232,6 +234,8 @@
     std::uint64_t incarnation_ = std::strtoull(incarnation_text_.c_str(), nullptr, 16);
     std::uint64_t epoch_ = 0;
     std::uint64_t sequence_ = 0;
+    instant heard_at_{};        ///< Of the latest accepted message.
+    duration longest_change_{}; ///< From the last message of an owner to the first of the next.
     instant lease_until_{};
     std::map<std::string, task> tasks_;
     std::map<std::string, int> starts_;       ///< By job.
--- a/tools/standins/worker_model.h
+++ b/tools/standins/worker_model.h
@@ -376,6 +376,21 @@
         });
     }
 
+    void perform(model_node& node, const send_peer& effect) {
+        const member_id from{node.self.id, node.self.incarnation};
+        later(delay(), [this, from, effect] {
+            const auto to = std::ranges::find_if(
+                nodes, [&](const auto& item) { return item->self.id == effect.to; });
+            if (to != nodes.end()) {
+                deliver(**to, handover_heard{from, std::get<job_handover>(effect.message)});
+            }
+        });
+    }
+
+    void perform(model_node& node, const read_jobs& /*effect*/) {
+        later(delay(), [this, &node] { poll(node); });
+    }
+
     void perform(model_node& /*node*/, const answer_job& effect) { answers.push_back(effect); }
 
     table_version version_ = 0;
