--- a/src/decide/task_scheduler_review.cpp
+++ b/src/decide/task_scheduler_review.cpp
@@ -13,8 +13,10 @@
     for (job_entry* entry : unplaced_jobs()) {
         measure_wait(*entry, now, effects);
     }
-    review_queued(now, effects);
-    if (now >= next_balance_) {
+    if (!stopping_since_) {
+        review_queued(now, effects);
+    }
+    if (!stopping_since_ && now >= next_balance_) {
         next_balance_ = now + balance_period;
         balance_queues(now, effects);
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -83,6 +83,9 @@
                        [this](const job_id& id, const team_id& team, result_code code) {
                            levels_->job_refused(id, team, code);
                        }});
+    configuration_->on_handover([this](const member_id& from, const job_handover& message) {
+        tasks_->handle(handover_heard{from, message});
+    });
     pools_->start();
     requests_->start();
     levels_->start();
@@ -103,7 +106,7 @@
     std::vector<live_member> members;
     std::vector<node_id> nodes;
     for (const node_registration& item : registered.live(now)) {
-        members.push_back({item.member.node, item.zone, item.member.incarnation});
+        members.push_back({item.member.node, item.zone, item.member.incarnation, item.address});
         nodes.push_back(item.member.node);
     }
     tasks_->set_members(members);
@@ -223,8 +226,9 @@
     log_event(log_level::info, "stop_requested", {{"node", settings_.node.view()}});
     handle(stop_requested{});
     if (!drain_timer_.active()) {
-        drain_timer_ = links_.timers.every(
-            drain_tick_period, [this](instant) { handle(drain_tick{requests_->open_work()}); });
+        drain_timer_ = links_.timers.every(drain_tick_period, [this](instant) {
+            handle(drain_tick{requests_->open_work(), tasks_->scheduler().open_handovers()});
+        });
     }
 }
 
@@ -232,8 +236,18 @@
     for (const drain_effect& effect : drain_.handle(input, links_.timers.now())) {
         std::visit(overloaded{
                        [this](const stop_listening&) { on_stop_listening_(); },
-                       [this](const hand_over&) { configuration_->hand_over(); },
-                       [this](const leave&) { configuration_->leave(on_leave_); },
+                       [this](const hand_over&) {
+                           configuration_->hand_over();
+                           tasks_->handle(scheduler_stop{});
+                       },
+                       [this](const leave&) {
+                           const std::size_t open = tasks_->scheduler().open_handovers();
+                           if (open > 0) {
+                               log_event(log_level::warning, "handover_incomplete",
+                                         {{"open", static_cast<std::int64_t>(open)}});
+                           }
+                           configuration_->leave(on_leave_);
+                       },
                    },
                    effect);
     }
