Answer early refusals of repeated requests as unknown

Cause: a refusal before the claim is settled says "not run", although an earlier sending of the same id through another entry VM may have run. Ruled out: looking the id up before every refusal, since a refusal must be cheap and the table may be out; an existing code with another run state, since each code has exactly one run state. Change: a caller marks a repetition with `Request-Repeated: true`. Refusals before the id was looked up then carry code 406 `repetition_refused`, run state unknown, and name the cause in the message. The verdict takes 406 for an answer that started nothing, as it does for a duplicate, which keeps earlier "not run" answers checked. Conclusion: a marked repetition gets "not run" only after its own claim.

--- a/include/citronford/request_router.h
+++ b/include/citronford/request_router.h
@@ -31,6 +31,7 @@
     service_id service;
     std::string body;
     duration timeout{};
+    bool repeated = false; ///< The caller sent the request id before and got no answer.
 };
 /// The claim of the request id is recorded and belongs to this node.
 struct claim_granted {
--- a/include/citronford/result_code.h
+++ b/include/citronford/result_code.h
@@ -3,6 +3,7 @@
 #include <absl/status/status.h>
 
 #include <span>
+#include <string>
 #include <string_view>
 
 namespace citronford {
@@ -46,6 +47,7 @@
     lease_lost = 403,
     commit_in_doubt = 404,
     node_joining = 405,
+    repetition_refused = 406,
 
     setting_invalid = 500,
     chart_invalid = 501,
@@ -73,6 +75,13 @@
 /// The row of `code`; the row of `internal_error` for a number outside the table.
 const result_code_entry& entry_of(result_code code);
 
+/// The code of a refusal before the request id was looked up. An earlier sending of a repeated
+/// request may have run, so that "not run" becomes `repetition_refused`.
+result_code refusal_before_claim(result_code code, bool repeated);
+
+/// "name: meaning" of a code, for the message of an answer that carries another code.
+std::string reason_of(result_code code);
+
 std::string_view name_of(run_state state);
 
 /// The exit code of a program that ends because of `code`, from 0 to 125; distinct for each code.
--- a/src/decide/request_router.cpp
+++ b/src/decide/request_router.cpp
@@ -42,7 +42,7 @@
                                           effects_out effects) {
     const result_code code = admission(submission, now);
     if (code != result_code::ok) {
-        refuse(submission, code, effects);
+        refuse_before_claim(submission, code, effects);
         return;
     }
     request_entry entry;
@@ -296,6 +296,15 @@
                                        submission.request, std::string(entry_of(code).meaning)});
 }
 
+void request_router::implementation::refuse_before_claim(const request_submission& submission,
+                                                         result_code code, effects_out effects) {
+    const result_code told = refusal_before_claim(code, submission.repeated);
+    refuse(submission, told, effects);
+    if (told != code) {
+        std::get<answer_caller>(effects.back()).body = reason_of(code);
+    }
+}
+
 void request_router::implementation::release_unit(const team_id& team) {
     limits_.release(team);
     const auto found = blocked_.find(team);
--- a/src/decide/request_router_state.h
+++ b/src/decide/request_router_state.h
@@ -192,12 +192,21 @@
 
     static void refuse(const request_submission& submission, result_code code, effects_out effects);
 
+    /// Refuses a request whose id was not looked up in the table.
+    static void refuse_before_claim(const request_submission& submission, result_code code,
+                                    effects_out effects);
+
     static void answer_code(step_context& context, result_code code) {
         const request_entry& request = context.request;
         invariant_monitor::check(entry_of(code).state != run_state::not_run ||
                                      (!request.may_have_run && request.open_attempts.empty()),
                                  "true-refusal", "a request that may have run is refused");
-        refuse(context.request.submission, code, context.effects);
+        // The id of an idempotent request is never looked up.
+        if (request.service.idempotent) {
+            refuse_before_claim(request.submission, code, context.effects);
+        } else {
+            refuse(request.submission, code, context.effects);
+        }
     }
 
     service_state& service_of(const request_entry& request) {
--- a/src/decide/request_router_steps.cpp
+++ b/src/decide/request_router_steps.cpp
@@ -111,11 +111,13 @@
          }},
         {"answer_table_unavailable",
          [](step_context& context, const request_event&) {
-             answer_code(context, result_code::table_unavailable);
+             refuse_before_claim(context.request.submission, result_code::table_unavailable,
+                                 context.effects);
          }},
         {"answer_deadline_passed",
          [](step_context& context, const request_event&) {
-             answer_code(context, result_code::deadline_passed);
+             refuse_before_claim(context.request.submission, result_code::deadline_passed,
+                                 context.effects);
          }},
         {"answer_queue_timeout",
          [](step_context& context, const request_event&) {
--- a/src/decide/result_code.cpp
+++ b/src/decide/result_code.cpp
@@ -1,5 +1,7 @@
 #include "citronford/result_code.h"
 
+#include "citronford/planted_fault.h"
+
 #include <absl/strings/cord.h>
 
 #include <algorithm>
@@ -67,6 +69,9 @@
                       "The reply to a table write was lost; read the object again."},
     result_code_entry{result_code::node_joining, "node_joining", 503, not_run,
                       "This entry VM is not known to every other one yet; ask another one."},
+    result_code_entry{result_code::repetition_refused, "repetition_refused", 503, unknown,
+                      "A repeated request was refused before its id was looked up; an earlier "
+                      "sending may have run."},
     result_code_entry{result_code::setting_invalid, "setting_invalid", 500, not_run,
                       "A setting is unknown, missing or out of range."},
     result_code_entry{result_code::chart_invalid, "chart_invalid", 500, not_run,
@@ -122,6 +127,16 @@
     return row != table.end() && row->code == code ? *row : table[1];
 }
 
+std::string reason_of(result_code code) {
+    return std::string(entry_of(code).name) + ": " + std::string(entry_of(code).meaning);
+}
+
+result_code refusal_before_claim(result_code code, bool repeated) {
+    const bool claims_not_run =
+        entry_of(code).state == not_run && !fault_planted("repeated-refusal");
+    return repeated && claims_not_run ? result_code::repetition_refused : code;
+}
+
 std::string_view name_of(run_state state) {
     switch (state) {
     case run:
--- a/src/io/caller_front.cpp
+++ b/src/io/caller_front.cpp
@@ -62,15 +62,19 @@
 
 void caller_front::submit(node& target, std::string_view service, const http_request& request,
                           const http_responder& responder) {
+    // Any value but "false" counts as a repetition, so that a misspelt one gets no false "not run".
+    const std::string_view mark = request.header("request-repeated");
+    const bool repeated = !mark.empty() && mark != "false";
     duration timeout{};
     if (!parse_timeout(request, timeout)) {
-        send_error(responder, result_code::invalid_argument,
+        send_error(responder, refusal_before_claim(result_code::invalid_argument, repeated),
                    "Request-Timeout-Ms must be a number from 1 to 600000");
         return;
     }
     const caller_id caller = admit(target, responder);
     target.submit({caller, request_id(request.header("request-id")), service_id(service),
-                   presented_digest(request.header("authorization")), request.body, timeout});
+                   presented_digest(request.header("authorization")), request.body, timeout,
+                   repeated});
 }
 
 caller_id caller_front::admit(node& target, const http_responder& responder) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -145,14 +145,18 @@
         request.timeout > duration::zero() ? request.timeout : fleet.defaults.request_timeout;
     levels_->received(request.caller, service->name, *team);
     requests_->handle(request_submission{request.caller, request.request, *team, request.service,
-                                         std::string(request.body), timeout});
+                                         std::string(request.body), timeout, request.repeated});
 }
 
 void node::refuse(const caller_request& request, const absl::Status& status) {
-    const result_code_entry& entry = entry_of(code_of(status));
+    const result_code cause = code_of(status);
+    const result_code_entry& entry = entry_of(refusal_before_claim(cause, request.repeated));
+    const std::string reason = entry.code == cause ? std::string(message_of(status))
+                                                   : std::string(entry_of(cause).name) + ": " +
+                                                         std::string(message_of(status));
     levels_->refused(request.service, request.request, entry.code);
-    links_.callers.answer(request.caller, {entry.http_status, entry.code, entry.state,
-                                           request.request, message_of(status)});
+    links_.callers.answer(request.caller,
+                          {entry.http_status, entry.code, entry.state, request.request, reason});
 }
 
 void node::caller_left(caller_id caller) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -26,7 +26,8 @@
     service_id service;
     key_digest digest; ///< Empty when no key was presented.
     std::string_view body;
-    duration timeout{}; ///< Zero for the fleet default.
+    duration timeout{};    ///< Zero for the fleet default.
+    bool repeated = false; ///< The caller sent the request id before and got no answer.
 };
 
 /// All decisions of one entry VM and the drivers that perform their effects.
--- a/tests/request_router_test.cpp
+++ b/tests/request_router_test.cpp
@@ -72,6 +72,47 @@
 
 } // namespace
 
+// Guards against a false "not run" for an id that ran when it was sent through another entry VM:
+// the refusal of a marked repetition comes before its id was looked up.
+Test(request_router, refuses_a_repetition_as_unknown_before_its_claim) {
+    for (const bool repeated : {false, true}) {
+        router_fixture fixture;
+        const auto code =
+            repeated ? result_code::repetition_refused : result_code::table_unavailable;
+        const auto late = repeated ? result_code::repetition_refused : result_code::deadline_passed;
+        const auto submit = [&](std::uint64_t caller) {
+            fixture.handle(request_submission{static_cast<caller_id>(caller), request_id("r"),
+                                              sales, service_id("booking"), "body", timeout,
+                                              repeated});
+        };
+        submit(1);
+        const auto out = fixture.handle(claim_unavailable{static_cast<caller_id>(1)});
+        cr_assert(effect_of<answer_caller>(out)->code == code);
+        submit(2);
+        fixture.now += timeout;
+        const auto passed = fixture.handle(router_tick{});
+        cr_assert(effect_of<answer_caller>(passed)->code == late);
+        fixture.handle(router_fixture::listing(true));
+        const auto refused =
+            fixture.handle(request_submission{static_cast<caller_id>(3), request_id("r"), sales,
+                                              service_id("booking"), "body", timeout, repeated});
+        cr_assert((entry_of(effect_of<answer_caller>(refused)->code).state == run_state::unknown) ==
+                  repeated);
+    }
+}
+
+// Guards against an "unknown" where the claim shows that no earlier sending ran.
+Test(request_router, refuses_a_claimed_repetition_as_not_run) {
+    router_fixture fixture;
+    fixture.limits.set_units(sales, 0);
+    fixture.handle(request_submission{static_cast<caller_id>(1), request_id("r"), sales,
+                                      service_id("booking"), "body", timeout, true});
+    fixture.handle(claim_granted{static_cast<caller_id>(1)});
+    fixture.now += timeout;
+    const auto refused = fixture.handle(router_tick{});
+    cr_assert(effect_of<answer_caller>(refused)->code == result_code::team_limit_reached);
+}
+
 // Guards against sending a non-idempotent request before its id is claimed.
 Test(request_router, claims_before_sending) {
     router_fixture fixture;
--- a/tools/citronford_load.cpp
+++ b/tools/citronford_load.cpp
@@ -36,6 +36,7 @@
     std::int64_t probe_ms = 200;
     std::size_t open_limit = 500;
     std::size_t body_bytes = 64;
+    bool repeated = false;
 };
 
 struct entry_vm {
@@ -183,6 +184,9 @@
         const std::string timeout = std::to_string(options_.timeout_ms);
         std::vector<std::pair<std::string_view, std::string_view>> headers = {
             {"request-id", id}, {"request-timeout-ms", timeout}};
+        if (options_.repeated) {
+            headers.emplace_back("request-repeated", "true");
+        }
         std::string authorization;
         if (!options_.keys.empty()) {
             authorization = "Bearer " + options_.keys[request.number % options_.keys.size()];
@@ -328,6 +332,8 @@
         "size of a request body");
     add("prefix", po::value(&options.prefix)->default_value(options.prefix),
         "start of every Request-Id; unique per run");
+    add("repeated", po::bool_switch(&options.repeated),
+        "mark every request as a repetition of one that was sent before");
     add("record", po::value(&options.record),
         "file to append one line a request to: id, run state, code, content, kind");
     po::variables_map values;
--- a/tools/demo_verdict.cpp
+++ b/tools/demo_verdict.cpp
@@ -108,8 +108,11 @@
 }
 
 /// Whether the answer to a repeated request leaves room for a run that it started. A duplicate
-/// started nothing.
+/// started nothing, and neither did a repetition that was refused before its id was looked up.
 bool may_have_started(const caller_record& record) {
+    if (record.code == static_cast<int>(citronford::result_code::repetition_refused)) {
+        return false;
+    }
     return record.state == "run" || record.state == "none" ||
            (record.state == "unknown" &&
             record.code != static_cast<int>(citronford::result_code::duplicate_request));
