Delete claim rows without the memory of their writer

Ruled out: claim keys by hour, since a repetition in another hour does not meet its claim; times of writing in the rows, since clocks of two nodes are not compared; one scan of all claims, since it is not bounded. Change: the chart `claim_sweep` runs on one node chosen by rendezvous hash. Claim keys lie in 65,536 parts by hash of the id, which are read in turn. A node forgets a claim once its outcome is recorded or lost. Rows under the former keys are neither looked up nor deleted. Conclusion: deletion depends on the table alone; it is late rather than early.

--- a/include/citronford/group_commit.h
+++ b/include/citronford/group_commit.h
@@ -11,7 +11,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <variant>
 #include <vector>
 
@@ -33,6 +32,10 @@
     request_id request;
     std::string outcome; ///< "done" or "not_run".
 };
+/// The outcome of a request whose claim this node was granted will not be learned.
+struct outcome_lost {
+    request_id request;
+};
 /// The transaction in flight was committed.
 struct transaction_committed {
     table_version version = 0;
@@ -54,13 +57,13 @@
 struct claim_row_unread {
     std::string key;
 };
-/// Time passed; pauses and retention are checked.
+/// Time passed; pauses are checked.
 struct commit_tick {};
 
 using group_commit_input =
-    std::variant<claim_wanted, claim_abandoned, outcome_learned, transaction_committed,
-                 transaction_conflict, transaction_refused, transaction_in_doubt, claim_row_read,
-                 claim_row_unread, commit_tick>;
+    std::variant<claim_wanted, claim_abandoned, outcome_learned, outcome_lost,
+                 transaction_committed, transaction_conflict, transaction_refused,
+                 transaction_in_doubt, claim_row_read, claim_row_unread, commit_tick>;
 
 // Effects of the group commit.
 
@@ -102,12 +105,10 @@
     /// Least mean time between two reads of rows that are suspected to be taken. A conflict always
     /// reads the row that it names.
     duration read_interval{};
-    std::size_t read_burst = 64;     ///< Such reads that may follow each other at once.
-    duration retention{86400000000}; ///< How long a claim row is kept.
-    std::size_t purge_limit = 32;    ///< Rows deleted by one transaction, at most.
+    std::size_t read_burst = 64; ///< Such reads that may follow each other at once.
 };
 
-/// Batches the claims, outcomes and deletions of a node's claim rows into one conditional
+/// Batches the claims and outcomes of a node's claim rows into one conditional
 /// transaction at a time. Every row of a transaction is checked, so repeating it is idempotent:
 /// a transaction in doubt is repeated until its result is known.
 class group_commit {
@@ -116,18 +117,17 @@
 
     std::vector<group_commit_effect> handle(const group_commit_input& input, instant now);
 
-    void set_retention(duration retention) { options_.retention = retention; }
     void set_spacing(duration spacing) { options_.spacing = spacing; }
     void set_read_rate(duration interval, std::size_t burst) {
         options_.read_interval = interval;
         options_.read_burst = burst;
     }
 
-    /// Claims, outcomes and deletions that are not settled.
+    /// Claims and outcomes that are not settled.
     [[nodiscard]] std::size_t open_entries() const;
 
-    /// Claim rows of this incarnation that are kept for duplicates.
-    [[nodiscard]] std::size_t kept_claims() const { return kept_.size(); }
+    /// Granted claims whose outcome is not recorded yet; nothing else is remembered of a claim.
+    [[nodiscard]] std::size_t open_claims() const { return granted_.size(); }
 
   private:
     struct claim_entry {
@@ -137,18 +137,16 @@
         bool verified = false;
     };
     struct outcome_entry {};
-    struct purge_entry {};
     /// One row of a transaction.
     struct entry {
-        std::variant<claim_entry, outcome_entry, purge_entry> kind;
+        std::variant<claim_entry, outcome_entry> kind;
         std::string key;
         table_version expected = absent_row;
-        std::optional<std::string> value; ///< Empty deletes the row.
+        std::string value;
     };
-    struct kept_claim {
+    struct granted_claim {
         caller_id caller{};
         table_version version = 0;
-        instant recorded_at;
     };
     /// What happens to the batch.
     struct idle {};
@@ -162,6 +160,7 @@
     void take(const claim_wanted& event, instant now, effects_out effects);
     void take(const claim_abandoned& event, instant now, effects_out effects);
     void take(const outcome_learned& event, instant now, effects_out effects);
+    void take(const outcome_lost& event, instant now, effects_out effects);
     void take(const transaction_committed& event, instant now, effects_out effects);
     void take(const transaction_conflict& event, instant now, effects_out effects);
     void take(const transaction_refused& event, instant now, effects_out effects);
@@ -172,16 +171,15 @@
 
     [[nodiscard]] std::string claim_value(std::string_view state, caller_id caller) const;
     [[nodiscard]] duration pause() const;
-    void fill_batch(instant now);
+    void fill_batch();
     [[nodiscard]] bool verified_waiting() const;
     void start_reading(std::size_t index, effects_out effects);
     bool take_read(instant now);
     void settle_conflict(std::size_t index, instant now, effects_out effects);
     void send_batch(instant now, effects_out effects);
-    void settle_committed(table_version version, instant now, effects_out effects);
-    void settle_read(entry item, const std::optional<table_row>& row, instant now,
-                     effects_out effects);
-    void granted(const entry& item, const claim_entry& claim, table_version version, instant now,
+    void settle_committed(table_version version, effects_out effects);
+    void settle_read(entry item, const std::optional<table_row>& row, effects_out effects);
+    void granted(const entry& item, const claim_entry& claim, table_version version,
                  effects_out effects);
     void refuse_waiting(effects_out effects);
 
@@ -197,11 +195,10 @@
     int repetitions_ = 0;   ///< Messages without a definite result in a row.
     std::map<std::string, entry> reading_;  ///< Entries whose row is read after a conflict.
     std::map<std::string, instant> unread_; ///< When a row that could not be read is read again.
-    std::map<std::string, kept_claim> kept_;
-    std::deque<std::pair<instant, std::string>> purge_at_; ///< Keys of `kept_`, by age.
+    std::map<std::string, granted_claim> granted_; ///< By key, until the outcome is recorded.
 };
 
-/// Table key of the claim of `request`.
+/// Table key of the claim of `request`: the part of the key that holds it, by hash, and the id.
 std::string claim_key(const request_id& request);
 
 } // namespace citronford
--- a/include/citronford/request_router.h
+++ b/include/citronford/request_router.h
@@ -85,6 +85,10 @@
     request_id request;
     std::string outcome; ///< "done" or "not_run".
 };
+/// The outcome of a claimed request will not be learned.
+struct forget_claim {
+    request_id request;
+};
 struct send_attempt {
     caller_id caller{};
     endpoint to;
@@ -103,8 +107,8 @@
     std::string body;
 };
 
-using router_effect = std::variant<commit_claim, abandon_claim, record_outcome, send_attempt,
-                                   ask_outcome, probe_executor, answer_caller>;
+using router_effect = std::variant<commit_claim, abandon_claim, record_outcome, forget_claim,
+                                   send_attempt, ask_outcome, probe_executor, answer_caller>;
 
 struct router_options {
     executor_set_options executors;
--- a/src/decide/group_commit.cpp
+++ b/src/decide/group_commit.cpp
@@ -1,7 +1,10 @@
 #include "citronford/group_commit.h"
 
+#include "citronford/claim_sweep.h"
 #include "citronford/overloaded.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <set>
 
@@ -25,7 +28,9 @@
 } // namespace
 
 std::string claim_key(const request_id& request) {
-    return "claim/" + request.str();
+    constexpr std::uint32_t buckets = 65536;
+    const XXH64_hash_t hash = XXH3_64bits(request.view().data(), request.view().size());
+    return claim_bucket_prefix(static_cast<std::uint32_t>(hash % buckets)) + request.str();
 }
 
 std::string group_commit::claim_value(std::string_view state, caller_id caller) const {
@@ -38,7 +43,7 @@
     std::vector<group_commit_effect> effects;
     std::visit([&](const auto& event) { take(event, now, effects); }, input);
     if (std::holds_alternative<idle>(state_) && next_send_ <= now) {
-        fill_batch(now);
+        fill_batch();
         if (!batch_.empty()) {
             send_batch(now, effects);
         }
@@ -78,16 +83,24 @@
 
 void group_commit::take(const outcome_learned& event, instant /*now*/, effects_out /*effects*/) {
     const std::string key = claim_key(event.request);
-    const auto kept = kept_.find(key);
-    if (kept == kept_.end() || outcomes_.size() >= options_.outcome_limit) {
+    const auto claim = granted_.find(key);
+    if (claim == granted_.end()) {
         return;
     }
-    outcomes_.push_back({outcome_entry{}, key, kept->second.version,
-                         claim_value(event.outcome, kept->second.caller)});
+    const granted_claim recorded = claim->second;
+    granted_.erase(claim);
+    if (outcomes_.size() < options_.outcome_limit) {
+        outcomes_.push_back(
+            {outcome_entry{}, key, recorded.version, claim_value(event.outcome, recorded.caller)});
+    }
+}
+
+void group_commit::take(const outcome_lost& event, instant /*now*/, effects_out /*effects*/) {
+    granted_.erase(claim_key(event.request));
 }
 
-void group_commit::take(const transaction_committed& event, instant now, effects_out effects) {
-    settle_committed(event.version, now, effects);
+void group_commit::take(const transaction_committed& event, instant /*now*/, effects_out effects) {
+    settle_committed(event.version, effects);
 }
 
 void group_commit::take(const transaction_conflict& event, instant now, effects_out effects) {
@@ -191,21 +204,21 @@
     state_ = pausing{now + pause()};
 }
 
-void group_commit::take(const claim_row_read& event, instant now, effects_out effects) {
+void group_commit::take(const claim_row_read& event, instant /*now*/, effects_out effects) {
     if (std::holds_alternative<reading_own>(state_)) {
         const auto found = std::ranges::find(batch_, event.key, &entry::key);
         if (found != batch_.end()) {
             in_doubt_ = false;
             // A transaction writes all its rows or none, so one own row settles the whole batch.
-            const bool own = event.row ? event.row->value == found->value : !found->value;
+            const bool own = event.row && event.row->value == found->value;
             if (own) {
-                settle_committed(event.row ? event.row->version : 0, now, effects);
+                settle_committed(event.row->version, effects);
                 return;
             }
             entry item = std::move(*found);
             batch_.erase(found);
             state_ = idle{};
-            settle_read(std::move(item), event.row, now, effects);
+            settle_read(std::move(item), event.row, effects);
             return;
         }
     }
@@ -213,7 +226,7 @@
     if (found != reading_.end()) {
         entry item = std::move(found->second);
         reading_.erase(found);
-        settle_read(std::move(item), event.row, now, effects);
+        settle_read(std::move(item), event.row, effects);
     }
 }
 
@@ -247,8 +260,8 @@
 }
 
 /// Adds waiting entries up to the batch limit: outcomes first, which free nothing by waiting, then
-/// claims, then deletions. A key appears once in a transaction, and not while its row is read.
-void group_commit::fill_batch(instant now) {
+/// claims. A key appears once in a transaction, and not while its row is read.
+void group_commit::fill_batch() {
     std::set<std::string> keys;
     for (const entry& item : batch_) {
         keys.insert(item.key);
@@ -274,24 +287,6 @@
     };
     move_from(outcomes_);
     move_from(claims_);
-    for (std::size_t purged = 0; purged < options_.purge_limit && !purge_at_.empty() &&
-                                 purge_at_.front().first + options_.retention <= now &&
-                                 batch_.size() < options_.batch_limit;
-         ++purged) {
-        const auto [recorded_at, key] = std::move(purge_at_.front());
-        purge_at_.pop_front();
-        const auto kept = kept_.find(key);
-        // A row that was claimed again since has a later place in the queue.
-        if (kept == kept_.end() || kept->second.recorded_at != recorded_at) {
-            continue;
-        }
-        if (reading_.contains(key) || !keys.insert(key).second) {
-            kept->second.recorded_at = now;
-            purge_at_.emplace_back(now, key);
-            continue;
-        }
-        batch_.push_back({purge_entry{}, key, kept->second.version, std::nullopt});
-    }
 }
 
 bool group_commit::verified_waiting() const {
@@ -313,7 +308,7 @@
     effects.emplace_back(std::move(transaction));
 }
 
-void group_commit::settle_committed(table_version version, instant now, effects_out effects) {
+void group_commit::settle_committed(table_version version, effects_out effects) {
     in_doubt_ = false;
     repetitions_ = 0;
     state_ = idle{};
@@ -325,44 +320,35 @@
         conflicts_ = 0;
     }
     for (const entry& item : settled) {
-        std::visit(
-            overloaded{
-                [&](const claim_entry& claim) { granted(item, claim, version, now, effects); },
-                [&](const outcome_entry&) {
-                    const auto kept = kept_.find(item.key);
-                    if (kept != kept_.end()) {
-                        kept->second.version = version;
-                    }
-                },
-                [&](const purge_entry&) { kept_.erase(item.key); },
-            },
-            item.kind);
+        std::visit(overloaded{
+                       [&](const claim_entry& claim) { granted(item, claim, version, effects); },
+                       [](const outcome_entry&) {},
+                   },
+                   item.kind);
     }
 }
 
 void group_commit::granted(const entry& item, const claim_entry& claim, table_version version,
-                           instant now, effects_out effects) {
-    kept_[item.key] = {claim.caller, version, now};
-    purge_at_.emplace_back(now, item.key);
+                           effects_out effects) {
     if (claim.abandoned) {
         outcomes_.push_back(
             {outcome_entry{}, item.key, version, claim_value(not_run_outcome, claim.caller)});
         return;
     }
+    granted_[item.key] = {claim.caller, version};
     effects.emplace_back(claim_recorded{claim.caller});
 }
 
 /// Settles an entry whose check failed by what its row holds.
-void group_commit::settle_read(entry item, const std::optional<table_row>& row, instant now,
+void group_commit::settle_read(entry item, const std::optional<table_row>& row,
                                effects_out effects) {
     const auto* claim = std::get_if<claim_entry>(&item.kind);
     if (claim == nullptr) {
-        // The row was changed by nobody but this incarnation or was deleted: nothing to record.
-        kept_.erase(item.key);
+        // The row holds this outcome already or was deleted: nothing to record.
         return;
     }
     if (row && row->value == item.value) {
-        granted(item, *claim, row->version, now, effects);
+        granted(item, *claim, row->version, effects);
         return;
     }
     if (claim->abandoned) {
--- a/src/decide/request_router_steps.cpp
+++ b/src/decide/request_router_steps.cpp
@@ -142,6 +142,12 @@
                      record_outcome{context.request.submission.request, "done"});
              }
          }},
+        {"forget_claim",
+         [](step_context& context, const request_event&) {
+             if (!context.request.service.idempotent) {
+                 context.effects.emplace_back(forget_claim{context.request.submission.request});
+             }
+         }},
         {"record_not_run",
          [](step_context& context, const request_event&) {
              if (!context.request.service.idempotent) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -98,7 +98,7 @@
     }
     tasks_->set_members(members);
     pools_->set_members(nodes);
-    requests_->set_node_count(nodes.size());
+    requests_->set_members(members);
 }
 
 void node::apply(const fleet_configuration& fleet) {
--- a/src/node/request_driver.cpp
+++ b/src/node/request_driver.cpp
@@ -83,6 +83,14 @@
     if (!connection_chart.ok()) {
         return connection_chart.status();
     }
+    const auto sweep_chart = chart::load(node_settings.charts + "/claim_sweep.scxml");
+    if (!sweep_chart.ok()) {
+        return sweep_chart.status();
+    }
+    auto sweep = claim_sweep::create(*sweep_chart, {});
+    if (!sweep.ok()) {
+        return sweep.status();
+    }
     router_options options;
     options.executors.zone = node_settings.zone;
     auto router =
@@ -90,20 +98,23 @@
     if (!router.ok()) {
         return router.status();
     }
-    return std::unique_ptr<request_driver>(
-        new request_driver(node_settings, links, limits, pools, *std::move(router)));
+    return std::unique_ptr<request_driver>(new request_driver(
+        node_settings, links, limits, pools, *std::move(router), *std::move(sweep)));
 }
 
 request_driver::request_driver(settings node_settings, node_links links, team_limits& limits,
-                               const pool_driver& pools, std::unique_ptr<request_router> router)
+                               const pool_driver& pools, std::unique_ptr<request_router> router,
+                               claim_sweep sweep)
     : settings_(std::move(node_settings)), links_(links), limits_(limits), pools_(pools),
       router_(std::move(router)),
-      commits_({.node = settings_.node, .incarnation = random_hex(incarnation_bytes)}) {}
+      commits_({.node = settings_.node, .incarnation = random_hex(incarnation_bytes)}),
+      sweep_(std::move(sweep)) {}
 
 void request_driver::start() {
     tick_timer_ = links_.timers.every(tick_period, [this](instant) {
         handle(router_tick{});
         handle_commit(commit_tick{});
+        handle_sweep(sweep_tick{});
     });
     vm_timer_ = links_.timers.every(settings_.vm_list_poll, [this](instant) { poll_vms(); });
     poll_vms();
@@ -112,11 +123,17 @@
 void request_driver::configure(const fleet_configuration& fleet) {
     fleet_ = fleet;
     router_->configure(fleet);
-    commits_.set_retention(fleet.defaults.claim_retention);
+    sweep_.set_retention(fleet.defaults.claim_retention);
     poll_vms();
 }
 
-void request_driver::set_node_count(std::size_t nodes) {
+void request_driver::set_members(std::span<const live_member> members) {
+    const live_member* owner = rendezvous_owner(members, "claim-sweep");
+    const bool chosen = owner != nullptr && owner->id == settings_.node;
+    if (chosen != std::exchange(chosen_, chosen)) {
+        handle_sweep(chosen ? claim_sweep_input(sweep_chosen{}) : sweep_released{});
+    }
+    const std::size_t nodes = members.size();
     const auto share = static_cast<std::int64_t>(nodes);
     commits_.set_spacing(claim_spacing * share);
     commits_.set_read_rate(
@@ -139,6 +156,35 @@
     }
 }
 
+void request_driver::handle_sweep(const claim_sweep_input& input) {
+    const std::vector<claim_sweep_effect> effects = sweep_.handle(input, links_.timers.now());
+    for (const claim_sweep_effect& effect : effects) {
+        std::visit([this](const auto& item) { perform(item); }, effect);
+    }
+}
+
+void request_driver::perform(const sweep_scan& effect) {
+    links_.table.scan(effect.prefix, 0,
+                      [this, call = effect.call](const absl::StatusOr<table_scan>& scan) {
+                          if (scan.ok()) {
+                              handle_sweep(sweep_read{call, scan->rows});
+                          } else {
+                              handle_sweep(sweep_failed{call});
+                          }
+                      });
+}
+
+void request_driver::perform(const sweep_transaction& effect) {
+    links_.table.commit(effect.checks, effect.writes,
+                        [this, call = effect.call](const absl::StatusOr<table_commit>& commit) {
+                            if (commit.ok() && commit->committed) {
+                                handle_sweep(sweep_committed{call, commit->version});
+                            } else {
+                                handle_sweep(sweep_failed{call});
+                            }
+                        });
+}
+
 void request_driver::perform(const commit_claim& effect) {
     handle_commit(claim_wanted{effect.caller, effect.request});
 }
@@ -151,6 +197,10 @@
     handle_commit(outcome_learned{effect.request, effect.outcome});
 }
 
+void request_driver::perform(const forget_claim& effect) {
+    handle_commit(outcome_lost{effect.request});
+}
+
 void request_driver::perform(const commit_transaction& effect) {
     links_.table.commit(effect.checks, effect.writes,
                         [this](const absl::StatusOr<table_commit>& commit) {
--- a/src/node/request_driver.h
+++ b/src/node/request_driver.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "citronford/claim_sweep.h"
 #include "citronford/group_commit.h"
 #include "citronford/request_router.h"
 #include "citronford/settings.h"
 #include "citronford/team_limits.h"
+#include "citronford/worker_ownership.h"
 #include "node/node_links.h"
 #include "node/pool_driver.h"
 
@@ -11,6 +13,7 @@
 
 #include <functional>
 #include <memory>
+#include <span>
 
 namespace citronford {
 
@@ -39,8 +42,8 @@
 
     void configure(const fleet_configuration& fleet);
 
-    /// Tells how many nodes share the table.
-    void set_node_count(std::size_t nodes);
+    /// The live nodes: they share the table, and one of them deletes old claims.
+    void set_members(std::span<const live_member> members);
     void handle(const router_input& input);
 
     [[nodiscard]] std::size_t open_requests() const { return router_->open_requests(); }
@@ -55,13 +58,16 @@
 
   private:
     request_driver(settings node_settings, node_links links, team_limits& limits,
-                   const pool_driver& pools, std::unique_ptr<request_router> router);
+                   const pool_driver& pools, std::unique_ptr<request_router> router,
+                   claim_sweep sweep);
 
     void handle_commit(const group_commit_input& input);
+    void handle_sweep(const claim_sweep_input& input);
 
     void perform(const commit_claim& effect);
     void perform(const abandon_claim& effect);
     void perform(const record_outcome& effect);
+    void perform(const forget_claim& effect);
     void perform(const send_attempt& effect);
     void perform(const ask_outcome& effect);
     void perform(const probe_executor& effect);
@@ -71,6 +77,8 @@
     void perform(const claim_recorded& effect);
     void perform(const claim_taken& effect);
     void perform(const claim_refused& effect);
+    void perform(const sweep_scan& effect);
+    void perform(const sweep_transaction& effect);
 
     void poll_vms();
 
@@ -80,6 +88,8 @@
     const pool_driver& pools_;
     std::unique_ptr<request_router> router_;
     group_commit commits_;
+    claim_sweep sweep_;
+    bool chosen_ = false; ///< To sweep, as told last.
     fleet_configuration fleet_;
     bool listing_vms_ = false;
     std::function<void(const answer_caller&)> on_answer_;
--- /dev/null
+++ b/tests/proofs/claim_retention_proof.cpp
@@ -0,0 +1,179 @@
+// No claim row is deleted before its retention, whichever node deletes it; old rows are deleted.
+#include "citronford/chart.h"
+#include "citronford/claim_sweep.h"
+#include "citronford/manual_timer_service.h"
+#include "proofs/proof.h"
+
+#include <map>
+#include <optional>
+#include <random>
+
+namespace {
+
+using namespace citronford;
+
+constexpr duration retention = seconds(60);
+constexpr duration run_time = seconds(400);
+constexpr std::uint32_t buckets = 4;
+
+/// Three nodes that are chosen in turn, sometimes two at once, and that die, against one table with
+/// slow, lost and late transactions.
+class sweep_model {
+  public:
+    explicit sweep_model(std::uint64_t seed) : random_(static_cast<std::uint32_t>(seed * 7919)) {
+        for (std::size_t index = 0; index < std::size(nodes_); ++index) {
+            restart(index);
+            keep(time_.every(milliseconds(100),
+                             [this, index](instant) { handle(index, sweep_tick{}); }));
+        }
+        keep(time_.every(milliseconds(200), [this](instant) { write_claim(); }));
+        choose();
+    }
+
+    proof_result run() {
+        time_.advance(run_time);
+        std::size_t old = 0;
+        for (const auto& [key, row] : rows_) {
+            old += time_.now() - row.written_at > 4 * retention ? 1 : 0;
+        }
+        if (deleted_ < old) {
+            violation("too few of the old claim rows were deleted");
+        }
+        return result_;
+    }
+
+  private:
+    struct stored_row {
+        std::string value;
+        table_version version = 0;
+        instant written_at;
+    };
+
+    bool chance(double probability) {
+        return std::uniform_real_distribution<double>(0, 1)(random_) < probability;
+    }
+    duration ms(int least, int most) {
+        return milliseconds(std::uniform_int_distribution<int>(least, most)(random_));
+    }
+    std::size_t any_node() { return random_() % std::size(nodes_); }
+    void keep(timer_subscription timer) { timers_.push_back(std::move(timer)); }
+    template <class Function> void later(duration delay, Function function) {
+        keep(time_.after(delay, [function = std::move(function)](instant) { function(); }));
+    }
+    void violation(const std::string& detail) {
+        ++result_.violations;
+        result_.detail = result_.detail.empty() ? detail : result_.detail;
+    }
+
+    void restart(std::size_t index) {
+        static const chart sweep_chart =
+            chart::load(std::string(CITRONFORD_CHARTS) + "/claim_sweep.scxml").value();
+        ++starts_[index];
+        nodes_[index] = *claim_sweep::create(sweep_chart, {.retention = retention,
+                                                           .buckets = buckets,
+                                                           .deletion_pause = milliseconds(100),
+                                                           .clock_period = seconds(2),
+                                                           .retry_pause = seconds(1)});
+    }
+
+    void choose() {
+        const std::size_t chosen = any_node();
+        for (std::size_t index = 0; index < std::size(nodes_); ++index) {
+            if (index == chosen || chance(0.1)) {
+                handle(index, sweep_chosen{});
+            } else if (chance(0.9)) {
+                handle(index, sweep_released{});
+            }
+        }
+        if (chance(0.2)) {
+            restart(any_node());
+        }
+        later(ms(1000, 60000), [this] { choose(); });
+    }
+
+    void write_claim() {
+        // One row in four gets its outcome later than its claim.
+        const std::uint64_t number = chance(0.25) && claims_ > 100 ? claims_ - 100 : ++claims_;
+        const std::string key = claim_bucket_prefix(number % buckets) + std::to_string(number);
+        rows_[key] = {"claimed", ++version_, time_.now()};
+    }
+
+    void handle(std::size_t index, const claim_sweep_input& input) {
+        ++result_.steps;
+        for (const claim_sweep_effect& effect : nodes_[index]->handle(input, time_.now())) {
+            std::visit([&](const auto& item) { perform(index, item); }, effect);
+        }
+    }
+    void answer(std::size_t index, const claim_sweep_input& input) {
+        const int start = starts_[index];
+        const duration delay = chance(0.05) ? ms(1000, 30000) : ms(1, 50);
+        later(delay, [this, index, input, start] {
+            if (starts_[index] == start) {
+                handle(index, input);
+            }
+        });
+    }
+
+    void perform(std::size_t index, const sweep_scan& effect) {
+        sweep_read reply{effect.call, {}};
+        for (const auto& [key, row] : rows_) {
+            if (key.starts_with(effect.prefix)) {
+                reply.rows.push_back({key, row.value, row.version});
+            }
+        }
+        answer(index,
+               chance(0.05) ? claim_sweep_input(sweep_failed{effect.call}) : std::move(reply));
+    }
+
+    void perform(std::size_t index, const sweep_transaction& effect) {
+        const bool lost = chance(0.1);
+        if (lost) {
+            answer(index, sweep_failed{effect.call});
+        }
+        later(lost ? ms(1, 8000) : ms(1, 500), [this, index, effect, lost] {
+            const bool committed = applied(effect);
+            if (!lost) {
+                answer(index, committed ? claim_sweep_input(sweep_committed{effect.call, version_})
+                                        : sweep_failed{effect.call});
+            }
+        });
+    }
+
+    bool applied(const sweep_transaction& effect) {
+        for (const table_check& check : effect.checks) {
+            const auto found = rows_.find(check.key);
+            if ((found == rows_.end() ? absent_row : found->second.version) != check.version) {
+                return false;
+            }
+        }
+        ++version_;
+        for (const table_write& write : effect.writes) {
+            if (write.value) {
+                rows_[write.key] = {*write.value, version_, time_.now()};
+                continue;
+            }
+            if (time_.now() - rows_[write.key].written_at < retention) {
+                violation(write.key + " was deleted before its retention");
+            }
+            rows_.erase(write.key);
+            ++deleted_;
+        }
+        return true;
+    }
+
+    std::minstd_rand random_;
+    manual_timer_service time_;
+    std::vector<timer_subscription> timers_;
+    std::optional<claim_sweep> nodes_[3];
+    int starts_[3] = {};
+    std::map<std::string, stored_row> rows_;
+    table_version version_ = 0;
+    std::uint64_t claims_ = 0;
+    std::size_t deleted_ = 0;
+    proof_result result_;
+};
+
+const proof_registration registration("claim-retention",
+                                      [](std::uint64_t seed) { return sweep_model(seed).run(); });
+
+} // namespace
--- a/tests/proofs/request_model.h
+++ b/tests/proofs/request_model.h
@@ -398,6 +398,9 @@
     void perform(std::size_t node, const record_outcome& effect) {
         handle(node, outcome_learned{effect.request, effect.outcome});
     }
+    void perform(std::size_t node, const forget_claim& effect) {
+        handle(node, outcome_lost{effect.request});
+    }
     void perform(std::size_t node, const claim_recorded& effect) {
         handle(node, claim_granted{effect.caller});
     }
--- a/tools/capacity/claim_probe.cpp
+++ b/tools/capacity/claim_probe.cpp
@@ -1,4 +1,4 @@
-// Heap of the claims that a node keeps until their retention ends, and the cost of one claim.
+// Heap that claims leave on a node once their outcomes are recorded, and the cost of one claim.
 #include "capacity/slope.h"
 
 #include "citronford/group_commit.h"
@@ -9,7 +9,8 @@
 namespace citronford {
 namespace {
 
-/// A node that claims ids one after the other; every transaction is committed at once.
+/// A node that claims ids one after the other and records their outcomes; every transaction is
+/// committed at once.
 class claiming_node {
   public:
     explicit claiming_node(std::size_t claims)
@@ -21,16 +22,18 @@
 
     void claim() {
         ++number_;
-        const auto effects =
-            commits_.handle(claim_wanted{static_cast<caller_id>(number_),
-                                         request_id("request-" + std::to_string(number_))},
-                            instant());
-        if (!effects.empty()) {
+        const request_id id("request-" + std::to_string(number_));
+        commit(claim_wanted{static_cast<caller_id>(number_), id});
+        commit(outcome_learned{id, "done"});
+    }
+
+  private:
+    void commit(const group_commit_input& input) {
+        if (!commits_.handle(input, instant()).empty()) {
             commits_.handle(transaction_committed{number_}, instant());
         }
     }
 
-  private:
     group_commit commits_;
     std::uint64_t number_ = 0;
 };
