Send a lone claim at once and wake up when the pause ends

Cause: every claim transaction waited for the end of a fixed spacing, which the 20 ms tick noticed late, and each outcome took a transaction of its own that the next claim then waited for. Ruled out: a shorter tick, which costs processor time on idle nodes; a shorter spacing, which would exceed 200 transactions a second of the fleet. Change: `rate_limit` bounds the rate while unused transactions are saved up: 5.5 ms on average for each node, 50 saved in the fleet and at least one a node. A one-shot timer ends the pause. The last saved transaction is left to claims; an outcome goes with a claim or waits at most 100 ms. Unit test: after a pause 1 to 40 nodes send at most 600 transactions in 3 s.

--- a/include/citronford/group_commit.h
+++ b/include/citronford/group_commit.h
@@ -3,6 +3,7 @@
 #include "citronford/caller_link.h"
 #include "citronford/identifier.h"
 #include "citronford/instant.h"
+#include "citronford/rate_limit.h"
 #include "citronford/table_service.h"
 
 #include <cstdint>
@@ -88,8 +89,13 @@
     caller_id caller{};
 };
 
-using group_commit_effect =
-    std::variant<commit_transaction, read_claim_row, claim_recorded, claim_taken, claim_refused>;
+/// Give a `commit_tick` at this instant; replaces an earlier wish.
+struct wake_commit {
+    instant at;
+};
+
+using group_commit_effect = std::variant<commit_transaction, read_claim_row, claim_recorded,
+                                         claim_taken, claim_refused, wake_commit>;
 
 struct group_commit_options {
     node_id node;
@@ -99,29 +105,28 @@
     std::size_t outcome_limit = 4096;   ///< Outcomes that wait, at most; more are not recorded.
     duration retry_pause{50000};        ///< First pause before a repetition; doubles.
     duration retry_pause_most{1000000}; ///< Longest pause before a repetition.
-    /// Least time between the starts of two transactions. It bounds the writes of a fleet, which
-    /// share the capacity of one table.
-    duration spacing{};
-    /// Least mean time between two reads of rows that are suspected to be taken. A conflict always
-    /// reads the row that it names.
-    duration read_interval{};
-    std::size_t read_burst = 64; ///< Such reads that may follow each other at once.
-};
-
-/// Batches the claims and outcomes of a node's claim rows into one conditional
-/// transaction at a time. Every row of a transaction is checked, so repeating it is idempotent:
-/// a transaction in doubt is repeated until its result is known.
+    duration outcome_wait{100000};      ///< Longest wait of an outcome for a claim to go with.
+};
+
+/// Batches the claims and outcomes of a node's claim rows into one conditional transaction at a
+/// time. Every row of a transaction is checked, so repeating it is idempotent: a transaction in
+/// doubt is repeated until its result is known.
 class group_commit {
   public:
     explicit group_commit(group_commit_options options) : options_(std::move(options)) {}
 
     std::vector<group_commit_effect> handle(const group_commit_input& input, instant now);
 
-    void set_spacing(duration spacing) { options_.spacing = spacing; }
-    void set_read_rate(duration interval, std::size_t burst) {
-        options_.read_interval = interval;
-        options_.read_burst = burst;
+    /// Takes this node's part of what the table serves to `nodes` nodes.
+    void set_node_count(std::size_t nodes);
+
+    /// `interval` is the least mean time between two transactions. A zero interval bounds nothing.
+    void set_transaction_rate(duration interval, std::size_t burst) {
+        transactions_.set(interval, burst);
     }
+    /// Bounds the reads of rows that are suspected to be taken. A conflict always reads the row
+    /// that it names.
+    void set_read_rate(duration interval, std::size_t burst) { reads_.set(interval, burst); }
 
     /// Claims and outcomes that are not settled.
     [[nodiscard]] std::size_t open_entries() const;
@@ -143,6 +148,7 @@
         std::string key;
         table_version expected = absent_row;
         std::string value;
+        instant since; ///< When an outcome began to wait.
     };
     struct granted_claim {
         caller_id caller{};
@@ -171,10 +177,10 @@
 
     [[nodiscard]] std::string claim_value(std::string_view state, caller_id caller) const;
     [[nodiscard]] duration pause() const;
+    [[nodiscard]] instant next_transaction() const;
     void fill_batch();
     [[nodiscard]] bool verified_waiting() const;
     void start_reading(std::size_t index, effects_out effects);
-    bool take_read(instant now);
     void settle_conflict(std::size_t index, instant now, effects_out effects);
     void send_batch(instant now, effects_out effects);
     void settle_committed(table_version version, effects_out effects);
@@ -189,10 +195,11 @@
     std::vector<entry> batch_;   ///< Entries of the transaction in flight.
     std::variant<idle, in_flight, pausing, reading_own> state_;
     bool in_doubt_ = false; ///< A message with this batch may have been committed.
-    instant next_send_{};   ///< Earliest start of the next transaction.
     int conflicts_ = 0;     ///< Conflicts since a batch with unverified claims was committed.
-    instant reads_spent_{}; ///< When the reads taken so far are made up for.
-    int repetitions_ = 0;   ///< Messages without a definite result in a row.
+    rate_limit transactions_{duration::zero(), 1};
+    rate_limit reads_{duration::zero(), 1};
+    instant wake_at_{};                     ///< Last instant of a `wake_commit`.
+    int repetitions_ = 0;                   ///< Messages without a definite result in a row.
     std::map<std::string, entry> reading_;  ///< Entries whose row is read after a conflict.
     std::map<std::string, instant> unread_; ///< When a row that could not be read is read again.
     std::map<std::string, granted_claim> granted_; ///< By key, until the outcome is recorded.
--- a/src/decide/group_commit.cpp
+++ b/src/decide/group_commit.cpp
@@ -14,6 +14,18 @@
 constexpr std::string_view claimed = "claimed";
 constexpr std::string_view not_run_outcome = "not_run";
 
+/// Claim transactions of all nodes together: 182 a second and 50 saved up, so that any three
+/// seconds hold at most 200 a second for up to 50 nodes, of the several hundred that the table
+/// takes.
+constexpr duration fleet_transaction_interval{5500};
+constexpr std::size_t fleet_transaction_burst = 50;
+
+/// Reads of claim rows beyond the one that each conflict names: 800 a second of the fleet and as
+/// many saved up, so that a second holds at most 1,600 besides those of the conflicts, of the two
+/// thousand that the table takes.
+constexpr duration fleet_read_interval{1250};
+constexpr std::size_t fleet_read_burst = 800;
+
 /// Bound of the exponents of repeated doubling.
 constexpr int doublings_most = 16;
 
@@ -42,15 +54,45 @@
                                                       instant now) {
     std::vector<group_commit_effect> effects;
     std::visit([&](const auto& event) { take(event, now, effects); }, input);
-    if (std::holds_alternative<idle>(state_) && next_send_ <= now) {
+    if (!std::holds_alternative<idle>(state_)) {
+        return effects;
+    }
+    const instant next = next_transaction();
+    if (next <= now) {
         fill_batch();
         if (!batch_.empty()) {
             send_batch(now, effects);
         }
+    } else if (next != instant::max() && next != wake_at_) {
+        wake_at_ = next;
+        effects.emplace_back(wake_commit{next});
     }
     return effects;
 }
 
+/// When the waiting entries may be sent; `instant::max()` without any. The last saved transaction
+/// is left to claims, since callers wait for them: an outcome goes with a claim or waits a little.
+instant group_commit::next_transaction() const {
+    if (!batch_.empty() || !claims_.empty()) {
+        return transactions_.next(1);
+    }
+    if (outcomes_.empty()) {
+        return instant::max();
+    }
+    return std::min(
+        transactions_.next(2),
+        std::max(transactions_.next(1), outcomes_.front().since + options_.outcome_wait));
+}
+
+void group_commit::set_node_count(std::size_t nodes) {
+    const std::size_t share = std::max(nodes, std::size_t{1});
+    const auto factor = static_cast<std::int64_t>(share);
+    set_transaction_rate(fleet_transaction_interval * factor,
+                         std::max(fleet_transaction_burst / share, std::size_t{1}));
+    set_read_rate(fleet_read_interval * factor,
+                  std::clamp(fleet_read_burst / share, std::size_t{1}, options_.batch_limit));
+}
+
 std::size_t group_commit::open_entries() const {
     return claims_.size() + outcomes_.size() + batch_.size() + reading_.size();
 }
@@ -64,7 +106,7 @@
         return;
     }
     claims_.push_back({claim_entry{event.caller}, claim_key(event.request), absent_row,
-                       claim_value(claimed, event.caller)});
+                       claim_value(claimed, event.caller), instant()});
 }
 
 void group_commit::take(const claim_abandoned& event, instant /*now*/, effects_out /*effects*/) {
@@ -81,7 +123,7 @@
     }
 }
 
-void group_commit::take(const outcome_learned& event, instant /*now*/, effects_out /*effects*/) {
+void group_commit::take(const outcome_learned& event, instant now, effects_out /*effects*/) {
     const std::string key = claim_key(event.request);
     const auto claim = granted_.find(key);
     if (claim == granted_.end()) {
@@ -90,8 +132,8 @@
     const granted_claim recorded = claim->second;
     granted_.erase(claim);
     if (outcomes_.size() < options_.outcome_limit) {
-        outcomes_.push_back(
-            {outcome_entry{}, key, recorded.version, claim_value(event.outcome, recorded.caller)});
+        outcomes_.push_back({outcome_entry{}, key, recorded.version,
+                             claim_value(event.outcome, recorded.caller), now});
     }
 }
 
@@ -141,9 +183,10 @@
             ++index;
             continue;
         }
-        if (!take_read(now)) {
+        if (!reads_.allows(now)) {
             break;
         }
+        reads_.take(now);
         start_reading(index, effects);
         ++reads;
     }
@@ -168,17 +211,6 @@
     batch_.erase(place);
 }
 
-/// Whether another read stays within the rate of reads; counts it if so.
-bool group_commit::take_read(instant now) {
-    const duration saved = options_.read_interval * static_cast<std::int64_t>(options_.read_burst);
-    const instant spent = std::max(reads_spent_, now) + options_.read_interval;
-    if (spent - now > saved) {
-        return false;
-    }
-    reads_spent_ = spent;
-    return true;
-}
-
 void group_commit::take(const transaction_refused& /*event*/, instant now, effects_out effects) {
     refuse_waiting(effects);
     ++repetitions_;
@@ -298,7 +330,7 @@
 }
 
 void group_commit::send_batch(instant now, effects_out effects) {
-    next_send_ = now + options_.spacing;
+    transactions_.take(now);
     commit_transaction transaction;
     for (const entry& item : batch_) {
         transaction.checks.push_back({item.key, item.expected});
@@ -331,8 +363,8 @@
 void group_commit::granted(const entry& item, const claim_entry& claim, table_version version,
                            effects_out effects) {
     if (claim.abandoned) {
-        outcomes_.push_back(
-            {outcome_entry{}, item.key, version, claim_value(not_run_outcome, claim.caller)});
+        outcomes_.push_back({outcome_entry{}, item.key, version,
+                             claim_value(not_run_outcome, claim.caller), instant()});
         return;
     }
     granted_[item.key] = {claim.caller, version};
--- a/src/node/request_driver.cpp
+++ b/src/node/request_driver.cpp
@@ -3,7 +3,6 @@
 #include "citronford/chart.h"
 #include "io/digest.h"
 
-#include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
@@ -16,17 +15,6 @@
 
 constexpr std::size_t incarnation_bytes = 8;
 
-/// Spacing of claim transactions for each node of the fleet: together the nodes write at most 200
-/// times a second, of the several hundred that the table takes for everything.
-constexpr duration claim_spacing = milliseconds(5);
-
-/// Reads of claim rows beyond the one that each conflict names: 800 a second of the fleet and as
-/// many saved up, so that a second holds at most 1,600 besides the 200 of the conflicts, of the two
-/// thousand that the table takes.
-constexpr duration claim_read_interval = duration(1250);
-constexpr std::size_t claim_read_burst = 800;
-constexpr std::size_t node_read_burst_most = 64;
-
 /// The row `key` of a scan; empty when it is absent or deleted.
 std::optional<table_row> row_of(const table_scan& scan, std::string_view key) {
     for (const table_row& row : scan.rows) {
@@ -133,12 +121,7 @@
     if (chosen != std::exchange(chosen_, chosen)) {
         handle_sweep(chosen ? claim_sweep_input(sweep_chosen{}) : sweep_released{});
     }
-    const std::size_t nodes = members.size();
-    const auto share = static_cast<std::int64_t>(nodes);
-    commits_.set_spacing(claim_spacing * share);
-    commits_.set_read_rate(
-        claim_read_interval * share,
-        std::min(node_read_burst_most, claim_read_burst / std::max(nodes, std::size_t{1})));
+    commits_.set_node_count(members.size());
 }
 
 void request_driver::handle(const router_input& input) {
@@ -231,6 +214,11 @@
     handle(claim_unavailable{effect.caller});
 }
 
+void request_driver::perform(const wake_commit& effect) {
+    wake_timer_ = links_.timers.after(effect.at - links_.timers.now(),
+                                      [this](instant) { handle_commit(commit_tick{}); });
+}
+
 void request_driver::perform(const send_attempt& effect) {
     links_.executors.send(
         effect.to, effect.work,
--- a/src/node/request_driver.h
+++ b/src/node/request_driver.h
@@ -77,6 +77,7 @@
     void perform(const claim_recorded& effect);
     void perform(const claim_taken& effect);
     void perform(const claim_refused& effect);
+    void perform(const wake_commit& effect);
     void perform(const sweep_scan& effect);
     void perform(const sweep_transaction& effect);
 
@@ -94,6 +95,7 @@
     bool listing_vms_ = false;
     std::function<void(const answer_caller&)> on_answer_;
     timer_subscription tick_timer_;
+    timer_subscription wake_timer_; ///< End of the pause between two claim transactions.
     timer_subscription vm_timer_;
 };
 
--- a/tests/group_commit_test.cpp
+++ b/tests/group_commit_test.cpp
@@ -193,7 +193,7 @@
 // Guards against a fleet of busy nodes that writes more often than the table can take.
 Test(group_commit, keeps_the_spacing_between_two_transactions) {
     commit_fixture fixture;
-    fixture.commits.set_spacing(milliseconds(45));
+    fixture.commits.set_transaction_rate(milliseconds(45), 1);
     std::size_t transactions = 0;
     std::size_t recorded = 0;
     for (std::uint64_t number = 1; number <= 100; ++number) {
@@ -228,7 +228,7 @@
     explicit flooded_table(std::size_t batch_limit) {
         fixture.commits =
             group_commit({.node = node_id("n1"), .incarnation = "i1", .batch_limit = batch_limit});
-        fixture.commits.set_spacing(milliseconds(20));
+        fixture.commits.set_transaction_rate(milliseconds(20), 1);
     }
 
     /// Claims an id; odd numbers are taken when `every_second` is set, else all are.
@@ -261,11 +261,12 @@
                            },
                            [&](const claim_recorded&) { ++granted; },
                            [&](const claim_taken&) { ++duplicates; },
+                           [](const wake_commit&) {},
                            [](const claim_refused&) { cr_assert(false, "a claim is refused"); },
                        },
                        open.front());
-            if (!std::holds_alternative<claim_recorded>(open.front()) &&
-                !std::holds_alternative<claim_taken>(open.front())) {
+            if (std::holds_alternative<commit_transaction>(open.front()) ||
+                std::holds_alternative<read_claim_row>(open.front())) {
                 open.insert(open.end(), fixture.effects.begin(), fixture.effects.end());
             }
         }
@@ -326,3 +327,57 @@
     }
     cr_assert(table.duplicates >= 100, "%zu duplicates", table.duplicates);
 }
+
+// Guards against a lone claim that waits for the end of the spacing, and against a wait beyond it.
+Test(group_commit, sends_a_lone_claim_at_once_and_wakes_up_at_the_end_of_the_spacing) {
+    commit_fixture fixture;
+    fixture.commits.set_transaction_rate(milliseconds(22), 2);
+    for (std::uint64_t number = 1; number <= 2; ++number) {
+        fixture.claim(number);
+        cr_assert_eq(fixture.sent().size(), 1);
+        fixture.handle(transaction_committed{number});
+    }
+    fixture.claim(3);
+    cr_assert(fixture.sent().empty());
+    const instant wake = fixture.of<wake_commit>().at(0).at;
+    cr_assert(wake == fixture.now + milliseconds(22));
+    fixture.pass(wake - fixture.now);
+    cr_assert_eq(fixture.sent().size(), 1);
+}
+
+// Guards against outcomes that use up the transactions that claims need.
+Test(group_commit, leaves_the_last_saved_transaction_to_claims) {
+    commit_fixture fixture;
+    fixture.commits.set_transaction_rate(milliseconds(22), 2);
+    fixture.claim(1);
+    fixture.handle(transaction_committed{1});
+    fixture.handle(outcome_learned{request_id("r1"), "done"});
+    cr_assert(fixture.sent().empty());
+    fixture.claim(2);
+    cr_assert_eq(fixture.sent().size(), 2, "the outcome goes with the claim");
+    fixture.handle(transaction_committed{2});
+    fixture.handle(outcome_learned{request_id("r2"), "done"});
+    fixture.pass(milliseconds(100));
+    cr_assert_eq(fixture.sent().size(), 1, "without a claim the outcome waits a bounded time");
+}
+
+// Guards against a fleet that writes above its part of the table after all its nodes were idle.
+Test(group_commit, a_fleet_stays_within_its_transactions_after_a_pause) {
+    for (const std::size_t nodes : {1, 2, 4, 9, 40}) {
+        std::vector<commit_fixture> fleet(nodes);
+        std::size_t transactions = 0;
+        for (commit_fixture& node : fleet) {
+            node.commits.set_node_count(nodes);
+            node.now += seconds(60);
+            for (std::uint64_t number = 1; number <= 3000; ++number) {
+                node.claim(number);
+                while (!node.of<commit_transaction>().empty()) {
+                    ++transactions;
+                    node.handle(transaction_committed{number});
+                }
+                node.now += milliseconds(1);
+            }
+        }
+        cr_assert(transactions <= 3 * 200, "%zu transactions of %zu nodes", transactions, nodes);
+    }
+}
--- a/tests/proofs/request_model.h
+++ b/tests/proofs/request_model.h
@@ -50,6 +50,7 @@
                 group_commit_options{.node = node_id("n" + std::to_string(index)),
                                      .incarnation = "i",
                                      .batch_limit = 8});
+            node.commits->set_node_count(nodes_.size());
             node.limits.set_units(team_id("sales"), 64);
             node.router->configure(fleet);
         }
@@ -389,6 +390,9 @@
         });
     }
 
+    void perform(std::size_t node, const wake_commit& effect) {
+        later(effect.at - time_.now(), [this, node] { handle(node, commit_tick{}); });
+    }
     void perform(std::size_t node, const commit_claim& effect) {
         handle(node, claim_wanted{effect.caller, effect.request});
     }
