Look up keys by digest instead of comparing all of them

Cause: each check compared the digest with every key, 0.013 us a key: 21 us at 1,600 keys. Ruled out: an ordered map of digests, whose comparisons end at the first difference and tell how much of a digest matched. Change: `key_index`, built when a configuration comes into force, finds a key by a hash of the whole digest and then compares in constant time. A view without an index accepts no key. Conclusion: the check no longer grows with the number of keys.

--- a/include/citronford/authorization.h
+++ b/include/citronford/authorization.h
@@ -5,15 +5,39 @@
 
 #include <absl/status/statusor.h>
 
+#include <cstdint>
+#include <optional>
+#include <span>
 #include <string_view>
+#include <unordered_map>
 
 namespace citronford {
 
+/// The keys of one configuration by digest.
+class key_index {
+  public:
+    key_index() = default;
+    explicit key_index(std::span<const team_key> keys);
+
+    /// The team whose key has this digest; none for an unknown digest.
+    [[nodiscard]] std::optional<team_id> team_of(const key_digest& digest) const;
+
+  private:
+    struct entry {
+        key_digest digest;
+        team_id team;
+    };
+    /// By a hash of the whole digest: how long the search takes tells nothing about how much of a
+    /// digest matched.
+    std::unordered_multimap<std::uint64_t, entry> entries_;
+};
+
 /// What a node knows of the age of its configuration.
 struct configuration_view {
     const fleet_configuration& fleet;
     instant confirmed_at; ///< No change committed before this instant is missing from `fleet`.
     zone_id zone;         ///< Zone of the node.
+    const key_index* keys = nullptr; ///< Of `fleet`; without it no key is accepted.
 };
 
 /// The longest time the node may act on keys and zone removals without a confirmation: the fleet
--- a/include/citronford/configuration.h
+++ b/include/citronford/configuration.h
@@ -216,6 +216,7 @@
     const escrow& units_;
     configuration_options options_;
     fleet_configuration fleet_;
+    key_index key_index_; ///< Of the keys of `fleet_`.
     table_version version_row_ = absent_row;
     instant evidence_;       ///< The copy was confirmed as of then.
     instant evidence_since_; ///< Registration under which `evidence_` was found.
--- a/src/decide/authorization.cpp
+++ b/src/decide/authorization.cpp
@@ -4,6 +4,8 @@
 #include "citronford/planted_fault.h"
 #include "citronford/result_code.h"
 
+#include <xxhash.h>
+
 #include <charconv>
 #include <string>
 
@@ -23,8 +25,28 @@
     return difference == 0;
 }
 
+std::uint64_t hash_of(const key_digest& digest) {
+    return XXH3_64bits(digest.view().data(), digest.view().size());
+}
+
 } // namespace
 
+key_index::key_index(std::span<const team_key> keys) {
+    for (const team_key& key : keys) {
+        entries_.emplace(hash_of(key.digest), entry{key.digest, key.team});
+    }
+}
+
+std::optional<team_id> key_index::team_of(const key_digest& digest) const {
+    const auto [first, last] = entries_.equal_range(hash_of(digest));
+    for (auto item = first; item != last; ++item) {
+        if (equal_in_constant_time(item->second.digest.view(), digest.view())) {
+            return item->second.team;
+        }
+    }
+    return std::nullopt;
+}
+
 duration confirmation_limit(const configuration_view& view) {
     const std::string scope = "zone/" + view.zone.str();
     const auto text = exception_value(view.fleet, scope, "key_confirmation_limit_ms");
@@ -52,14 +74,13 @@
         return make_status(result_code::key_unconfirmed,
                            "the configuration is not confirmed recently enough to check keys");
     }
-    for (const team_key& key : view.fleet.keys) {
-        if (equal_in_constant_time(key.digest.view(), digest.view())) {
-            invariant_monitor::check(now - view.confirmed_at <= confirmation_limit(view), "keys",
-                                     "a key is accepted by an unconfirmed configuration");
-            return key.team;
-        }
+    const auto team = view.keys == nullptr ? std::nullopt : view.keys->team_of(digest);
+    if (!team) {
+        return make_status(result_code::key_rejected, "the key is unknown or withdrawn");
     }
-    return make_status(result_code::key_rejected, "the key is unknown or withdrawn");
+    invariant_monitor::check(now - view.confirmed_at <= confirmation_limit(view), "keys",
+                             "a key is accepted by an unconfirmed configuration");
+    return *team;
 }
 
 } // namespace citronford
--- a/src/decide/configuration.cpp
+++ b/src/decide/configuration.cpp
@@ -160,7 +160,7 @@
 }
 
 configuration_view configuration::view() const {
-    return {fleet_, confirmed_at(), members_.zone()};
+    return {fleet_, confirmed_at(), members_.zone(), &key_index_};
 }
 
 std::string_view configuration::key_state(const key_id& id) const {
@@ -194,6 +194,7 @@
         expired_by_ = std::max(expired_by_, now + longest_limit(fleet_));
     }
     fleet_ = fleet;
+    key_index_ = key_index(fleet_.keys);
     version_row_ = version_row;
     effects.emplace_back(configuration_applied{});
 }
--- a/tools/capacity/configuration_probe.cpp
+++ b/tools/capacity/configuration_probe.cpp
@@ -43,15 +43,23 @@
 
 cost_sample key_check_cost(std::size_t keys) {
     constexpr std::size_t passes = 2000;
-    return sampled(
-        keys, passes, [&] { return fleet_with_keys(keys); },
-        [](fleet_configuration& fleet) {
-            const configuration_view view{fleet, instant(), zone_id("a")};
-            const auto team = authorized_team(view, fleet.keys.back().digest, false, instant());
-            if (!team.ok()) {
-                std::abort();
-            }
-        });
+    struct indexed_fleet {
+        std::unique_ptr<fleet_configuration> fleet;
+        key_index index;
+    };
+    const auto indexed = [&] {
+        auto fleet = fleet_with_keys(keys);
+        key_index index(fleet->keys);
+        return std::make_unique<indexed_fleet>(indexed_fleet{std::move(fleet), std::move(index)});
+    };
+    return sampled(keys, passes, indexed, [](indexed_fleet& state) {
+        const fleet_configuration& fleet = *state.fleet;
+        const configuration_view view{fleet, instant(), zone_id("a"), &state.index};
+        const auto team = authorized_team(view, fleet.keys.back().digest, false, instant());
+        if (!team.ok()) {
+            std::abort();
+        }
+    });
 }
 
 const capacity_registration
