--- a/include/citronford/group_commit.h
+++ b/include/citronford/group_commit.h
@@ -3,6 +3,7 @@
 #include "citronford/caller_link.h"
 #include "citronford/identifier.h"
 #include "citronford/instant.h"
+#include "citronford/rate_limit.h"
 #include "citronford/table_service.h"
 
 #include <cstdint>
@@ -11,7 +12,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <variant>
 #include <vector>
 
@@ -33,6 +33,10 @@
     request_id request;
     std::string outcome; ///< "done" or "not_run".
 };
+/// The outcome of a request whose claim this node was granted will not be learned.
+struct outcome_lost {
+    request_id request;
+};
 /// The transaction in flight was committed.
 struct transaction_committed {
     table_version version = 0;
@@ -54,13 +58,13 @@
 struct claim_row_unread {
     std::string key;
 };
-/// Time passed; pauses and retention are checked.
+/// Time passed; pauses are checked.
 struct commit_tick {};
 
 using group_commit_input =
-    std::variant<claim_wanted, claim_abandoned, outcome_learned, transaction_committed,
-                 transaction_conflict, transaction_refused, transaction_in_doubt, claim_row_read,
-                 claim_row_unread, commit_tick>;
+    std::variant<claim_wanted, claim_abandoned, outcome_learned, outcome_lost,
+                 transaction_committed, transaction_conflict, transaction_refused,
+                 transaction_in_doubt, claim_row_read, claim_row_unread, commit_tick>;
 
 // Effects of the group commit.
 
@@ -85,8 +89,13 @@
     caller_id caller{};
 };
 
-using group_commit_effect =
-    std::variant<commit_transaction, read_claim_row, claim_recorded, claim_taken, claim_refused>;
+/// Give a `commit_tick` at this instant; replaces an earlier wish.
+struct wake_commit {
+    instant at;
+};
+
+using group_commit_effect = std::variant<commit_transaction, read_claim_row, claim_recorded,
+                                         claim_taken, claim_refused, wake_commit>;
 
 struct group_commit_options {
     node_id node;
@@ -96,49 +105,54 @@
     std::size_t outcome_limit = 4096;   ///< Outcomes that wait, at most; more are not recorded.
     duration retry_pause{50000};        ///< First pause before a repetition; doubles.
     duration retry_pause_most{1000000}; ///< Longest pause before a repetition.
-    /// Least time between the starts of two transactions. It bounds the writes of a fleet, which
-    /// share the capacity of one table.
-    duration spacing{};
-    duration retention{86400000000}; ///< How long a claim row is kept.
-    std::size_t purge_limit = 32;    ///< Rows deleted by one transaction, at most.
+    duration outcome_wait{100000};      ///< Longest wait of an outcome for a claim to go with.
 };
 
-/// Batches the claims, outcomes and deletions of a node's claim rows into one conditional
-/// transaction at a time. Every row of a transaction is checked, so repeating it is idempotent:
-/// a transaction in doubt is repeated until its result is known.
+/// Batches the claims and outcomes of a node's claim rows into one conditional transaction at a
+/// time. Every row of a transaction is checked, so repeating it is idempotent: a transaction in
+/// doubt is repeated until its result is known.
 class group_commit {
   public:
     explicit group_commit(group_commit_options options) : options_(std::move(options)) {}
 
     std::vector<group_commit_effect> handle(const group_commit_input& input, instant now);
 
-    void set_retention(duration retention) { options_.retention = retention; }
-    void set_spacing(duration spacing) { options_.spacing = spacing; }
+    /// Takes this node's part of what the table serves to `nodes` nodes.
+    void set_node_count(std::size_t nodes);
+
+    /// `interval` is the least mean time between two transactions. A zero interval bounds nothing.
+    void set_transaction_rate(duration interval, std::size_t burst) {
+        transactions_.set(interval, burst);
+    }
+    /// Bounds the reads of rows that are suspected to be taken. A conflict always reads the row
+    /// that it names.
+    void set_read_rate(duration interval, std::size_t burst) { reads_.set(interval, burst); }
 
-    /// Claims, outcomes and deletions that are not settled.
+    /// Claims and outcomes that are not settled.
     [[nodiscard]] std::size_t open_entries() const;
 
-    /// Claim rows of this incarnation that are kept for duplicates.
-    [[nodiscard]] std::size_t kept_claims() const { return kept_.size(); }
+    /// Granted claims whose outcome is not recorded yet; nothing else is remembered of a claim.
+    [[nodiscard]] std::size_t open_claims() const { return granted_.size(); }
 
   private:
     struct claim_entry {
         caller_id caller{};
         bool abandoned = false;
+        /// The check of the row held in an earlier transaction or against a reading.
+        bool verified = false;
     };
     struct outcome_entry {};
-    struct purge_entry {};
     /// One row of a transaction.
     struct entry {
-        std::variant<claim_entry, outcome_entry, purge_entry> kind;
+        std::variant<claim_entry, outcome_entry> kind;
         std::string key;
         table_version expected = absent_row;
-        std::optional<std::string> value; ///< Empty deletes the row.
+        std::string value;
+        instant since; ///< When an outcome began to wait.
     };
-    struct kept_claim {
+    struct granted_claim {
         caller_id caller{};
         table_version version = 0;
-        instant recorded_at;
     };
     /// What happens to the batch.
     struct idle {};
@@ -152,6 +166,7 @@
     void take(const claim_wanted& event, instant now, effects_out effects);
     void take(const claim_abandoned& event, instant now, effects_out effects);
     void take(const outcome_learned& event, instant now, effects_out effects);
+    void take(const outcome_lost& event, instant now, effects_out effects);
     void take(const transaction_committed& event, instant now, effects_out effects);
     void take(const transaction_conflict& event, instant now, effects_out effects);
     void take(const transaction_refused& event, instant now, effects_out effects);
@@ -162,12 +177,15 @@
 
     [[nodiscard]] std::string claim_value(std::string_view state, caller_id caller) const;
     [[nodiscard]] duration pause() const;
-    void fill_batch(instant now);
+    [[nodiscard]] instant next_transaction() const;
+    void fill_batch();
+    [[nodiscard]] bool verified_waiting() const;
+    void start_reading(std::size_t index, effects_out effects);
+    void settle_conflict(std::size_t index, instant now, effects_out effects);
     void send_batch(instant now, effects_out effects);
-    void settle_committed(table_version version, instant now, effects_out effects);
-    void settle_read(entry item, const std::optional<table_row>& row, instant now,
-                     effects_out effects);
-    void granted(const entry& item, const claim_entry& claim, table_version version, instant now,
+    void settle_committed(table_version version, effects_out effects);
+    void settle_read(entry item, const std::optional<table_row>& row, effects_out effects);
+    void granted(const entry& item, const claim_entry& claim, table_version version,
                  effects_out effects);
     void refuse_waiting(effects_out effects);
 
@@ -176,16 +194,18 @@
     std::deque<entry> outcomes_; ///< Outcomes that wait for a transaction.
     std::vector<entry> batch_;   ///< Entries of the transaction in flight.
     std::variant<idle, in_flight, pausing, reading_own> state_;
-    bool in_doubt_ = false;                 ///< A message with this batch may have been committed.
-    instant next_send_{};                   ///< Earliest start of the next transaction.
+    bool in_doubt_ = false; ///< A message with this batch may have been committed.
+    int conflicts_ = 0;     ///< Conflicts since a batch with unverified claims was committed.
+    rate_limit transactions_{duration::zero(), 1};
+    rate_limit reads_{duration::zero(), 1};
+    instant wake_at_{};                     ///< Last instant of a `wake_commit`.
     int repetitions_ = 0;                   ///< Messages without a definite result in a row.
     std::map<std::string, entry> reading_;  ///< Entries whose row is read after a conflict.
     std::map<std::string, instant> unread_; ///< When a row that could not be read is read again.
-    std::map<std::string, kept_claim> kept_;
-    std::deque<std::pair<instant, std::string>> purge_at_; ///< Keys of `kept_`, by age.
+    std::map<std::string, granted_claim> granted_; ///< By key, until the outcome is recorded.
 };
 
-/// Table key of the claim of `request`.
+/// Table key of the claim of `request`: the part of the key that holds it, by hash, and the id.
 std::string claim_key(const request_id& request);
 
 } // namespace citronford
--- a/include/citronford/request_router.h
+++ b/include/citronford/request_router.h
@@ -32,6 +32,7 @@
     service_id service;
     std::string body;
     duration timeout{};
+    bool repeated = false; ///< The caller sent the request id before and got no answer.
 };
 /// The claim of the request id is recorded and belongs to this node.
 struct claim_granted {
@@ -85,6 +86,10 @@
     request_id request;
     std::string outcome; ///< "done" or "not_run".
 };
+/// The outcome of a claimed request will not be learned.
+struct forget_claim {
+    request_id request;
+};
 struct send_attempt {
     caller_id caller{};
     endpoint to;
@@ -103,8 +108,8 @@
     std::string body;
 };
 
-using router_effect = std::variant<commit_claim, abandon_claim, record_outcome, send_attempt,
-                                   ask_outcome, probe_executor, answer_caller>;
+using router_effect = std::variant<commit_claim, abandon_claim, record_outcome, forget_claim,
+                                   send_attempt, ask_outcome, probe_executor, answer_caller>;
 
 struct router_options {
     executor_set_options executors;
--- a/src/decide/group_commit.cpp
+++ b/src/decide/group_commit.cpp
@@ -1,7 +1,10 @@
 #include "citronford/group_commit.h"
 
+#include "citronford/claim_sweep.h"
 #include "citronford/overloaded.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <set>
 
@@ -11,6 +14,24 @@
 constexpr std::string_view claimed = "claimed";
 constexpr std::string_view not_run_outcome = "not_run";
 
+/// Claim transactions of all nodes together: 182 a second and 50 saved up, so that any three
+/// seconds hold at most 200 a second for up to 50 nodes, of the several hundred that the table
+/// takes.
+constexpr duration fleet_transaction_interval{5500};
+constexpr std::size_t fleet_transaction_burst = 50;
+
+/// Reads of claim rows beyond the one that each conflict names: 800 a second of the fleet and as
+/// many saved up, so that a second holds at most 1,600 besides those of the conflicts, of the two
+/// thousand that the table takes.
+constexpr duration fleet_read_interval{1250};
+constexpr std::size_t fleet_read_burst = 800;
+
+/// Bound of the exponents of repeated doubling.
+constexpr int doublings_most = 16;
+
+/// Conflicts in a row from which claims that passed their check are sent without unverified ones.
+constexpr int conflicts_of_a_flood = 2;
+
 /// First word of a claim row: "claimed" or the outcome.
 std::string_view state_of(std::string_view value) {
     return value.substr(0, value.find(' '));
@@ -19,7 +40,9 @@
 } // namespace
 
 std::string claim_key(const request_id& request) {
-    return "claim/" + request.str();
+    constexpr std::uint32_t buckets = 65536;
+    const XXH64_hash_t hash = XXH3_64bits(request.view().data(), request.view().size());
+    return claim_bucket_prefix(static_cast<std::uint32_t>(hash % buckets)) + request.str();
 }
 
 std::string group_commit::claim_value(std::string_view state, caller_id caller) const {
@@ -31,15 +54,45 @@
                                                       instant now) {
     std::vector<group_commit_effect> effects;
     std::visit([&](const auto& event) { take(event, now, effects); }, input);
-    if (std::holds_alternative<idle>(state_) && next_send_ <= now) {
-        fill_batch(now);
+    if (!std::holds_alternative<idle>(state_)) {
+        return effects;
+    }
+    const instant next = next_transaction();
+    if (next <= now) {
+        fill_batch();
         if (!batch_.empty()) {
             send_batch(now, effects);
         }
+    } else if (next != instant::max() && next != wake_at_) {
+        wake_at_ = next;
+        effects.emplace_back(wake_commit{next});
     }
     return effects;
 }
 
+/// When the waiting entries may be sent; `instant::max()` without any. The last saved transaction
+/// is left to claims, since callers wait for them: an outcome goes with a claim or waits a little.
+instant group_commit::next_transaction() const {
+    if (!batch_.empty() || !claims_.empty()) {
+        return transactions_.next(1);
+    }
+    if (outcomes_.empty()) {
+        return instant::max();
+    }
+    return std::min(
+        transactions_.next(2),
+        std::max(transactions_.next(1), outcomes_.front().since + options_.outcome_wait));
+}
+
+void group_commit::set_node_count(std::size_t nodes) {
+    const std::size_t share = std::max(nodes, std::size_t{1});
+    const auto factor = static_cast<std::int64_t>(share);
+    set_transaction_rate(fleet_transaction_interval * factor,
+                         std::max(fleet_transaction_burst / share, std::size_t{1}));
+    set_read_rate(fleet_read_interval * factor,
+                  std::clamp(fleet_read_burst / share, std::size_t{1}, options_.batch_limit));
+}
+
 std::size_t group_commit::open_entries() const {
     return claims_.size() + outcomes_.size() + batch_.size() + reading_.size();
 }
@@ -53,7 +106,7 @@
         return;
     }
     claims_.push_back({claim_entry{event.caller}, claim_key(event.request), absent_row,
-                       claim_value(claimed, event.caller)});
+                       claim_value(claimed, event.caller), instant()});
 }
 
 void group_commit::take(const claim_abandoned& event, instant /*now*/, effects_out /*effects*/) {
@@ -70,21 +123,29 @@
     }
 }
 
-void group_commit::take(const outcome_learned& event, instant /*now*/, effects_out /*effects*/) {
+void group_commit::take(const outcome_learned& event, instant now, effects_out /*effects*/) {
     const std::string key = claim_key(event.request);
-    const auto kept = kept_.find(key);
-    if (kept == kept_.end() || outcomes_.size() >= options_.outcome_limit) {
+    const auto claim = granted_.find(key);
+    if (claim == granted_.end()) {
         return;
     }
-    outcomes_.push_back({outcome_entry{}, key, kept->second.version,
-                         claim_value(event.outcome, kept->second.caller)});
+    const granted_claim recorded = claim->second;
+    granted_.erase(claim);
+    if (outcomes_.size() < options_.outcome_limit) {
+        outcomes_.push_back({outcome_entry{}, key, recorded.version,
+                             claim_value(event.outcome, recorded.caller), now});
+    }
+}
+
+void group_commit::take(const outcome_lost& event, instant /*now*/, effects_out /*effects*/) {
+    granted_.erase(claim_key(event.request));
 }
 
-void group_commit::take(const transaction_committed& event, instant now, effects_out effects) {
-    settle_committed(event.version, now, effects);
+void group_commit::take(const transaction_committed& event, instant /*now*/, effects_out effects) {
+    settle_committed(event.version, effects);
 }
 
-void group_commit::take(const transaction_conflict& event, instant /*now*/, effects_out effects) {
+void group_commit::take(const transaction_conflict& event, instant now, effects_out effects) {
     repetitions_ = 0;
     const auto found = std::ranges::find(batch_, event.key, &entry::key);
     if (in_doubt_ && found != batch_.end()) {
@@ -99,10 +160,55 @@
     }
     state_ = idle{};
     if (found != batch_.end()) {
-        effects.emplace_back(read_claim_row{event.key});
-        reading_.emplace(event.key, std::move(*found));
-        batch_.erase(found);
+        settle_conflict(static_cast<std::size_t>(found - batch_.begin()), now, effects);
+    }
+}
+
+/// Reads the row of the failed check and, after further conflicts in a row, 1, 3, 7, ... more rows
+/// of the batch: while many ids are sent again, one row a conflict would cost one transaction each.
+void group_commit::settle_conflict(std::size_t index, instant now, effects_out effects) {
+    // The table names the first check that failed, so the checks before it held.
+    for (std::size_t before = 0; before < index; ++before) {
+        if (auto* claim = std::get_if<claim_entry>(&batch_[before].kind)) {
+            claim->verified = true;
+        }
+    }
+    const std::size_t reads_most =
+        conflicts_ < doublings_most ? std::size_t{1} << conflicts_ : options_.batch_limit;
+    ++conflicts_;
+    start_reading(index, effects);
+    for (std::size_t reads = 1; reads < reads_most && index < batch_.size();) {
+        const auto* claim = std::get_if<claim_entry>(&batch_[index].kind);
+        if (claim == nullptr || claim->verified) {
+            ++index;
+            continue;
+        }
+        if (!reads_.allows(now)) {
+            break;
+        }
+        reads_.take(now);
+        start_reading(index, effects);
+        ++reads;
+    }
+    if (conflicts_ < conflicts_of_a_flood) {
+        return;
     }
+    // Unverified claims wait, so that they fail no transaction of claims whose check held.
+    const auto unverified = std::ranges::stable_partition(batch_, [](const entry& item) {
+        const auto* claim = std::get_if<claim_entry>(&item.kind);
+        return claim == nullptr || claim->verified;
+    });
+    claims_.insert(claims_.begin(), std::make_move_iterator(unverified.begin()),
+                   std::make_move_iterator(unverified.end()));
+    batch_.erase(unverified.begin(), unverified.end());
+}
+
+void group_commit::start_reading(std::size_t index, effects_out effects) {
+    const auto place = batch_.begin() + static_cast<std::ptrdiff_t>(index);
+    effects.emplace_back(read_claim_row{place->key});
+    std::string key = place->key;
+    reading_.emplace(std::move(key), std::move(*place));
+    batch_.erase(place);
 }
 
 void group_commit::take(const transaction_refused& /*event*/, instant now, effects_out effects) {
@@ -130,21 +236,21 @@
     state_ = pausing{now + pause()};
 }
 
-void group_commit::take(const claim_row_read& event, instant now, effects_out effects) {
+void group_commit::take(const claim_row_read& event, instant /*now*/, effects_out effects) {
     if (std::holds_alternative<reading_own>(state_)) {
         const auto found = std::ranges::find(batch_, event.key, &entry::key);
         if (found != batch_.end()) {
             in_doubt_ = false;
             // A transaction writes all its rows or none, so one own row settles the whole batch.
-            const bool own = event.row ? event.row->value == found->value : !found->value;
+            const bool own = event.row && event.row->value == found->value;
             if (own) {
-                settle_committed(event.row ? event.row->version : 0, now, effects);
+                settle_committed(event.row->version, effects);
                 return;
             }
             entry item = std::move(*found);
             batch_.erase(found);
             state_ = idle{};
-            settle_read(std::move(item), event.row, now, effects);
+            settle_read(std::move(item), event.row, effects);
             return;
         }
     }
@@ -152,7 +258,7 @@
     if (found != reading_.end()) {
         entry item = std::move(found->second);
         reading_.erase(found);
-        settle_read(std::move(item), event.row, now, effects);
+        settle_read(std::move(item), event.row, effects);
     }
 }
 
@@ -180,25 +286,29 @@
 }
 
 duration group_commit::pause() const {
-    constexpr int doublings_most = 16;
     const int doublings = std::min(repetitions_ - 1, doublings_most);
     return std::min(options_.retry_pause * (std::int64_t{1} << doublings),
                     options_.retry_pause_most);
 }
 
 /// Adds waiting entries up to the batch limit: outcomes first, which free nothing by waiting, then
-/// claims, then deletions. A key appears once in a transaction, and not while its row is read.
-void group_commit::fill_batch(instant now) {
+/// claims. A key appears once in a transaction, and not while its row is read.
+void group_commit::fill_batch() {
     std::set<std::string> keys;
     for (const entry& item : batch_) {
         keys.insert(item.key);
     }
+    const bool verified_only = conflicts_ >= conflicts_of_a_flood && verified_waiting();
+    const auto held_back = [&](const entry& item) {
+        const auto* claim = std::get_if<claim_entry>(&item.kind);
+        return verified_only && claim != nullptr && !claim->verified;
+    };
     const auto move_from = [&](std::deque<entry>& waiting) {
         std::deque<entry> later;
         while (!waiting.empty() && batch_.size() < options_.batch_limit) {
             entry item = std::move(waiting.front());
             waiting.pop_front();
-            if (reading_.contains(item.key) || !keys.insert(item.key).second) {
+            if (held_back(item) || reading_.contains(item.key) || !keys.insert(item.key).second) {
                 later.push_back(std::move(item));
                 continue;
             }
@@ -209,28 +319,18 @@
     };
     move_from(outcomes_);
     move_from(claims_);
-    for (std::size_t purged = 0; purged < options_.purge_limit && !purge_at_.empty() &&
-                                 purge_at_.front().first + options_.retention <= now &&
-                                 batch_.size() < options_.batch_limit;
-         ++purged) {
-        const auto [recorded_at, key] = std::move(purge_at_.front());
-        purge_at_.pop_front();
-        const auto kept = kept_.find(key);
-        // A row that was claimed again since has a later place in the queue.
-        if (kept == kept_.end() || kept->second.recorded_at != recorded_at) {
-            continue;
-        }
-        if (reading_.contains(key) || !keys.insert(key).second) {
-            kept->second.recorded_at = now;
-            purge_at_.emplace_back(now, key);
-            continue;
-        }
-        batch_.push_back({purge_entry{}, key, kept->second.version, std::nullopt});
-    }
+}
+
+bool group_commit::verified_waiting() const {
+    const auto verified = [](const entry& item) {
+        const auto* claim = std::get_if<claim_entry>(&item.kind);
+        return claim != nullptr && claim->verified;
+    };
+    return std::ranges::any_of(batch_, verified) || std::ranges::any_of(claims_, verified);
 }
 
 void group_commit::send_batch(instant now, effects_out effects) {
-    next_send_ = now + options_.spacing;
+    transactions_.take(now);
     commit_transaction transaction;
     for (const entry& item : batch_) {
         transaction.checks.push_back({item.key, item.expected});
@@ -240,50 +340,47 @@
     effects.emplace_back(std::move(transaction));
 }
 
-void group_commit::settle_committed(table_version version, instant now, effects_out effects) {
+void group_commit::settle_committed(table_version version, effects_out effects) {
     in_doubt_ = false;
     repetitions_ = 0;
     state_ = idle{};
     const std::vector<entry> settled = std::exchange(batch_, {});
+    if (std::ranges::any_of(settled, [](const entry& item) {
+            const auto* claim = std::get_if<claim_entry>(&item.kind);
+            return claim != nullptr && !claim->verified;
+        })) {
+        conflicts_ = 0;
+    }
     for (const entry& item : settled) {
-        std::visit(
-            overloaded{
-                [&](const claim_entry& claim) { granted(item, claim, version, now, effects); },
-                [&](const outcome_entry&) {
-                    const auto kept = kept_.find(item.key);
-                    if (kept != kept_.end()) {
-                        kept->second.version = version;
-                    }
-                },
-                [&](const purge_entry&) { kept_.erase(item.key); },
-            },
-            item.kind);
+        std::visit(overloaded{
+                       [&](const claim_entry& claim) { granted(item, claim, version, effects); },
+                       [](const outcome_entry&) {},
+                   },
+                   item.kind);
     }
 }
 
 void group_commit::granted(const entry& item, const claim_entry& claim, table_version version,
-                           instant now, effects_out effects) {
-    kept_[item.key] = {claim.caller, version, now};
-    purge_at_.emplace_back(now, item.key);
+                           effects_out effects) {
     if (claim.abandoned) {
-        outcomes_.push_back(
-            {outcome_entry{}, item.key, version, claim_value(not_run_outcome, claim.caller)});
+        outcomes_.push_back({outcome_entry{}, item.key, version,
+                             claim_value(not_run_outcome, claim.caller), instant()});
         return;
     }
+    granted_[item.key] = {claim.caller, version};
     effects.emplace_back(claim_recorded{claim.caller});
 }
 
 /// Settles an entry whose check failed by what its row holds.
-void group_commit::settle_read(entry item, const std::optional<table_row>& row, instant now,
+void group_commit::settle_read(entry item, const std::optional<table_row>& row,
                                effects_out effects) {
     const auto* claim = std::get_if<claim_entry>(&item.kind);
     if (claim == nullptr) {
-        // The row was changed by nobody but this incarnation or was deleted: nothing to record.
-        kept_.erase(item.key);
+        // The row holds this outcome already or was deleted: nothing to record.
         return;
     }
     if (row && row->value == item.value) {
-        granted(item, *claim, row->version, now, effects);
+        granted(item, *claim, row->version, effects);
         return;
     }
     if (claim->abandoned) {
@@ -293,6 +390,7 @@
     // An id that was refused as "not run" may be claimed again, under the version of that record.
     if (!row || state == not_run_outcome) {
         item.expected = row ? row->version : absent_row;
+        std::get<claim_entry>(item.kind).verified = true;
         claims_.push_front(std::move(item));
         return;
     }
--- a/src/decide/request_router_steps.cpp
+++ b/src/decide/request_router_steps.cpp
@@ -117,11 +117,13 @@
          }},
         {"answer_table_unavailable",
          [](step_context& context, const request_event&) {
-             answer_code(context, result_code::table_unavailable);
+             refuse_before_claim(context.request.submission, result_code::table_unavailable,
+                                 context.effects);
          }},
         {"answer_deadline_passed",
          [](step_context& context, const request_event&) {
-             answer_code(context, result_code::deadline_passed);
+             refuse_before_claim(context.request.submission, result_code::deadline_passed,
+                                 context.effects);
          }},
         {"answer_queue_timeout",
          [](step_context& context, const request_event&) {
@@ -146,6 +148,12 @@
                      record_outcome{context.request.submission.request, "done"});
              }
          }},
+        {"forget_claim",
+         [](step_context& context, const request_event&) {
+             if (!context.request.service.idempotent) {
+                 context.effects.emplace_back(forget_claim{context.request.submission.request});
+             }
+         }},
         {"record_not_run",
          [](step_context& context, const request_event&) {
              if (!context.request.service.idempotent) {
