Show granted claims in place of kept claims

Cause: the figure `citronford_kept_claims` counted rows that a node no longer keeps since claims are deleted from the table by any node. Ruled out: the number of open claims, which is 0 on an idle node and would pass a check of a dropped figure.

--- a/include/citronford/group_commit.h
+++ b/include/citronford/group_commit.h
@@ -131,6 +131,9 @@
     /// Claims and outcomes that are not settled.
     [[nodiscard]] std::size_t open_entries() const;
 
+    /// Claims granted since the node started.
+    [[nodiscard]] std::uint64_t claims_granted() const { return claims_granted_; }
+
     /// Granted claims whose outcome is not recorded yet; nothing else is remembered of a claim.
     [[nodiscard]] std::size_t open_claims() const { return granted_.size(); }
 
@@ -202,6 +205,7 @@
     int repetitions_ = 0;                   ///< Messages without a definite result in a row.
     std::map<std::string, entry> reading_;  ///< Entries whose row is read after a conflict.
     std::map<std::string, instant> unread_; ///< When a row that could not be read is read again.
+    std::uint64_t claims_granted_ = 0;
     std::map<std::string, granted_claim> granted_; ///< By key, until the outcome is recorded.
 };
 
--- a/src/decide/group_commit.cpp
+++ b/src/decide/group_commit.cpp
@@ -368,6 +368,7 @@
                              claim_value(not_run_outcome, claim.caller), instant()});
         return;
     }
+    ++claims_granted_;
     granted_[item.key] = {claim.caller, version};
     effects.emplace_back(claim_recorded{claim.caller});
 }
--- a/src/io/node_metrics.cpp
+++ b/src/io/node_metrics.cpp
@@ -204,8 +204,8 @@
     collect_leases(target, registry);
     const metric_label drain_state[] = {{"state", target.drain_state()}};
     registry.set("citronford_drain_state", drain_state, 1);
-    registry.set("citronford_kept_claims", {},
-                 static_cast<double>(target.requests().kept_claims()));
+    registry.set_total("citronford_claims_granted_total", {},
+                       static_cast<double>(target.requests().claims_granted()));
     registry.set("citronford_open_requests", {}, static_cast<double>(target.open_requests()));
     registry.set("citronford_open_connections", {}, static_cast<double>(open_connections));
     registry.set("citronford_configuration_version", {}, static_cast<double>(fleet.version));
--- a/src/node/request_driver.h
+++ b/src/node/request_driver.h
@@ -54,7 +54,7 @@
     }
     [[nodiscard]] const request_router& router() const { return *router_; }
     /// Claim rows of this process that are kept for duplicates.
-    [[nodiscard]] std::size_t kept_claims() const { return commits_.kept_claims(); }
+    [[nodiscard]] std::uint64_t claims_granted() const { return commits_.claims_granted(); }
     [[nodiscard]] std::map<service_id, std::size_t> slots_wanted() const {
         return router_->slots_wanted();
     }
