--- a/src/decide/task_scheduler_inputs.cpp
+++ b/src/decide/task_scheduler_inputs.cpp
@@ -173,9 +173,10 @@
         next_review_ = now + review_period;
         review(now, effects);
     }
+    // An urgent job waits for evictions, whose time limits pass without any input.
     if (stopping_since_) {
         hand_over(now, effects);
-    } else if (dirty_) {
+    } else if (dirty_ || !urgent_.empty()) {
         dirty_ = false;
         schedule(now, effects);
     }
