Ask peers for units when jobs wait for them

Cause: the scheduler skipped a team whose running tasks had reached its units before it tried to acquire one, so the refusal that makes a node ask its peers was never noted. The limit stayed split. Ruled out: a slow transfer, since one worker ran 3 tasks of a limit of 6 for 40 s. Before: process_units_move failed in 1 of 3 parallel runs, when the second daemon had registered before the limit was set; in the others the first daemon held all units from the start. Conclusion: a refused start is noted by the limits in this place too.

--- a/src/decide/task_scheduler_placement.cpp
+++ b/src/decide/task_scheduler_placement.cpp
@@ -327,7 +327,8 @@
                                                   effects_out effects) {
     if (!team.empty() && limits_.running(team) >= limits_.units(team) &&
         !fault_planted("task-limits")) {
-        return false;
+        // Fails, and notes that the team wants units of other nodes.
+        return limits_.acquire(team);
     }
     for (job_entry* entry : queues_[team].oldest()) {
         ++operations_;
--- a/tests/process/units_move.sh
+++ b/tests/process/units_move.sh
@@ -16,7 +16,8 @@
 running_together() {
     [ $(($(started) - $(sum_stat done))) -ge 6 ]
 }
-wait_for 40 running_together || fail "the team never ran as much as its limit at once"
+wait_for 40 running_together ||
+    fail "the team never ran as much as its limit at once; worker-1 ran $(stat_of worker-1 sales), worker-2 $(stat_of worker-2 sales)"
 for number in {0..11}; do
     wait_for 60 job_in_state "job-$number" entry-a-1 done || fail "job-$number: $(<"$work/job.json")"
 done
