Judge job sizes only when workers handed over are known

Cause: queued jobs of a stopping node reach the next owner before its workers do. Without any worker the next owner found that no worker was large enough and ended the job as one that cannot run. Ruled out: the wait for workers to report their capacity, which counts listed workers from the time that they were listed, not from the time that this node owns them. Conclusion: no size is judged while a node hands over or an owned worker has no lease yet.

--- a/src/decide/task_scheduler_review.cpp
+++ b/src/decide/task_scheduler_review.cpp
@@ -51,9 +51,16 @@
 }
 
 bool task_scheduler::implementation::settled(instant now) const {
-    return !members_.empty() && std::ranges::all_of(workers_, [&](const worker_entry& worker) {
-        return worker.known || now - worker.listed_at >= options_.settle;
-    });
+    // Queued jobs of a node that stops or died may arrive before its workers.
+    const auto awaited = [&](const worker_entry& worker) {
+        const live_member* owner = worker_owner(members_, worker.listing.id, worker.listing.zone);
+        return worker.listed && worker.epoch == 0 && owner->id == options_.self.id;
+    };
+    return !members_.empty() && leaving_.empty() &&
+           std::ranges::all_of(workers_, [&](const worker_entry& worker) {
+               return !awaited(worker) &&
+                      (worker.known || now - worker.listed_at >= options_.settle);
+           });
 }
 
 void task_scheduler::implementation::review_queued(instant now, effects_out effects) {
--- a/tests/task_scheduler_test.cpp
+++ b/tests/task_scheduler_test.cpp
@@ -261,6 +261,32 @@
               lost_at + units_return);
 }
 
+// Guards against units that stay idle on other nodes, since the scheduler never says it wants them.
+Test(task_scheduler, wants_more_units_when_jobs_wait_for_them) {
+    scheduler_fixture fixture;
+    fixture.limits.set_units(sales, 1);
+    fixture.start_once();
+    fixture.limits.take_refused(sales);
+    fixture.submit("k", 2, false);
+    fixture.tick();
+    cr_assert(fixture.limits.take_refused(sales));
+}
+
+// Guards against a queued job of a stopping node that is reported as too large for every worker,
+// since it arrives before the workers do.
+Test(task_scheduler, does_not_judge_sizes_while_a_node_hands_over) {
+    scheduler_fixture fixture;
+    const live_member self{node_id("n1"), zone_id("a"), 7};
+    const live_member other{node_id("n2"), zone_id("b"), 8};
+    fixture.handle(member_listing{{self, other}});
+    fixture.handle(handover_heard{{other.id, other.incarnation}, {}});
+    fixture.submit("j", 100, false);
+    for (int count = 0; count < 100; ++count) {
+        fixture.tick();
+    }
+    cr_assert(fixture.state("j") == job_state::queued);
+}
+
 // Guards against a worker that is given up before the rows of its tasks name the next owner, and
 // against a next owner that takes a worker whose lease is still renewed.
 Test(task_scheduler, hands_over_the_rows_before_the_worker) {
