Bound the timeout of a request by the return of lost units

Cause: units of a node that lost its registration return to the fleet 30 s after it. A request with a longer timeout on a cut-off node could still run then, so that a team had more running than its limit. Ruled out: returning units later, which strands them after every loss, and refusing such requests, whose callers ask for patience and not for a run of that length. Before: a timeout of 60 s is sent to the executor as 60 s.

--- a/include/citronford/request_router.h
+++ b/include/citronford/request_router.h
@@ -113,9 +113,12 @@
 
 struct router_options {
     executor_set_options executors;
-    std::size_t queue_limit = 128;   ///< Requests of one team waiting for one service, at most.
-    duration outcome_retry{200000};  ///< Pause between two questions for an outcome.
-    duration unit_hold{30000000};    ///< How long a lost attempt may still be running.
+    std::size_t queue_limit = 128;  ///< Requests of one team waiting for one service, at most.
+    duration outcome_retry{200000}; ///< Pause between two questions for an outcome.
+    duration unit_hold{30000000};   ///< How long a lost attempt may still be running.
+    /// Longest timeout of a request; longer ones are shortened. The units of a node that lost its
+    /// registration return to the fleet this long after it (`escrow_options::backend_lease`).
+    duration longest_timeout{30000000};
     duration question_time{1000000}; ///< Most time kept back to ask for the outcome.
 };
 
--- a/src/decide/request_router.cpp
+++ b/src/decide/request_router.cpp
@@ -40,7 +40,8 @@
 
 void request_router::implementation::take(const request_submission& submission, instant now,
                                           effects_out effects) {
-    const result_code code = admission(submission, now);
+    const duration timeout = std::min(submission.timeout, options_.longest_timeout);
+    const result_code code = admission(submission, timeout, now);
     if (code != result_code::ok) {
         refuse_before_claim(submission, code, effects);
         return;
@@ -48,7 +49,7 @@
     request_entry entry;
     entry.submission = submission;
     entry.service = services_.at(submission.service).definition;
-    entry.deadline = now + submission.timeout;
+    entry.deadline = now + timeout;
     entry.position = machine_.initial();
     const auto [place, inserted] = requests_.emplace(submission.caller, std::move(entry));
     invariant_monitor::check(inserted, "whole-answer", "a caller id was used twice");
@@ -57,7 +58,7 @@
 }
 
 result_code request_router::implementation::admission(const request_submission& submission,
-                                                      instant now) {
+                                                      duration timeout, instant now) {
     const auto found = services_.find(submission.service);
     if (found == services_.end() || !found->second.configured) {
         return result_code::unknown_service;
@@ -72,7 +73,7 @@
     }
     const int capacity = executors_.capacity(name, service.spill);
     const duration wait = service.queue.estimated_wait(submission.team, capacity, now);
-    if (cannot_finish(service, submission.timeout - wait)) {
+    if (cannot_finish(service, timeout - wait)) {
         ++counters_.shed;
         ++service.counters.shed;
         return result_code::deadline_passed;
@@ -80,8 +81,7 @@
     if (service.queue.blocked(submission.team)) {
         const auto ahead = static_cast<std::int64_t>(service.queue.size(submission.team));
         const std::int64_t units = std::max(limits_.units(submission.team), std::int64_t{1});
-        if (cannot_finish(service,
-                          submission.timeout - service.queue.mean_run_time() * ahead / units)) {
+        if (cannot_finish(service, timeout - service.queue.mean_run_time() * ahead / units)) {
             ++counters_.shed;
             ++service.counters.shed;
             return result_code::team_limit_reached;
--- a/src/decide/request_router_state.h
+++ b/src/decide/request_router_state.h
@@ -153,7 +153,7 @@
 
     /// `ok`, or why the request is refused on arrival: an early refusal leaves the caller time to
     /// try elsewhere and keeps the executors from work that nobody waits for.
-    result_code admission(const request_submission& submission, instant now);
+    result_code admission(const request_submission& submission, duration timeout, instant now);
 
     /// Whether an attempt would most likely end after its deadline. A service that runs nothing is
     /// always tried, so that an outdated estimate is corrected.
--- a/tests/request_router_test.cpp
+++ b/tests/request_router_test.cpp
@@ -1,5 +1,6 @@
 #include "test_support.h"
 
+#include "citronford/escrow.h"
 #include "citronford/overloaded.h"
 #include "citronford/request_router.h"
 
@@ -142,6 +143,15 @@
     cr_assert_eq(effect_of<send_attempt>(after)->to.port, 1);
 }
 
+// Guards against a request that still runs when the unit of a node that lost its registration has
+// returned to the fleet.
+Test(request_router, shortens_a_timeout_beyond_the_return_of_units) {
+    router_fixture fixture;
+    const auto effects = fixture.handle(request_submission{
+        static_cast<caller_id>(1), request_id("r1"), sales, service_id("quote"), "", seconds(60)});
+    cr_assert(effect_of<send_attempt>(effects)->work.timeout == escrow_options().backend_lease);
+}
+
 // Guards against a second execution of a non-idempotent request whose answer was lost.
 Test(request_router, asks_for_the_outcome_of_a_lost_attempt) {
     router_fixture fixture;
