Split the pool controller by inputs and rounds

Cause: pool_controller.cpp had grown to 768 lines, a class whose functions were all defined inside it. Ruled out: a change of behaviour; the functions are moved as they are, into the arrangement that the task scheduler and the request router have. Before: one file of 768 lines. Conclusion: what the controller takes in and how it plans a pool can be read apart.

--- /dev/null
+++ b/src/decide/pool_controller_round.cpp
@@ -0,0 +1,295 @@
+#include "decide/pool_controller_state.h"
+
+#include "citronford/invariant.h"
+#include "citronford/planted_fault.h"
+
+#include <algorithm>
+
+namespace citronford {
+namespace {
+
+bool has_order_open(const vm_record& row) {
+    return row.state == vm_states::draining || row.state == vm_states::rebooting ||
+           row.state == vm_states::moving;
+}
+
+} // namespace
+
+void pool_controller::implementation::advance(const pool_id& name, pool_state& pool, instant now,
+                                              bool plan, effects_out effects) {
+    if (pool.commit.number != 0) {
+        return;
+    }
+    if (!pool.lease.held(now)) {
+        if (pool.owned && pool.lease.may_take(now)) {
+            commit(pool, {}, pool.lease.claim(name), now, effects);
+        }
+        return;
+    }
+    if (pool.read_after && rows_begun_ <= *pool.read_after) {
+        if (plan) {
+            effects.emplace_back(read_pool_rows{});
+        }
+        return;
+    }
+    pool.read_after.reset();
+    if (!pool.owned) {
+        commit(pool, {}, pool.lease.release(name), now, effects);
+        return;
+    }
+    if (!pool.due && pool.follows.empty()) {
+        write_changes(name, pool, {}, now, effects);
+        return;
+    }
+    std::vector<member> members = members_of(name);
+    follow_members(pool, members, now);
+    if (plan && pool.due) {
+        add_unwritten(name, members);
+        // The next step of a zone can allow steps that this one holds.
+        pool.due = step_zones(pool, members);
+        begin_steps(name, pool, members);
+    }
+    write_changes(name, pool, members, now, effects);
+    give_orders(pool, members, now, effects);
+}
+
+std::vector<pool_controller::implementation::member>
+pool_controller::implementation::members_of(const pool_id& pool) {
+    std::vector<member> members;
+    members.reserve(vms_.members(pool).size());
+    for (const auto& [id, vm] : vms_.members(pool)) {
+        members.emplace_back(vm);
+    }
+    operations_ += members.size();
+    return members;
+}
+
+void pool_controller::implementation::add_unwritten(const pool_id& pool,
+                                                    std::vector<member>& members) const {
+    for (const vm_listing& vm : vms_.without_row(pool)) {
+        vm_entry added;
+        added.row.id = vm.id;
+        added.row.pool = pool;
+        added.row.zone = vm.zone;
+        added.row.rack = vm.rack;
+        added.row.maintained = seen_;
+        // Orders to an earlier VM of this name had lower numbers than the table's version.
+        added.row.order = seen_;
+        added.listed = true;
+        added.leaving = vm.leaving;
+        members.emplace_back(std::move(added));
+    }
+}
+
+void pool_controller::implementation::follow_members(pool_state& pool, std::vector<member>& members,
+                                                     instant now) {
+    std::erase_if(pool.follows, [&](const auto& item) {
+        const vm_entry* vm = vms_.find(item.first);
+        return vm == nullptr || !needs_follow(*vm);
+    });
+    for (member& item : members) {
+        if (needs_follow(item.entry())) {
+            follow(follow_of(pool, item.entry(), now), item, now);
+        }
+    }
+}
+
+bool pool_controller::implementation::needs_follow(const vm_entry& vm) const {
+    return vm.row.state != vm_states::serving || missing(vm);
+}
+
+bool pool_controller::implementation::missing(const vm_entry& vm) const {
+    return !vm.listed && vms_.listed_at() != instant::min();
+}
+
+vm_follow& pool_controller::implementation::follow_of(pool_state& pool, const vm_entry& vm,
+                                                      instant now) {
+    vm_follow& item = pool.follows[vm.row.id];
+    if (item.order != vm.row.order || item.state != vm.row.state) {
+        const auto missing_since = item.missing_since;
+        item = {};
+        item.order = vm.row.order;
+        item.state = vm.row.state;
+        item.since = now;
+        item.missing_since = missing_since;
+    }
+    if (!missing(vm)) {
+        item.missing_since.reset();
+    } else if (!item.missing_since) {
+        item.missing_since = now;
+    }
+    return item;
+}
+
+void pool_controller::implementation::follow(const vm_follow& known, member& item,
+                                             instant now) const {
+    using enum vm_status::condition;
+    const std::string& state = item.entry().row.state;
+    const bool is_failed = state == vm_states::failed;
+    if (is_failed && known.missing_since && now - *known.missing_since >= options_.gone_after) {
+        step(item, vm_gone{});
+        return;
+    }
+    if ((state == vm_states::rebooting || state == vm_states::moving) &&
+        now - known.since >= options_.reboot_limit) {
+        step(item, vm_overdue{});
+        return;
+    }
+    if (!known.status) {
+        return;
+    }
+    const vm_status& status = *known.status;
+    const bool carried_out = status.order >= item.entry().row.order;
+    if (status.state == gone) {
+        step(item, vm_lost{});
+    } else if (status.state == drained && (is_failed || carried_out)) {
+        if (step(item, vm_drained{})) {
+            step(item, vm_proceeds{});
+        }
+    } else if (status.state == serving && (is_failed ? item.entry().listed : carried_out)) {
+        step(item, vm_came_back{});
+    }
+}
+
+bool pool_controller::implementation::step(member& item, const vm_event& event) const {
+    vm_record row = item.entry().row;
+    if (!vm_cycle_.step(row, event, seen_)) {
+        return false;
+    }
+    item.change(std::move(row));
+    return true;
+}
+
+bool pool_controller::implementation::step_zones(pool_state& pool,
+                                                 const std::vector<member>& members) {
+    std::set<zone_id> present;
+    bool borrowed = false;
+    bool any_removed = false;
+    for (const member& item : members) {
+        const vm_record& row = item.entry().row;
+        present.insert(row.zone);
+        borrowed = borrowed || !row.home.empty();
+        any_removed = any_removed || zone_removed(fleet_, row.zone);
+    }
+    for (const zone_id& zone : present) {
+        pool.zones.try_emplace(zone, zone_cycle_.begin());
+    }
+    bool stepped = false;
+    for (auto& [zone, situation] : pool.zones) {
+        const chart_position before = situation.position;
+        situation.has_borrowed = borrowed;
+        if (zone_removed(fleet_, zone) && present.contains(zone)) {
+            zone_cycle_.step(situation, removal_ordered{});
+        } else if (!any_removed) {
+            zone_cycle_.step(situation, zone_restored{});
+        }
+        if (!borrowed) {
+            zone_cycle_.step(situation, given_back{});
+        }
+        if (!present.contains(zone)) {
+            zone_cycle_.step(situation, zone_emptied{});
+        }
+        stepped = stepped || situation.position != before;
+    }
+    std::erase_if(pool.zones, [&](const auto& item) { return zone_cycle_.closed(item.second); });
+    return stepped;
+}
+
+void pool_controller::implementation::begin_steps(const pool_id& name, const pool_state& pool,
+                                                  std::vector<member>& members) {
+    std::vector<const vm_entry*> entries;
+    entries.reserve(members.size());
+    for (const member& item : members) {
+        entries.push_back(&item.entry());
+    }
+    operations_ += entries.size();
+    const auto any_zone = [&](bool zone_situation::*flag) {
+        return std::ranges::any_of(pool.zones, [&](const auto& item) { return item.second.*flag; });
+    };
+    const auto found = definitions_.find(name);
+    const pool_definition* definition = found == definitions_.end() ? nullptr : found->second;
+    const pool_situation situation{name,
+                                   entries,
+                                   fleet_,
+                                   demand_,
+                                   definition,
+                                   budget_of(fleet_, name, definition),
+                                   vms_.roll_out(name),
+                                   list_too_old_ || any_zone(&zone_situation::planned_steps_held),
+                                   any_zone(&zone_situation::giving_back)};
+    const std::vector<pool_step> steps = planned_steps(situation);
+    check_budget(situation, steps);
+    for (const pool_step& planned : steps) {
+        const auto member_found =
+            std::ranges::find(members, planned.vm, [](const member& item) -> const vm_id& {
+                return item.entry().row.id;
+            });
+        step(*member_found, step_planned{planned.step, planned.target});
+    }
+}
+
+void pool_controller::implementation::check_budget(const pool_situation& situation,
+                                                   std::span<const pool_step> steps) {
+    pool_availability before;
+    for (const vm_entry* vm : situation.members) {
+        before.count(availability_of(*vm, situation.fleet));
+    }
+    const auto bound = std::ranges::count_if(
+        steps, [](const pool_step& planned) { return planned.step != vm_step::lend; });
+    invariant_monitor::check(bound == 0 || before.unavailable() + bound <= situation.budget,
+                             "budgets", "planned steps exceed the availability budget");
+}
+
+void pool_controller::implementation::write_changes(const pool_id& name, pool_state& pool,
+                                                    const std::vector<member>& members, instant now,
+                                                    effects_out effects) {
+    std::vector<vm_write> writes;
+    for (const member& item : members) {
+        if (item.changed()) {
+            writes.push_back({item.entry().row, item.entry().version});
+        }
+    }
+    if (!writes.empty() || pool.lease.renewal_due(now)) {
+        commit(pool, std::move(writes), pool.lease.claim(name), now, effects);
+    }
+}
+
+void pool_controller::implementation::commit(pool_state& pool, std::vector<vm_write> writes,
+                                             const lease_record& lease, instant now,
+                                             effects_out effects) {
+    pool.commit = {++last_number_, lease, {}, now, !pool.lease.held(now)};
+    for (vm_write& write : writes) {
+        write.row.epoch = lease.epoch;
+        pool.commit.rows.push_back(write.row);
+    }
+    effects.emplace_back(commit_pool{last_number_, lease, pool.lease.version(), std::move(writes)});
+}
+
+void pool_controller::implementation::give_orders(pool_state& pool,
+                                                  const std::vector<member>& members, instant now,
+                                                  effects_out effects) const {
+    for (const member& item : members) {
+        const vm_record& row = item.entry().row;
+        const auto found = pool.follows.find(row.id);
+        if (item.changed() || found == pool.follows.end()) {
+            continue;
+        }
+        vm_follow& known = found->second;
+        const bool carried_out = known.status && known.status->order >= row.order;
+        if (has_order_open(row) && !carried_out &&
+            (!known.ordered_at || now - *known.ordered_at >= options_.order_retry)) {
+            known.ordered_at = now;
+            if (row.state == vm_states::draining) {
+                effects.emplace_back(order_drain{row.id, row.order});
+            } else {
+                effects.emplace_back(order_reboot{row.id, row.order});
+            }
+        }
+        if (!known.asked_at || now - *known.asked_at >= options_.ask_period) {
+            known.asked_at = now;
+            effects.emplace_back(ask_vm_status{row.id});
+        }
+    }
+}
+
+} // namespace citronford
