Share the planned stop under load between two process tests

Cause: stop_held_up repeated graceful_stop but for what happens between the signal and the close of the listener. Ruled out: other sleeps or bounds; both keep theirs. Before: the same 16 lines in two scripts. Conclusion: a change of the scenario is made once.

--- a/scripts/fleet_functions.sh
+++ b/scripts/fleet_functions.sh
@@ -244,3 +244,30 @@
         printf -- '--entry %s ' "${callers[$name]}"
     done
 }
+
+# stop_under_load PREFIX COMMAND...: stops the daemon entry-a-1 while all load goes to it alone, so that
+# no load balancer hides a request that it accepted and did not answer. Runs the command 0.2 s after the
+# signal, while the daemon still accepts, and compares the records at the end.
+stop_under_load() {
+    local prefix=$1
+    shift
+    start_fleet 500
+    give_key entry-a-1 sales
+    wait_key entry-a-1 "$key"
+    # shellcheck disable=SC2046
+    start load "$bin/citronford_load" $(entry_options entry-a-1) --idempotent quote \
+        --non-idempotent booking --key "$key" --rate 300 --count 600 --prefix "$prefix" --probe-ms 0 \
+        --record "$work/$prefix.record"
+    sleep 0.7
+    kill -TERM "${pids[entry-a-1]}"
+    sleep 0.2
+    "$@"
+    wait "${pids[entry-a-1]}" || fail "the daemon did not stop cleanly"
+    unset 'pids[entry-a-1]'
+    wait "${pids[load]}" || true
+    unset 'pids[load]'
+    cat "$work/load.out"
+    grep -q 'run_state=unsent' "$work/load.out" || fail "the daemon did not stop under load"
+    save_stats
+    verdict --least 200 --least-run 200
+}
