Keep a roll-out that is ordered before the rows of its VMs exist

Cause: the first row of a VM was written with maintained = the newest version seen, so that a roll-out ordered earlier counted as carried out for it and the wave ended at once. The new unit test orders the roll-out first and failed with 0 drains. Ruled out: a lost order (the row of the pool is written before the command succeeds).

A VM without a row counts as maintained only if the last roll-out of its pool has ended; the second test guards VMs that arrive later.

--- a/src/decide/pool_controller_round.cpp
+++ b/src/decide/pool_controller_round.cpp
@@ -64,15 +64,25 @@
     return members;
 }
 
+bool pool_controller::implementation::roll_out_ended(const pool_id& pool,
+                                                     std::span<const member> members) const {
+    const table_version roll_out = vms_.roll_out(pool);
+    return !members.empty() && std::ranges::all_of(members, [&](const member& item) {
+        return item.entry().row.maintained >= roll_out;
+    });
+}
+
 void pool_controller::implementation::add_unwritten(const pool_id& pool,
                                                     std::vector<member>& members) const {
+    // A VM that has no row while a roll-out is under way may have been listed before the order.
+    const table_version maintained = roll_out_ended(pool, members) ? seen_ : table_version{0};
     for (const vm_listing& vm : vms_.without_row(pool)) {
         vm_entry added;
         added.row.id = vm.id;
         added.row.pool = pool;
         added.row.zone = vm.zone;
         added.row.rack = vm.rack;
-        added.row.maintained = seen_;
+        added.row.maintained = maintained;
         // Orders to an earlier VM of this name had lower numbers than the table's version.
         added.row.order = seen_;
         added.listed = true;
--- a/src/decide/pool_controller_state.h
+++ b/src/decide/pool_controller_state.h
@@ -149,6 +149,9 @@
 
     std::vector<member> members_of(const pool_id& pool);
 
+    /// Whether each VM of `members`, which all have rows, was rebooted for the last roll-out.
+    [[nodiscard]] bool roll_out_ended(const pool_id& pool, std::span<const member> members) const;
+
     /// A VM of the list without a row gets one in the pool where the platform started it.
     void add_unwritten(const pool_id& pool, std::vector<member>& members) const;
 
--- a/tests/pool_controller_test.cpp
+++ b/tests/pool_controller_test.cpp
@@ -229,6 +229,32 @@
     cr_assert(fixture.controller->roll_out(quote).remaining == 0);
 }
 
+// Guards against the loss of a roll-out that is ordered before the rows of its VMs are written:
+// they counted as maintained, so that no VM was drained and the wave ended at once.
+Test(pool_controller, maintains_vms_whose_rows_are_written_after_the_order) {
+    stored_rows table;
+    controller_fixture fixture(table);
+    fixture.start_roll_out(quote);
+    fixture.pass_seconds(3);
+    cr_assert(fixture.drains.size() == 1, "%zu drains", fixture.drains.size());
+}
+
+// Guards against a reboot of each VM that is added after a roll-out has ended.
+Test(pool_controller, does_not_maintain_a_vm_that_arrives_after_the_roll_out) {
+    stored_rows table;
+    controller_fixture fixture(table);
+    fixture.pass_seconds(3);
+    fixture.start_roll_out(quote);
+    for (auto& [id, item] : table.vms) {
+        item.row.maintained = table.version;
+        item.version = ++table.version;
+    }
+    fixture.list.push_back({vm_id("v6"), zone_id("a"), rack_id("a"), quote, {}, false});
+    fixture.pass_seconds(3);
+    cr_assert(table.vms.contains(vm_id("v6")));
+    cr_assert(fixture.drains.empty(), "%zu drains", fixture.drains.size());
+}
+
 // Guards against a wave that goes on although a VM did not come back and uses up the budget.
 Test(pool_controller, stops_the_wave_when_a_vm_does_not_come_back) {
     stored_rows table;
