Let the HTTP client share connections to an endpoint

Calls to the platform and to backend servers come several hundred times a second, and new connections are charged. A client with connections_per_endpoint keeps that many; a lost call retires the idle connections of its endpoint, since one that has gone silent shows no error. Without the option every call has its own connection as before.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -4,6 +4,8 @@
 #include <h2o/http1client.h>
 
 #include <algorithm>
+#include <deque>
+#include <map>
 
 namespace citronford {
 
@@ -18,6 +20,44 @@
 /// h2o's own inactivity timeout; each call has a shorter one of its own.
 constexpr std::uint64_t h2o_io_timeout_ms = 3600000;
 
+struct open_call;
+
+/// Connections to one endpoint that calls share.
+struct connection_pool {
+    connection_pool(uv_loop_t* loop, const endpoint& to, duration idle_timeout) {
+        sockaddr_in address{};
+        uv_ip4_addr(to.address.c_str(), to.port, &address);
+        // The number of connections is bounded by the waiting list of the endpoint.
+        constexpr std::size_t unbounded = SIZE_MAX;
+        h2o_socketpool_init_by_address(&sockets, reinterpret_cast<sockaddr*>(&address),
+                                       sizeof(address), 0, unbounded);
+        h2o_socketpool_set_timeout(&sockets, loop, static_cast<std::uint64_t>(to_ms(idle_timeout)));
+    }
+    connection_pool(const connection_pool&) = delete;
+    connection_pool& operator=(const connection_pool&) = delete;
+    connection_pool(connection_pool&&) = delete;
+    connection_pool& operator=(connection_pool&&) = delete;
+    ~connection_pool() = default;
+
+    void close() {
+        h2o_socketpool_dispose(&sockets);
+        closed = true;
+    }
+
+    h2o_socketpool_t sockets{};
+    std::size_t active = 0; ///< Calls that use a connection of this pool.
+    instant last_use{};
+    bool closed = false;
+};
+
+/// The shared connections to one endpoint and the calls that wait for one.
+struct shared_endpoint {
+    endpoint to;
+    std::unique_ptr<connection_pool> pool;
+    std::size_t active = 0; ///< Calls that have a connection, also of a retired pool.
+    std::deque<open_call*> waiting;
+};
+
 /// One call under way.
 struct open_call {
     http_client::callback done;
@@ -31,14 +71,18 @@
     std::size_t length = 0;
     h2o_http1client_t* client = nullptr;
     timer_subscription timeout;
-    std::size_t* open = nullptr;
+    http_client::implementation* owner = nullptr;
+    shared_endpoint* shared = nullptr; ///< Null for a call with a connection of its own.
+    connection_pool* pool = nullptr;   ///< Set while the call has a shared connection.
 };
 
+void release(open_call& call, bool lost);
+
 /// Ends a call. The h2o client must be closed or closing by itself.
 void finish(open_call* call, http_result result) {
     const std::unique_ptr<open_call> owned(call);
     owned->timeout.cancel();
-    --*owned->open;
+    release(*owned, !std::holds_alternative<http_reply>(result));
     owned->done(std::move(result));
 }
 
@@ -125,13 +169,16 @@
     return on_head;
 }
 
-std::string serialized(const endpoint& to, const http_call& call) {
+std::string serialized(const endpoint& to, const http_call& call, bool keep_alive) {
     std::string text;
     text += call.method;
     text += ' ';
     text += call.path;
     text += " HTTP/1.1\r\nhost: " + to.address + ':' + std::to_string(to.port);
-    text += "\r\nconnection: close\r\ncontent-length: " + std::to_string(call.body.size());
+    if (!keep_alive) {
+        text += "\r\nconnection: close";
+    }
+    text += "\r\ncontent-length: " + std::to_string(call.body.size());
     for (const auto& [name, value] : call.headers) {
         text += "\r\n";
         text += name;
@@ -146,16 +193,106 @@
 } // namespace
 
 struct http_client::implementation {
+    uv_loop_t* loop = nullptr;
     timer_service& timers;
+    http_client_options options;
     h2o_multithread_queue_t* queue = nullptr;
     h2o_multithread_receiver_t receiver{};
     h2o_timeout_t io_timeout{};
     h2o_http1client_ctx_t context{};
     std::size_t open = 0;
+    std::map<endpoint, std::unique_ptr<shared_endpoint>> endpoints;
+    std::vector<std::unique_ptr<connection_pool>> retired;
 };
 
-http_client::http_client(uv_loop_t* loop, timer_service& timers)
-    : body_(new implementation{timers}) {
+namespace {
+
+void fail_later(open_call* call) {
+    call->timeout = call->owner->timers.after(
+        duration::zero(), [call](instant) { finish(call, result_without_reply(*call, false)); });
+}
+
+/// Closes and later frees retired pools. h2o gives a connection back to its pool after the callback
+/// of the call, and the loop closes the timer of a pool after the pool, so that each step waits.
+void free_retired(http_client::implementation& owner, instant now) {
+    constexpr duration delay = seconds(1);
+    std::erase_if(owner.retired, [&](const auto& pool) {
+        if (pool->active > 0 || now - pool->last_use < delay) {
+            return false;
+        }
+        if (!pool->closed) {
+            pool->close();
+            pool->last_use = now;
+            return false;
+        }
+        return true;
+    });
+}
+
+void retire(http_client::implementation& owner, shared_endpoint& shared) {
+    owner.retired.push_back(std::move(shared.pool));
+}
+
+/// Connects a call that has its turn; h2o may take a pooled connection within the call.
+void connect_shared(const endpoint& to, open_call* call) {
+    shared_endpoint& shared = *call->shared;
+    http_client::implementation& owner = *call->owner;
+    const instant now = owner.timers.now();
+    free_retired(owner, now);
+    if (!shared.pool) {
+        shared.pool = std::make_unique<connection_pool>(owner.loop, to, owner.options.idle_timeout);
+    }
+    ++shared.active;
+    call->pool = shared.pool.get();
+    ++call->pool->active;
+    call->pool->last_use = now;
+    call->starting = true;
+    h2o_http1client_connect_with_pool(&call->client, call, &owner.context, &call->pool->sockets,
+                                      on_connect);
+    call->starting = false;
+    if (call->failed_at_start) {
+        fail_later(call);
+    }
+}
+
+void start_waiting(shared_endpoint& shared, const endpoint& to, std::size_t most) {
+    while (shared.active < most && !shared.waiting.empty()) {
+        open_call* next = shared.waiting.front();
+        shared.waiting.pop_front();
+        connect_shared(to, next);
+    }
+}
+
+/// Gives up what an ending call holds. The next call that waits starts in a turn of its own, when
+/// h2o has given the connection back to the pool.
+void release(open_call& call, bool lost) {
+    http_client::implementation& owner = *call.owner;
+    --owner.open;
+    if (call.shared == nullptr) {
+        return;
+    }
+    shared_endpoint& shared = *call.shared;
+    if (call.pool == nullptr) {
+        std::erase(shared.waiting, &call);
+        return;
+    }
+    --shared.active;
+    --call.pool->active;
+    call.pool->last_use = owner.timers.now();
+    if (lost && call.pool == shared.pool.get()) {
+        retire(owner, shared);
+    }
+    if (!shared.waiting.empty()) {
+        owner.timers.once(duration::zero(), [&owner, &shared](instant) {
+            start_waiting(shared, shared.to, owner.options.connections_per_endpoint);
+        });
+    }
+}
+
+} // namespace
+
+http_client::http_client(uv_loop_t* loop, timer_service& timers, http_client_options options)
+    : body_(new implementation{loop, timers, options, nullptr, {}, {}, {}, 0, {}, {}}) {
     body_->queue = h2o_multithread_create_queue(loop);
     h2o_multithread_register_receiver(body_->queue, &body_->receiver,
                                       h2o_hostinfo_getaddr_receiver);
@@ -172,23 +309,35 @@
 }
 
 void http_client::call(const endpoint& to, const http_call& request, callback done) {
+    const std::size_t most = body_->options.connections_per_endpoint;
     auto* call = new open_call();
     call->done = std::move(done);
-    call->request = serialized(to, request);
-    call->open = &body_->open;
+    call->request = serialized(to, request, most > 0);
+    call->owner = body_.get();
     ++body_->open;
     call->timeout = body_->timers.after(request.timeout, [call](instant) {
-        h2o_http1client_cancel(call->client);
+        if (call->client != nullptr && !call->failed_at_start) {
+            h2o_http1client_cancel(call->client);
+        }
         finish(call, result_without_reply(*call, false));
     });
+    if (most > 0) {
+        auto& shared = body_->endpoints[to];
+        if (!shared) {
+            shared = std::make_unique<shared_endpoint>();
+            shared->to = to;
+        }
+        call->shared = shared.get();
+        shared->waiting.push_back(call);
+        start_waiting(*shared, to, most);
+        return;
+    }
     h2o_http1client_connect(&call->client, call, &body_->context,
                             h2o_iovec_init(to.address.data(), to.address.size()), to.port, 0,
                             on_connect);
     call->starting = false;
     if (call->failed_at_start) {
-        call->timeout = body_->timers.after(duration::zero(), [call](instant) {
-            finish(call, result_without_reply(*call, false));
-        });
+        fail_later(call);
     }
 }
 
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -6,6 +6,7 @@
 
 #include <uv.h>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <span>
@@ -43,13 +44,23 @@
     duration timeout{};
 };
 
-/// An HTTP/1.1 client built on h2o. Every call has its own connection, so that an answer can only
-/// belong to the request that was sent on it.
+struct http_client_options {
+    /// Connections kept open to one endpoint; further calls wait for one of them, within their
+    /// timeout. Zero opens a connection for each call and closes it afterwards.
+    std::size_t connections_per_endpoint = 0;
+    /// How long an idle connection is kept open.
+    duration idle_timeout = seconds(8);
+};
+
+/// An HTTP/1.1 client built on h2o. A connection carries one call at a time and is closed when its
+/// call fails, so that an answer can only belong to the request that was sent on it. After a lost
+/// call, the idle connections to the same endpoint are not used again: one that has gone silent
+/// shows no error of its own.
 class http_client {
   public:
     using callback = std::function<void(http_result)>;
 
-    http_client(uv_loop_t* loop, timer_service& timers);
+    http_client(uv_loop_t* loop, timer_service& timers, http_client_options options = {});
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
     http_client(http_client&&) = delete;
@@ -63,8 +74,9 @@
     /// Calls under way.
     [[nodiscard]] std::size_t open_calls() const;
 
-  private:
     struct implementation;
+
+  private:
     std::unique_ptr<implementation> body_;
 };
 
--- /dev/null
+++ b/tests/http_client_test.cpp
@@ -0,0 +1,104 @@
+#include "test_support.h"
+
+#include "io/event_loop.h"
+#include "io/http_client.h"
+#include "io/http_server.h"
+
+#include <algorithm>
+#include <string>
+
+using namespace citronford;
+
+namespace {
+
+/// A server on loopback whose answers name the path, and a client that keeps connections.
+struct client_fixture {
+    std::unique_ptr<event_loop> loop = *event_loop::create();
+    std::unique_ptr<http_server> server;
+    http_client client;
+    std::vector<http_responder> unanswered;
+    std::size_t most_connections = 0;
+
+    explicit client_fixture(std::size_t connections)
+        : client(loop->handle(), *loop, {connections}) {
+        auto created = http_server::create(
+            loop->handle(), {"127.0.0.1", 0}, 1000,
+            [this](const http_request& request, const http_responder& responder) {
+                most_connections = std::max(most_connections, server->open_connections());
+                if (request.path == "/silent") {
+                    unanswered.push_back(responder);
+                } else {
+                    responder.send({200, {}, request.path});
+                }
+            });
+        cr_assert(created.ok());
+        server = *std::move(created);
+    }
+
+    void get(std::string_view path, duration timeout, http_client::callback done) {
+        client.call({"127.0.0.1", server->port()}, {"GET", path, {}, {}, timeout}, std::move(done));
+    }
+
+    void run_for(duration time) {
+        const auto end = loop->after(time, [this](instant) { loop->stop(); });
+        loop->run();
+    }
+};
+
+} // namespace
+
+// Guards against a connection for each call, which the backend servers count and charge.
+Test(http_client, shares_a_bounded_number_of_connections) {
+    client_fixture fixture(2);
+    int answered = 0;
+    for (int call = 0; call < 40; ++call) {
+        const std::string path = "/" + std::to_string(call);
+        fixture.get(path, seconds(2), [&answered, path](const http_result& result) {
+            const auto* reply = std::get_if<http_reply>(&result);
+            cr_assert(reply != nullptr && reply->body == path);
+            ++answered;
+        });
+    }
+    fixture.run_for(milliseconds(500));
+    cr_assert(answered == 40, "%d answers", answered);
+    cr_assert(fixture.most_connections <= 2, "%zu connections", fixture.most_connections);
+    cr_assert(fixture.client.open_calls() == 0);
+}
+
+// Guards against an answer that goes to the next call on a connection whose call timed out, and
+// against calls that wait behind silent ones longer than their timeout.
+Test(http_client, drops_the_connections_of_an_endpoint_after_a_lost_call) {
+    client_fixture fixture(1);
+    int lost = 0;
+    std::string body;
+    fixture.get("/first", seconds(1), [](const http_result&) {});
+    fixture.run_for(milliseconds(50));
+    fixture.get("/silent", milliseconds(100), [&](const http_result& result) {
+        lost += std::holds_alternative<http_lost>(result) ? 1 : 0;
+        fixture.get("/next", seconds(1), [&](const http_result& next) {
+            const auto* reply = std::get_if<http_reply>(&next);
+            body = reply == nullptr ? "" : reply->body;
+        });
+    });
+    bool unreachable = false;
+    fixture.get("/behind", milliseconds(50), [&](const http_result& result) {
+        unreachable = std::holds_alternative<http_unreachable>(result);
+    });
+    fixture.run_for(milliseconds(300));
+    cr_assert(lost == 1);
+    cr_assert(unreachable, "a call that got no connection was not sent");
+    expect_equal(body, "/next");
+}
+
+// Guards against a refused connection that is reported as a call that may have arrived.
+Test(http_client, reports_a_refused_connection_as_not_sent) {
+    client_fixture fixture(2);
+    bool refused = false;
+    fixture.client.call({"127.0.0.1", 1}, {"GET", "/", {}, {}, seconds(1)},
+                        [&](const http_result& result) {
+                            const auto* failure = std::get_if<http_unreachable>(&result);
+                            refused = failure != nullptr && failure->refused;
+                        });
+    fixture.run_for(milliseconds(200));
+    cr_assert(refused);
+}
