--- /dev/null
+++ b/daemons/citronford_fleetd.cpp
@@ -0,0 +1,157 @@
+// The scheduler daemon of an entry VM on the users' platform.
+#include "citronford/fleet_settings.h"
+#include "citronford/invariant.h"
+#include "io/event_loop.h"
+#include "io/http_client.h"
+#include "io/http_server.h"
+#include "io/log.h"
+#include "node/fleet/fleet_node.h"
+#include "platform/backend_client.h"
+#include "platform/job_front.h"
+#include "platform/platform_rows.h"
+#include "platform/table_client.h"
+#include "platform/vm_client.h"
+
+#include <boost/program_options.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+namespace {
+
+namespace po = boost::program_options;
+using namespace citronford;
+
+/// Connections to the platform: three watches are held, the others carry single calls.
+constexpr std::size_t platform_connections = 8;
+
+/// Connections to one backend server: one holds a look, the others carry orders.
+constexpr std::size_t backend_connections = 4;
+
+int fail(const absl::Status& status) {
+    log_event(
+        log_level::error, "start_failed",
+        {{"code", static_cast<std::int64_t>(code_of(status))}, {"reason", message_of(status)}});
+    return exit_code_of(code_of(status));
+}
+
+std::int64_t unix_ms() {
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+/// h2o keeps open connections in the loop, which a process that ends does not need to unwind.
+[[noreturn]] void leave_process(const fleet_settings& own) {
+    log_event(
+        log_level::info, "stopped",
+        {{"node", own.node.view()},
+         {"invariant_violations", static_cast<std::int64_t>(invariant_monitor::violations())}});
+    std::_Exit(EXIT_SUCCESS);
+}
+
+/// Takes over what can change in a running process, and says what was read.
+void reload(const std::string& path) {
+    const auto read = load_fleet_settings(path);
+    if (!read.ok()) {
+        log_event(log_level::error, "reload_failed", {{"reason", message_of(read.status())}});
+        return;
+    }
+    log_level level = log_level::info;
+    parse_log_level(read->log_level, level);
+    set_log_level(level);
+    log_event(log_level::info, "reloaded", {{"log_level", read->log_level}});
+}
+
+int run(const fleet_settings& own, const std::string& path) {
+    auto loop = event_loop::create();
+    if (!loop.ok()) {
+        return fail(loop.status());
+    }
+    http_client platform_calls((*loop)->handle(), **loop, {platform_connections});
+    http_client backend_calls((*loop)->handle(), **loop, {backend_connections});
+    table_client table(platform_calls, own.table);
+    vm_client vms(platform_calls, own.vms);
+    backend_client backends(backend_calls);
+    const platform_rows rows;
+    std::unique_ptr<http_server> caller_server;
+    auto created = fleet_node::create(
+        own, {**loop, table, backends, vms, rows, unix_ms},
+        {[&] { return caller_server->open_requests(); }, [&] { caller_server->stop_accepting(); },
+         [&] { leave_process(own); }});
+    if (!created.ok()) {
+        return fail(created.status());
+    }
+    fleet_node& target = **created;
+    job_front callers(target, unix_ms);
+    auto listening =
+        http_server::create((*loop)->handle(), own.callers, own.body_limit,
+                            [&](const http_request& request, const http_responder& responder) {
+                                callers.handle(request, responder);
+                            });
+    if (!listening.ok()) {
+        return fail(listening.status());
+    }
+    caller_server = *std::move(listening);
+    auto health_server =
+        http_server::create((*loop)->handle(), own.health, own.body_limit,
+                            [&](const http_request& request, const http_responder& responder) {
+                                answer_readiness(target, request, responder);
+                            });
+    if (!health_server.ok()) {
+        return fail(health_server.status());
+    }
+    (*loop)->on_signal(SIGTERM, [&] { target.request_stop(); });
+    (*loop)->on_signal(SIGINT, [&] { target.request_stop(); });
+    (*loop)->on_signal(SIGHUP, [&] { reload(path); });
+    target.start();
+    log_event(log_level::info, "started",
+              {{"node", own.node.view()},
+               {"zone", own.zone.view()},
+               {"callers", static_cast<std::int64_t>(caller_server->port())}});
+    (*loop)->run();
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    std::string path;
+    po::options_description description("citronford_fleetd: the scheduler daemon of an entry VM");
+    auto add = description.add_options();
+    add("help", "show this text");
+    add("settings", po::value(&path), "settings file (INI)");
+    add("check-settings", po::value(&path), "check a settings file and exit");
+    po::variables_map values;
+    try {
+        po::store(po::parse_command_line(argc, argv, description), values);
+        po::notify(values);
+    } catch (const po::error& error) {
+        std::cerr << "citronford_fleetd: " << error.what() << '\n';
+        return 2;
+    }
+    if (values.count("help") != 0 || path.empty()) {
+        std::cout << description;
+        return values.count("help") != 0 ? EXIT_SUCCESS : 2;
+    }
+    const auto own = load_fleet_settings(path);
+    if (!own.ok()) {
+        std::cerr << "citronford_fleetd: code=" << static_cast<int>(code_of(own.status())) << '\n'
+                  << own.status().message() << '\n';
+        return exit_code_of(code_of(own.status()));
+    }
+    if (values.count("check-settings") != 0) {
+        std::cout << "settings are valid\n";
+        return EXIT_SUCCESS;
+    }
+    log_to_standard_output();
+    log_level level = log_level::info;
+    parse_log_level(own->log_level, level);
+    set_log_level(level);
+    invariant_monitor::set_reporter([](std::string_view promise, std::string_view detail) {
+        log_event(log_level::error, "invariant_broken", {{"promise", promise}, {"detail", detail}});
+    });
+    return run(*own, path);
+}
--- /dev/null
+++ b/include/citronford/dispatcher.h
@@ -0,0 +1,185 @@
+#pragma once
+
+#include "citronford/backend.h"
+#include "citronford/backend_link.h"
+#include "citronford/chart.h"
+#include "citronford/instant.h"
+#include "citronford/queue_catalog.h"
+#include "citronford/workflow.h"
+#include "citronford/workflow_progress.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace citronford {
+
+/// Names one run within a dispatcher; never reused.
+enum class run_id : std::uint64_t {};
+
+// Inputs.
+
+struct catalog_applied {
+    std::shared_ptr<const queue_catalog> catalog;
+};
+struct orders_applied {
+    operator_orders orders;
+};
+/// A stored workflow. One that was stored before the ownership began may have runs already.
+struct workflow_found {
+    accepted_workflow row;
+    workflow_progress progress;
+    bool stored_before = false;
+};
+/// All workflows that were stored before the ownership began have been found.
+struct workflows_loaded {};
+struct workflow_cancelled {
+    job_id job;
+};
+struct backend_listed {
+    backend_listing listing;
+};
+struct backend_delisted {
+    backend_id id;
+};
+/// All backend servers that were registered when the ownership began have been listed.
+struct backends_loaded {};
+/// Until when the owner may give orders.
+struct authority_extended {
+    instant until{};
+};
+struct start_answered {
+    run_id run{};
+    order_result result;
+};
+struct stop_answered {
+    run_id run{};
+    order_result result;
+};
+struct look_answered {
+    backend_id backend;
+    look_result result;
+};
+/// The store has the progress of all workflows up to a `save_progress`.
+struct progress_saved {};
+/// Backend servers that take no new tasks because their VMs are about to be maintained or moved.
+struct backends_closing {
+    std::vector<backend_id> backends;
+};
+struct dispatch_tick {
+    std::int64_t unix_ms = 0; ///< Time of day, for scheduled occurrences.
+};
+
+using dispatch_input =
+    std::variant<catalog_applied, orders_applied, workflow_found, workflows_loaded,
+                 workflow_cancelled, backend_listed, backend_delisted, backends_loaded,
+                 authority_extended, start_answered, stop_answered, look_answered, progress_saved,
+                 backends_closing, dispatch_tick>;
+
+// Effects. Views are valid until the next input.
+
+struct send_start {
+    run_id run{};
+    backend_address to;
+    run_order order;
+};
+/// A stop of a run that the dispatcher does not follow has no `run`.
+struct send_stop {
+    run_id run{};
+    backend_address to;
+    stop_order order;
+};
+struct send_look {
+    backend_address to;
+    look_order order;
+};
+struct progress_row {
+    job_id job;
+    workflow_progress progress;
+};
+/// Write all rows, then report `progress_saved`; none other is asked for before.
+struct save_progress {
+    std::vector<progress_row> rows;
+};
+/// A backend server has seen a higher token: another node is the owner.
+struct fenced_out {};
+/// A decision for the log.
+struct dispatch_note {
+    std::string_view event;
+    job_id job;
+    backend_id backend;
+    std::string detail;
+};
+
+using dispatch_effect =
+    std::variant<send_start, send_stop, send_look, save_progress, fenced_out, dispatch_note>;
+
+struct dispatch_options {
+    fencing_token token = 0;
+    duration lease = milliseconds(5000);         ///< Of the runs on a server.
+    duration longest_lease = milliseconds(6000); ///< Servers shorten longer leases to this.
+    duration earlier_grace = milliseconds(3000); ///< An earlier owner may act so long after losing its lease.
+    duration stop_time = milliseconds(900);      ///< A server stops a run within this time.
+    /// How long registrations may be missing after the ownership began, when the store was away.
+    duration listing_delay{};
+};
+
+/// Numbers of a dispatcher, for figures and for the state page.
+struct dispatch_counts {
+    std::size_t workflows = 0; ///< Not ended, or ended with runs that are being stopped.
+    std::size_t runs = 0;
+    std::size_t backends = 0;
+    std::uint64_t starts = 0;
+    std::uint64_t ends_done = 0;
+    std::uint64_t ends_failed = 0;
+    std::uint64_t losses = 0;   ///< Runs that ended without an end being listed.
+    std::uint64_t refusals = 0; ///< Starts that were refused.
+};
+
+/// Runs the tasks of all workflows on the backend servers: the decisions of the one node that owns
+/// the scheduler. One dispatcher serves one ownership; the next owner builds its own from the store
+/// and from the lists of the servers.
+class dispatcher {
+  public:
+    struct charts {
+        const chart& workflow;
+        const chart& task_run;
+        const chart& backend_contact;
+    };
+
+    static absl::StatusOr<std::unique_ptr<dispatcher>> create(const charts& life_cycles,
+                                                              dispatch_options options,
+                                                              instant now);
+
+    dispatcher(const dispatcher&) = delete;
+    dispatcher& operator=(const dispatcher&) = delete;
+    dispatcher(dispatcher&&) = delete;
+    dispatcher& operator=(dispatcher&&) = delete;
+    ~dispatcher();
+
+    std::vector<dispatch_effect> handle(const dispatch_input& input, instant now);
+
+    /// Workflows of each queue none of whose tasks has started.
+    [[nodiscard]] std::map<queue_id, std::uint64_t> waiting() const;
+
+    /// Whether a server has no runs, so that its VM can be taken away without a loss.
+    [[nodiscard]] bool vacant(const backend_id& backend) const;
+
+    [[nodiscard]] dispatch_counts counts() const;
+
+    class implementation;
+
+  private:
+    explicit dispatcher(std::unique_ptr<implementation> body);
+
+    std::unique_ptr<implementation> body_;
+};
+
+} // namespace citronford
--- /dev/null
+++ b/include/citronford/fleet_settings.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "citronford/endpoint.h"
+#include "citronford/identifier.h"
+#include "citronford/instant.h"
+#include "citronford/settings.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace citronford {
+
+/// Settings of a scheduler daemon on one entry VM, from an INI file.
+struct fleet_settings {
+    node_id node;
+    zone_id zone;
+    std::string charts = "charts"; ///< Directory of the state charts.
+    std::string log_level = "info";
+    endpoint callers{"127.0.0.1", 8340};
+    endpoint health{"127.0.0.1", 8343};
+    endpoint figures{"127.0.0.1", 8345};
+    endpoint table{"127.0.0.1", 8090};
+    endpoint vms{"127.0.0.1", 8091};
+    endpoint advice; ///< Port 0: there is no advice service.
+    std::int64_t processors_permille = 1000; ///< Share of one processor that this VM has.
+    std::size_t body_limit = 262144;
+    milliseconds longest_backend_lease{6000}; ///< Backend servers shorten longer leases to this.
+    milliseconds backend_stop_time{900};      ///< A backend server stops a task within this time.
+    milliseconds stop_grace{6000};            ///< A process is killed this long after SIGTERM.
+    milliseconds vm_order_interval{3000};     ///< Least time between orders of two owners to a VM.
+    milliseconds move_time{1500};             ///< Until a moved VM serves its new pool.
+    milliseconds maintenance_time{2000};      ///< Until a maintained VM is back.
+};
+
+/// All keys, in the order of the documentation.
+std::span<const setting_description> fleet_setting_descriptions();
+
+/// Parses the text of a settings file; as `parse_settings`.
+absl::StatusOr<fleet_settings> parse_fleet_settings(std::string_view text);
+
+/// Reads and parses the file at `path`. Blocking; for start-up and reload only.
+absl::StatusOr<fleet_settings> load_fleet_settings(const std::string& path);
+
+} // namespace citronford
--- a/include/citronford/result_code.h
+++ b/include/citronford/result_code.h
@@ -48,6 +48,7 @@
     commit_in_doubt = 404,
     node_joining = 405,
     repetition_refused = 406,
+    history_lost = 407,
 
     setting_invalid = 500,
     chart_invalid = 501,
--- a/include/citronford/table_service.h
+++ b/include/citronford/table_service.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "citronford/instant.h"
+
 #include <absl/status/statusor.h>
 
 #include <cstdint>
@@ -8,6 +10,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace citronford {
@@ -41,6 +44,7 @@
     table_version version = 0;        ///< Version written, when committed.
     std::string conflict_key;         ///< First row whose check failed.
     table_version conflict_version{}; ///< Its present version.
+    std::vector<table_row> conflicts; ///< Present rows of the checks, from a table that tells them.
 };
 
 struct table_scan {
@@ -69,6 +73,14 @@
     /// Reads the rows whose key begins with `prefix` and that changed after `since`, in rising
     /// order of key; deleted rows are included when `since` is not zero.
     virtual void scan(std::string_view prefix, table_version since, scan_callback done) = 0;
+
+    /// Like `scan`, but waits until a row has changed after `since`, at most for `wait`. Fails with
+    /// `history_lost` when the changes since then are no longer known; the rows must then be
+    /// scanned anew. A table that cannot wait answers at once.
+    virtual void watch(std::string_view prefix, table_version since, duration /*wait*/,
+                       scan_callback done) {
+        scan(prefix, since, std::move(done));
+    }
 };
 
 } // namespace citronford
--- /dev/null
+++ b/include/citronford/vm_fleet.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "citronford/backend.h"
+#include "citronford/backend_link.h"
+#include "citronford/fleet_rows.h"
+#include "citronford/identifier.h"
+#include "citronford/resources.h"
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace citronford {
+
+/// One VM as the platform lists it.
+struct fleet_vm {
+    enum class condition { up, moving, in_maintenance, down };
+
+    vm_id id;
+    pool_id pool;
+    condition state = condition::down;
+    zone_id zone;
+    std::vector<std::string> labels;
+    resources capacity;
+    backend_id backend; ///< Its present backend server; empty while there is none.
+
+    friend bool operator==(const fleet_vm&, const fleet_vm&) = default;
+};
+
+/// Who gives an order to a VM. The platform can reject a token lower than one that it has seen.
+struct vm_order_origin {
+    node_id holder;
+    fencing_token token = 0;
+};
+
+enum class vm_order_result {
+    carried_out, ///< Also when it had been carried out before.
+    busy,        ///< The VM is not up, or is leaving.
+    rejected,    ///< Fenced, not part of the wave, or no such VM or pool.
+    not_sent,    ///< Certainly not carried out: over the rate, or unreachable.
+    in_doubt,
+};
+
+/// The platform's VMs. An order ends all tasks on its VM at once; the VM comes back as another
+/// backend server. Callbacks are called exactly once and never from inside the call.
+class vm_fleet {
+  public:
+    using list_callback = std::function<void(absl::StatusOr<std::vector<fleet_vm>>)>;
+    using order_callback = std::function<void(vm_order_result)>;
+
+    vm_fleet() = default;
+    vm_fleet(const vm_fleet&) = delete;
+    vm_fleet& operator=(const vm_fleet&) = delete;
+    vm_fleet(vm_fleet&&) = delete;
+    vm_fleet& operator=(vm_fleet&&) = delete;
+    virtual ~vm_fleet() = default;
+
+    virtual void list(list_callback done) = 0;
+    virtual void move(const vm_id& vm, const pool_id& target, const vm_order_origin& origin,
+                      order_callback done) = 0;
+    virtual void maintain(const vm_id& vm, wave_number wave, const vm_order_origin& origin,
+                          order_callback done) = 0;
+};
+
+} // namespace citronford
--- /dev/null
+++ b/include/citronford/workflow_rows.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "citronford/identifier.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace citronford {
+
+// Rows of the scheduler in the platform's table, "table/part/key":
+//
+//   control/owner/owner      who owns the scheduler; its version is the fencing token
+//   control/owner/renewal    written by the owner while it lives
+//   work/{part}/{job}        a workflow as accepted; "ended" once its end is saved
+//   work/{part}/{job}!cancel order to cancel it
+//   progress/run/{job}       its state and the tasks that are done; written by the owner only
+//   progress/run/!fence      changed by each write of progress, so that no late write is carried out
+//   shown/queues/waiting     waiting workflows of each queue
+
+inline constexpr std::string_view owner_row_key = "control/owner/owner";
+inline constexpr std::string_view renewal_row_key = "control/owner/renewal";
+inline constexpr std::string_view owner_rows_prefix = "control/owner/";
+inline constexpr std::string_view work_rows_prefix = "work/";
+inline constexpr std::string_view progress_rows_prefix = "progress/run/";
+inline constexpr std::string_view progress_fence_key = "progress/run/!fence";
+inline constexpr std::string_view waiting_row_key = "shown/queues/waiting";
+inline constexpr std::string_view ended_work_value = "ended";
+
+/// Parts of the work rows, which the table writes side by side.
+inline constexpr std::uint32_t work_parts = 4;
+
+/// The part of a job.
+std::uint32_t work_part(const job_id& job);
+
+std::string work_part_prefix(std::uint32_t part);
+std::string work_row_key(const job_id& job);
+std::string cancel_row_key(const job_id& job);
+std::string progress_row_key(const job_id& job);
+
+/// The job that the key of a work, cancel or progress row names.
+struct row_name {
+    job_id job;
+    bool is_cancel = false;
+};
+row_name row_name_of(std::string_view key);
+
+} // namespace citronford
--- /dev/null
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -0,0 +1,208 @@
+#pragma once
+
+#include "decide/dispatch/backend_entry.h"
+#include "decide/dispatch/task_run.h"
+#include "decide/dispatch/workflow_entry.h"
+
+#include "citronford/dispatcher.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace citronford {
+
+/// State of a dispatcher. Inputs are taken in dispatcher.cpp, runs and their ends in
+/// dispatcher_runs.cpp, lists of servers in dispatcher_looks.cpp, the beginning of an ownership in
+/// dispatcher_takeover.cpp, and starts are decided in dispatcher_placement.cpp.
+class dispatcher::implementation {
+  public:
+    using workflow_entry = dispatch::workflow_entry;
+    using occurrence_state = dispatch::occurrence_state;
+    using task_slot = dispatch::task_slot;
+    using task_run = dispatch::task_run;
+    using backend_entry = dispatch::backend_entry;
+
+    struct run_context {
+        implementation& board;
+        task_run& run;
+    };
+    struct workflow_context {
+        implementation& board;
+        workflow_entry& entry;
+    };
+    struct contact_context {
+        implementation& board;
+        backend_entry& server;
+    };
+    using run_machine = chart_machine<run_context, dispatch::run_event>;
+    using workflow_machine = chart_machine<workflow_context, dispatch::workflow_event>;
+    using contact_machine = chart_machine<contact_context, dispatch::contact_event>;
+
+    static absl::StatusOr<std::unique_ptr<implementation>>
+    create(const charts& life_cycles, dispatch_options options, instant now);
+
+    std::vector<dispatch_effect> handle(const dispatch_input& input, instant now);
+
+    [[nodiscard]] std::map<queue_id, std::uint64_t> waiting() const;
+    [[nodiscard]] bool vacant(const backend_id& backend) const;
+    [[nodiscard]] dispatch_counts counts() const;
+
+  private:
+    /// A pool and how far its servers are known.
+    struct pool_state {
+        std::set<backend_id> servers;
+        bool settled = false; ///< The runs that the first looks listed have been taken over.
+        bool due = false;     ///< Tasks may have become placeable since the last pass.
+        std::set<workflow_entry*> open; ///< Workflows that have not ended.
+    };
+    /// The place of a task, if its workflow is known.
+    struct task_place {
+        workflow_entry* workflow = nullptr;
+        occurrence_state* occurrence = nullptr;
+        task_slot* slot = nullptr;
+    };
+    struct candidate;
+    /// What a team is owed: `weight` workflows a second.
+    struct owed_rate {
+        double saved = 0;
+        instant at{};
+    };
+
+    implementation(run_machine runs, workflow_machine workflows, contact_machine contacts,
+                   dispatch_options options, instant now)
+        : run_machine_(std::move(runs)), workflow_machine_(std::move(workflows)),
+          contact_machine_(std::move(contacts)), options_(options), begun_at_(now), now_(now) {}
+
+    static absl::StatusOr<run_machine> bind_runs(const chart& life_cycle);
+    static absl::StatusOr<workflow_machine> bind_workflows(const chart& life_cycle);
+    static absl::StatusOr<contact_machine> bind_contacts(const chart& life_cycle);
+
+    void take(const catalog_applied& input);
+    void take(const orders_applied& input);
+    void take(const workflow_found& input);
+    void take(const workflows_loaded& input);
+    void take(const workflow_cancelled& input);
+    void take(const backend_listed& input);
+    void take(const backend_delisted& input);
+    void take(const backends_loaded& input);
+    void take(const authority_extended& input);
+    void take(const start_answered& input);
+    void take(const stop_answered& input);
+    void take(const look_answered& input);
+    void take(const progress_saved& input);
+    void take(const backends_closing& input);
+    void take(const dispatch_tick& input);
+
+    // Workflows.
+    void begin_due_occurrences(workflow_entry& entry);
+    [[nodiscard]] bool takes_from_owed(const team_id& team);
+    void step_workflow(workflow_entry& entry, const dispatch::workflow_event& event);
+    void close_workflow(workflow_entry& entry);
+    void mark_changed(workflow_entry& entry);
+    void erase_ended();
+    void save_changes();
+    [[nodiscard]] task_place place_of(const task_key& key);
+    void for_each_run(workflow_entry& entry, const std::function<void(task_run&)>& visit);
+
+    // Runs.
+    task_run& add_run(workflow_entry& entry, occurrence_state& occurrence, std::uint32_t step,
+                      std::uint32_t index, std::uint32_t number, backend_entry& server);
+    void step_run(task_run& run, const dispatch::run_event& event);
+    void remove_run(task_run& run);
+    void apply_outcome(const task_place& place, const task_key& key, std::uint32_t number,
+                       backend_entry& server, const dispatch::run_outcome& outcome);
+    void apply_end(const task_place& place, const task_key& key, backend_entry& server,
+                   const dispatch::run_ended& end);
+    void complete(const task_place& place, const task_key& key);
+    void count_failure(const task_place& place, const task_key& key, backend_entry& server);
+    void stop_gang(const task_place& place, std::uint32_t step);
+    void order_start(task_run& run);
+    void order_stop(const task_run& run);
+    void stop_stray(backend_entry& server, const running_task& shown);
+    void repeat_stops();
+    void vacate_servers();
+    [[nodiscard]] bool may_take_away(const task_run& run) const;
+    [[nodiscard]] bool has_room_elsewhere(const task_run& run) const;
+
+    // Servers and their lists.
+    void step_contact(backend_entry& server, const dispatch::contact_event& event);
+    void fail_contact(backend_entry& server);
+    void expire_runs(backend_entry& server);
+    void note_clock(backend_entry& server, backend_clock_ms clock) const;
+    [[nodiscard]] backend_clock_ms renewed_lease(backend_entry& server) const;
+    void take_view(backend_entry& server, backend_view view);
+    void apply_view(backend_entry& server, const backend_view& view);
+    void take_end(backend_entry& server, const ended_task& end);
+    void take_running(backend_entry& server, const running_task& shown);
+    void send_looks();
+    void order_look(backend_entry& server);
+    void review_contacts();
+    void rate_server(backend_entry& server, bool failed);
+    [[nodiscard]] bool is(const backend_entry& server, std::string_view state) const {
+        return contact_machine_.name_of(server.contact) == state;
+    }
+
+    // Beginning of an ownership.
+    void settle_pools();
+    void settle(const pool_id& name, pool_state& pool);
+    void adopt_running(const pool_state& pool);
+    void apply_first_ends(const pool_state& pool);
+    void mark_unaccounted(const pool_id& name, pool_state& pool);
+    [[nodiscard]] bool unresolved(const pool_state& pool) const;
+    [[nodiscard]] instant earlier_leases_end() const;
+
+    // Placement.
+    void place_tasks();
+    void place_pool(const pool_id& name, pool_state& pool);
+    void collect(workflow_entry& entry, std::vector<candidate>& candidates);
+    bool place_step(const candidate& item, std::set<const backend_entry*>& held_back,
+                    std::span<backend_entry* const> servers, bool is_unresolved);
+    backend_entry* choose(const candidate& item, const task_slot& slot,
+                          std::span<backend_entry* const> servers,
+                          const std::set<const backend_entry*>& held_back) const;
+    [[nodiscard]] bool can_take(const backend_entry& server) const;
+    [[nodiscard]] bool suits(const backend_entry& server, const workflow_entry& entry,
+                             std::uint32_t occurrence, std::uint32_t step) const;
+    [[nodiscard]] bool within_limit(const team_id& team, const resources& size) const;
+
+    void note(std::string_view event, const job_id& job, const backend_id& backend,
+              std::string detail) {
+        effects_.emplace_back(dispatch_note{event, job, backend, std::move(detail)});
+    }
+
+    run_machine run_machine_;
+    workflow_machine workflow_machine_;
+    contact_machine contact_machine_;
+    dispatch_options options_;
+    instant begun_at_;
+    instant now_;
+    instant authority_until_ = instant::min();
+    std::int64_t unix_ms_ = 0;
+    bool workflows_loaded_ = false;
+    bool backends_loaded_ = false;
+    bool saving_ = false;
+
+    std::shared_ptr<const queue_catalog> catalog_ = std::make_shared<queue_catalog>();
+    operator_orders orders_;
+    std::unordered_map<job_id, std::unique_ptr<workflow_entry>> workflows_;
+    std::map<backend_id, std::unique_ptr<backend_entry>> servers_;
+    std::map<pool_id, pool_state> pools_;
+    std::unordered_map<std::uint64_t, std::unique_ptr<task_run>> runs_;
+    std::map<team_id, resources> charged_; ///< What each team may have running.
+    std::map<team_id, owed_rate> owed_;
+    std::vector<workflow_entry*> changed_; ///< To be saved.
+    std::vector<job_id> ended_;            ///< May be forgotten once their runs are over.
+    std::vector<workflow_entry*> scheduled_; ///< With occurrences that are not due yet.
+    std::uint64_t last_run_id_ = 0;
+    dispatch_counts counts_;
+    std::vector<dispatch_effect> effects_;
+};
+
+} // namespace citronford
--- /dev/null
+++ b/src/decide/dispatch/dispatcher_takeover.cpp
@@ -0,0 +1,143 @@
+#include "decide/dispatch/dispatcher_state.h"
+
+#include <algorithm>
+
+namespace citronford {
+
+using namespace dispatch;
+
+void dispatcher::implementation::settle_pools() {
+    if (!workflows_loaded_ || !backends_loaded_) {
+        return;
+    }
+    // A server that answers no call within this time is not waited for by the others.
+    constexpr duration patience = milliseconds(800);
+    for (auto& [name, pool] : pools_) {
+        if (pool.settled) {
+            continue;
+        }
+        const bool all_read = std::ranges::all_of(pool.servers, [this](const backend_id& id) {
+            return !is(*servers_.at(id), "unread");
+        });
+        if (all_read || now_ >= begun_at_ + patience) {
+            settle(name, pool);
+        }
+    }
+}
+
+void dispatcher::implementation::settle(const pool_id& name, pool_state& pool) {
+    adopt_running(pool);
+    apply_first_ends(pool);
+    for (const backend_id& id : pool.servers) {
+        backend_entry& server = *servers_.at(id);
+        server.first_view.reset();
+        server.next_look_at = now_;
+    }
+    mark_unaccounted(name, pool);
+    pool.settled = true;
+    pool.due = true;
+}
+
+void dispatcher::implementation::adopt_running(const pool_state& pool) {
+    struct sighting {
+        backend_entry* server = nullptr;
+        const running_task* shown = nullptr;
+    };
+    std::map<const task_slot*, sighting> latest;
+    for (const backend_id& id : pool.servers) {
+        backend_entry& server = *servers_.at(id);
+        if (!server.first_view) {
+            continue;
+        }
+        for (const running_task& shown : server.first_view->running) {
+            const task_place place = place_of(shown.task);
+            if (place.slot == nullptr || place.slot->done) {
+                stop_stray(server, shown);
+                continue;
+            }
+            sighting& best = latest[place.slot];
+            if (best.shown != nullptr && best.shown->run >= shown.run) {
+                stop_stray(server, shown);
+                continue;
+            }
+            if (best.shown != nullptr) {
+                stop_stray(*best.server, *best.shown);
+            }
+            best = {&server, &shown};
+        }
+    }
+    for (const auto& [slot, best] : latest) {
+        const task_place place = place_of(best.shown->task);
+        task_run& run = add_run(*place.workflow, *place.occurrence, best.shown->task.step,
+                                best.shown->task.index, best.shown->run, *best.server);
+        if (!best.shown->checkpoint.empty()) {
+            place.slot->checkpoint = best.shown->checkpoint;
+        }
+        step_run(run, seen_running{best.shown});
+    }
+}
+
+void dispatcher::implementation::apply_first_ends(const pool_state& pool) {
+    struct listed_end {
+        backend_entry* server = nullptr;
+        const ended_task* end = nullptr;
+    };
+    std::vector<listed_end> ends;
+    for (const backend_id& id : pool.servers) {
+        backend_entry& server = *servers_.at(id);
+        if (!server.first_view) {
+            continue;
+        }
+        for (const ended_task& end : server.first_view->ended) {
+            ends.push_back({&server, &end});
+            server.ends_taken = std::max(server.ends_taken, end.number);
+        }
+    }
+    // Failures up to the run that the saved progress names are counted there.
+    std::ranges::stable_sort(ends, {}, [](const listed_end& item) { return item.end->run; });
+    for (const auto& [server, end] : ends) {
+        const task_place place = place_of(end->task);
+        if (place.slot == nullptr || place.slot->done) {
+            continue;
+        }
+        const bool newer = end->run > place.slot->last_run;
+        if (place.slot->run == nullptr && newer) {
+            place.slot->last_run = end->run;
+            apply_end(place, end->task, *server, {end->how, end->checkpoint});
+        }
+    }
+}
+
+void dispatcher::implementation::mark_unaccounted(const pool_id& /*name*/, pool_state& pool) {
+    // Runs that an earlier owner has ordered and that no server shows stay below the next numbers.
+    constexpr std::uint32_t skipped_runs = 8;
+    for (workflow_entry* entry : pool.open) {
+        if (!entry->stored_before) {
+            continue;
+        }
+        for (auto& [number, occurrence] : entry->occurrences) {
+            for (step_state& step : occurrence.steps) {
+                if (!step.open) {
+                    continue;
+                }
+                for (task_slot& slot : step.tasks) {
+                    if (slot.waits()) {
+                        slot.unaccounted = true;
+                        slot.last_run += skipped_runs;
+                    }
+                }
+            }
+        }
+    }
+}
+
+bool dispatcher::implementation::unresolved(const pool_state& pool) const {
+    if (now_ < begun_at_ + options_.listing_delay) {
+        return true;
+    }
+    return std::ranges::any_of(pool.servers, [this](const backend_id& id) {
+        return is(*servers_.at(id), "unread");
+    });
+}
+
+} // namespace citronford
--- /dev/null
+++ b/src/decide/ownership/ownership.cpp
@@ -0,0 +1,126 @@
+#include "citronford/ownership.h"
+
+#include <utility>
+
+namespace citronford {
+
+instant ownership::step_context::claimable_at(const rows_observed& rows) const {
+    const bool unchanged = changed_at && owner_version == rows.owner_version &&
+                           renewal_version == rows.renewal_version;
+    const instant seen_at = unchanged ? *changed_at : now;
+    const bool vacant = !rows.owner || rows.owner->released;
+    // An earlier process of this node has ended, or this one would not run.
+    const bool predecessor = rows.owner && rows.owner->node == options.node;
+    if (vacant || predecessor) {
+        return seen_at + options.claim_delay;
+    }
+    return seen_at + options.lease + options.claim_delay;
+}
+
+absl::StatusOr<ownership> ownership::create(const chart& life_cycle, ownership_options options) {
+    static constexpr machine::guard guards[] = {
+        {"names_this_process",
+         [](const step_context& context, const ownership_input& input) {
+             const auto& rows = std::get<rows_observed>(input);
+             return rows.owner && !rows.owner->released &&
+                    rows.owner->node == context.options.node &&
+                    rows.owner->incarnation == context.options.incarnation;
+         }},
+        {"claimable",
+         [](const step_context& context, const ownership_input& input) {
+             return context.now >= context.claimable_at(std::get<rows_observed>(input));
+         }},
+        {"authority_over",
+         [](const step_context& context, const ownership_input&) {
+             return context.now >=
+                    context.renewed_at + context.options.lease + context.options.grace;
+         }},
+        {"renewal_due",
+         [](const step_context& context, const ownership_input&) {
+             return context.now >= context.asked_at + context.options.renewal_period;
+         }},
+    };
+    static constexpr machine::action actions[] = {
+        {"note_rows",
+         [](step_context& context, const ownership_input& input) {
+             const auto& rows = std::get<rows_observed>(input);
+             if (!context.changed_at || context.owner_version != rows.owner_version ||
+                 context.renewal_version != rows.renewal_version) {
+                 context.changed_at = context.now;
+             }
+             context.owner = rows.owner;
+             context.owner_version = rows.owner_version;
+             context.renewal_version = rows.renewal_version;
+             context.token = rows.owner_version;
+         }},
+        {"send_claim",
+         [](step_context& context, const ownership_input&) {
+             context.asked_at = context.now;
+             context.effects.emplace_back(write_claim{context.owner_version});
+         }},
+        {"note_claim",
+         [](step_context& context, const ownership_input& input) {
+             context.token = std::get<claim_committed>(input).version;
+         }},
+        {"begin_ownership",
+         [](step_context& context, const ownership_input& input) {
+             // A claim found in the rows was sent at an unknown time before.
+             context.renewed_at = std::holds_alternative<claim_committed>(input)
+                                      ? context.asked_at
+                                      : context.now - context.options.lease;
+             context.effects.emplace_back(ownership_begun{context.token});
+         }},
+        {"note_renewal",
+         [](step_context& context, const ownership_input& input) {
+             context.renewed_at =
+                 std::max(context.renewed_at, std::get<renewal_committed>(input).sent_at);
+         }},
+        {"send_renewal",
+         [](step_context& context, const ownership_input&) {
+             context.asked_at = context.now;
+             context.effects.emplace_back(write_renewal{context.token});
+         }},
+        {"end_ownership",
+         [](step_context& context, const ownership_input&) {
+             context.changed_at.reset();
+             context.effects.emplace_back(ownership_over{});
+         }},
+        {"send_release",
+         [](step_context& context, const ownership_input&) {
+             context.effects.emplace_back(write_release{context.token});
+         }},
+        {"leave", [](step_context& context,
+                     const ownership_input&) { context.effects.emplace_back(ownership_left{}); }},
+    };
+    auto bound = machine::create(life_cycle, guards, actions);
+    if (!bound.ok()) {
+        return bound.status();
+    }
+    return ownership(*std::move(bound), std::move(options));
+}
+
+ownership::ownership(machine life_cycle, ownership_options options)
+    : machine_(std::move(life_cycle)), position_(machine_.initial()) {
+    context_.options = std::move(options);
+}
+
+bool ownership::owning() const {
+    return machine_.name_of(position_) == "owning";
+}
+
+duration ownership::read_period(instant now) const {
+    constexpr duration calm = milliseconds(500);
+    constexpr duration alert = milliseconds(100);
+    const bool vacant = !context_.owner || context_.owner->released;
+    const bool silent =
+        context_.changed_at && now - *context_.changed_at > 2 * context_.options.renewal_period;
+    return vacant || silent ? alert : calm;
+}
+
+std::vector<ownership_effect> ownership::handle(const ownership_input& input, instant now) {
+    context_.now = now;
+    machine_.step(position_, context_, input);
+    return std::exchange(context_.effects, {});
+}
+
+} // namespace citronford
--- a/src/decide/result_code.cpp
+++ b/src/decide/result_code.cpp
@@ -72,6 +72,8 @@
     result_code_entry{result_code::repetition_refused, "repetition_refused", 503, unknown,
                       "A repeated request was refused before its id was looked up; an earlier "
                       "sending may have run."},
+    result_code_entry{result_code::history_lost, "history_lost", 503, not_run,
+                      "The changes since a version of the table are no longer known."},
     result_code_entry{result_code::setting_invalid, "setting_invalid", 500, not_run,
                       "A setting is unknown, missing or out of range."},
     result_code_entry{result_code::chart_invalid, "chart_invalid", 500, not_run,
--- /dev/null
+++ b/src/decide/workflow.cpp
@@ -0,0 +1,34 @@
+#include "citronford/workflow.h"
+
+#include <algorithm>
+
+namespace citronford {
+
+duration longest_chain(const workflow_spec& spec) {
+    std::vector<duration> ends;
+    ends.reserve(spec.steps.size());
+    duration longest{};
+    for (const workflow_step& step : spec.steps) {
+        duration begin{};
+        for (const std::uint32_t earlier : step.after) {
+            begin = std::max(begin, ends[earlier]);
+        }
+        ends.push_back(begin + step.estimate);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+bool well_formed(const workflow_spec& spec) {
+    for (std::size_t number = 0; number < spec.steps.size(); ++number) {
+        const workflow_step& step = spec.steps[number];
+        const bool only_earlier = std::ranges::all_of(
+            step.after, [&](std::uint32_t earlier) { return earlier < number; });
+        if (step.tasks == 0 || !only_earlier) {
+            return false;
+        }
+    }
+    return !spec.steps.empty();
+}
+
+} // namespace citronford
--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -3,6 +3,7 @@
 #include "citronford/result_code.h"
 
 #include <csignal>
+#include <ctime>
 #include <utility>
 
 namespace citronford {
@@ -57,8 +58,12 @@
 }
 
 instant event_loop::now() const {
-    constexpr std::uint64_t ns_per_us = 1000;
-    return instant(microseconds(uv_hrtime() / ns_per_us));
+    // Counts the time that a suspended machine spends, unlike the clock of the loop's timers: leases
+    // run out meanwhile.
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    constexpr long ns_per_us = 1000;
+    return instant(seconds(time.tv_sec) + microseconds(time.tv_nsec / ns_per_us));
 }
 
 timer_subscription event_loop::subscribe(duration delay, duration period, callback function) {
--- a/src/io/event_loop.h
+++ b/src/io/event_loop.h
@@ -21,7 +21,7 @@
     event_loop& operator=(event_loop&&) = delete;
     ~event_loop() override;
 
-    /// Monotonic time, which goes on while the process is stopped.
+    /// Monotonic time, which goes on while the process is stopped and the machine is suspended.
     [[nodiscard]] instant now() const override;
     [[nodiscard]] timer_subscription after(duration delay, callback function) override;
     [[nodiscard]] timer_subscription every(duration period, callback function) override;
--- a/src/io/log.cpp
+++ b/src/io/log.cpp
@@ -12,10 +12,15 @@
 namespace citronford {
 namespace {
 
+bool to_standard_output = false;
+
 spdlog::logger& event_logger() {
     static const std::shared_ptr<spdlog::logger> logger = [] {
-        auto created = std::make_shared<spdlog::logger>(
-            "citronford", std::make_shared<spdlog::sinks::stderr_sink_st>());
+        spdlog::sink_ptr sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
+        if (to_standard_output) {
+            sink = std::make_shared<spdlog::sinks::stdout_sink_st>();
+        }
+        auto created = std::make_shared<spdlog::logger>("citronford", std::move(sink));
         created->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v",
                              spdlog::pattern_time_type::utc);
         created->flush_on(spdlog::level::trace);
@@ -71,6 +76,10 @@
 
 } // namespace
 
+void log_to_standard_output() {
+    to_standard_output = true;
+}
+
 void set_log_level(log_level level) {
     event_logger().set_level(spdlog_level(level));
 }
--- a/src/io/log.h
+++ b/src/io/log.h
@@ -25,6 +25,9 @@
 /// The level named `debug`, `info`, `warning` or `error`; false for any other name.
 bool parse_log_level(std::string_view name, log_level& level);
 
+/// Sends the lines to standard output instead of standard error. Called once, before the first line.
+void log_to_standard_output();
+
 /// Writes one line of key=value pairs to standard error: time, level, event, then the fields in
 /// order. A value that holds white space, quotes or control characters is quoted and escaped.
 /// Never pass a key of a team or a shared secret.
--- /dev/null
+++ b/src/io/workflow_codec.cpp
@@ -0,0 +1,231 @@
+#include "io/workflow_codec.h"
+
+#include "citronford/result_code.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace citronford {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::array<std::pair<workflow_state, std::string_view>, 5> state_names = {
+    {{workflow_state::pending, "pending"},
+     {workflow_state::running, "running"},
+     {workflow_state::completed, "completed"},
+     {workflow_state::failed, "failed"},
+     {workflow_state::cancelled, "cancelled"}}};
+
+absl::Status malformed(std::string_view what) {
+    return make_status(result_code::malformed_body, what);
+}
+
+/// Members of the wrong type throw inside the JSON library.
+template <class Result, class Function>
+absl::StatusOr<Result> decoded(std::string_view text, Function function) {
+    try {
+        const json document = json::parse(text);
+        return function(document);
+    } catch (const json::exception& error) {
+        return malformed(error.what());
+    }
+}
+
+/// Members with the value that an absent one stands for are left out, since rows are paid for.
+template <class Value>
+void put(json& document, std::string_view name, const Value& value, const Value& absent) {
+    if (value != absent) {
+        document[std::string(name)] = value;
+    }
+}
+
+json encode_step(const workflow_step& step) {
+    const workflow_step absent;
+    json document = {{"n", step.tasks}};
+    put(document, "cpu", step.size.millicores, absent.size.millicores);
+    put(document, "mem", step.size.memory_mb, absent.size.memory_mb);
+    put(document, "acc", step.size.accelerators, absent.size.accelerators);
+    put(document, "est", step.estimate.count(), absent.estimate.count());
+    put(document, "after", step.after, absent.after);
+    put(document, "label", step.required_label, absent.required_label);
+    put(document, "rack", step.data_rack, absent.data_rack);
+    put(document, "apart", step.most_per_server, absent.most_per_server);
+    put(document, "miss", step.may_miss, absent.may_miss);
+    put(document, "image", step.image, absent.image);
+    put(document, "target", step.response_target.count(), absent.response_target.count());
+    put(document, "ckpt", step.checkpointing, false);
+    put(document, "gang", step.gang, false);
+    put(document, "onerack", step.same_rack, false);
+    put(document, "spec", step.speculative, false);
+    put(document, "long", step.long_running, false);
+    put(document, "fills", step.fills, false);
+    return document;
+}
+
+workflow_step decode_step(const json& document) {
+    workflow_step step;
+    step.tasks = document.at("n");
+    step.size = {document.value("cpu", std::int64_t{0}), document.value("mem", std::int64_t{0}),
+                 document.value("acc", std::int64_t{0})};
+    step.estimate = milliseconds(document.value("est", std::int64_t{0}));
+    step.after = document.value("after", step.after);
+    step.required_label = document.value("label", "");
+    step.data_rack = document.value("rack", "");
+    step.most_per_server = document.value("apart", 0U);
+    step.may_miss = document.value("miss", 0U);
+    step.image = document.value("image", "");
+    step.response_target = milliseconds(document.value("target", std::int64_t{0}));
+    step.checkpointing = document.value("ckpt", false);
+    step.gang = document.value("gang", false);
+    step.same_rack = document.value("onerack", false);
+    step.speculative = document.value("spec", false);
+    step.long_running = document.value("long", false);
+    step.fills = document.value("fills", false);
+    return step;
+}
+
+/// Four tasks a character, so that a step of 32 tasks takes 8 characters.
+std::string encode_bits(const std::vector<bool>& bits) {
+    constexpr std::string_view digits = "0123456789abcdef";
+    constexpr std::size_t bits_per_digit = 4;
+    std::string text((bits.size() + bits_per_digit - 1) / bits_per_digit, '0');
+    for (std::size_t digit = 0; digit < text.size(); ++digit) {
+        std::size_t value = 0;
+        for (std::size_t bit = 0; bit < bits_per_digit; ++bit) {
+            const std::size_t index = digit * bits_per_digit + bit;
+            value |= index < bits.size() && bits[index] ? std::size_t{1} << bit : 0;
+        }
+        text[digit] = digits[value];
+    }
+    return text;
+}
+
+std::vector<bool> decode_bits(std::string_view text) {
+    std::vector<bool> bits;
+    for (const char digit : text) {
+        const int value = digit >= 'a' ? digit - 'a' + 10 : digit - '0';
+        for (int bit = 0; bit < 4; ++bit) {
+            bits.push_back((value >> bit & 1) != 0);
+        }
+    }
+    return bits;
+}
+
+} // namespace
+
+std::string_view name_of(workflow_state state) {
+    const auto found = std::ranges::find(state_names, state, [](const auto& item) { return item.first; });
+    return found == state_names.end() ? "unknown" : found->second;
+}
+
+std::string encode_workflow(const accepted_workflow& row) {
+    json document = {{"queue", row.queue.view()},
+                     {"pool", row.pool.view()},
+                     {"at", row.accepted_unix_ms},
+                     {"text", row.spec.payload},
+                     {"steps", json::array()}};
+    put(document, "team", row.team.str(), std::string());
+    put(document, "times", row.spec.occurrences, 0U);
+    put(document, "first", row.spec.first_due_unix_ms, std::int64_t{0});
+    put(document, "every", row.spec.interval_ms, std::int64_t{0});
+    for (const workflow_step& step : row.spec.steps) {
+        document["steps"].push_back(encode_step(step));
+    }
+    return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+absl::StatusOr<accepted_workflow> decode_workflow(const job_id& job, std::string_view text) {
+    auto row = decoded<accepted_workflow>(text, [&](const json& document) {
+        accepted_workflow result;
+        result.id = job;
+        result.queue = queue_id(document.at("queue").get<std::string>());
+        result.pool = pool_id(document.at("pool").get<std::string>());
+        result.team = team_id(document.value("team", ""));
+        result.accepted_unix_ms = document.at("at");
+        result.spec.payload = document.at("text");
+        result.spec.occurrences = document.value("times", 0U);
+        result.spec.first_due_unix_ms = document.value("first", std::int64_t{0});
+        result.spec.interval_ms = document.value("every", std::int64_t{0});
+        for (const json& step : document.at("steps")) {
+            result.spec.steps.push_back(decode_step(step));
+        }
+        return result;
+    });
+    if (row.ok() && !well_formed(row->spec)) {
+        return malformed("a step has no tasks or depends on a later one");
+    }
+    return row;
+}
+
+std::string encode_progress(const workflow_progress& progress) {
+    json document = {{"state", name_of(progress.state)}};
+    for (const step_progress& step : progress.steps) {
+        document["done"].push_back({step.occurrence, step.step, encode_bits(step.done)});
+    }
+    for (const task_failures& task : progress.failures) {
+        document["failed"].push_back(
+            {task.occurrence, task.step, task.index, task.failures, task.last_run});
+    }
+    return document.dump();
+}
+
+absl::StatusOr<workflow_progress> decode_progress(std::string_view text) {
+    return decoded<workflow_progress>(text, [](const json& document) {
+        workflow_progress progress;
+        const std::string state = document.at("state");
+        const auto found =
+            std::ranges::find(state_names, std::string_view(state), [](const auto& item) { return item.second; });
+        if (found != state_names.end()) {
+            progress.state = found->first;
+        }
+        for (const json& item : document.value("done", json::array())) {
+            progress.steps.push_back({item.at(0), item.at(1),
+                                      decode_bits(item.at(2).get_ref<const std::string&>())});
+        }
+        for (const json& item : document.value("failed", json::array())) {
+            progress.failures.push_back(
+                {item.at(0), item.at(1), item.at(2), item.at(3), item.at(4)});
+        }
+        return progress;
+    });
+}
+
+std::string encode_owner(const owner_row& row) {
+    return json{{"node", row.node.view()},
+                {"incarnation", row.incarnation},
+                {"released", row.released}}
+        .dump();
+}
+
+absl::StatusOr<owner_row> decode_owner(std::string_view text) {
+    return decoded<owner_row>(text, [](const json& document) {
+        owner_row row;
+        row.node = node_id(document.at("node").get<std::string>());
+        row.incarnation = document.at("incarnation");
+        row.released = document.at("released");
+        return row;
+    });
+}
+
+std::string encode_waiting(const std::map<queue_id, std::uint64_t>& counts) {
+    json document = json::object();
+    for (const auto& [queue, count] : counts) {
+        document[queue.str()] = count;
+    }
+    return document.dump();
+}
+
+absl::StatusOr<std::map<queue_id, std::uint64_t>> decode_waiting(std::string_view text) {
+    return decoded<std::map<queue_id, std::uint64_t>>(text, [](const json& document) {
+        std::map<queue_id, std::uint64_t> counts;
+        for (const auto& [queue, count] : document.items()) {
+            counts.emplace(queue_id(queue), count.get<std::uint64_t>());
+        }
+        return counts;
+    });
+}
+
+} // namespace citronford
--- /dev/null
+++ b/src/io/workflow_codec.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "citronford/ownership.h"
+#include "citronford/queue_catalog.h"
+#include "citronford/workflow.h"
+#include "citronford/workflow_progress.h"
+
+#include <absl/status/statusor.h>
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace citronford {
+
+// JSON of the scheduler's own rows. Decoding fails with `malformed_body`.
+
+std::string encode_workflow(const accepted_workflow& row);
+/// The identifier of the job is in the key of its row.
+absl::StatusOr<accepted_workflow> decode_workflow(const job_id& job, std::string_view text);
+
+std::string encode_progress(const workflow_progress& progress);
+absl::StatusOr<workflow_progress> decode_progress(std::string_view text);
+
+std::string encode_owner(const owner_row& row);
+absl::StatusOr<owner_row> decode_owner(std::string_view text);
+
+std::string encode_waiting(const std::map<queue_id, std::uint64_t>& counts);
+absl::StatusOr<std::map<queue_id, std::uint64_t>> decode_waiting(std::string_view text);
+
+std::string_view name_of(workflow_state state);
+
+} // namespace citronford
--- /dev/null
+++ b/src/node/fleet/dispatch_driver.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "citronford/backend_link.h"
+#include "citronford/dispatcher.h"
+#include "citronford/fleet_rows.h"
+#include "citronford/table_service.h"
+#include "citronford/timer_service.h"
+#include "node/fleet/progress_writer.h"
+#include "node/fleet/table_follower.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace citronford {
+
+struct dispatch_links {
+    timer_service& timers;
+    table_service& table;
+    backend_link& backends;
+    const fleet_rows& rows;
+};
+
+/// Until when the owner may act.
+struct owner_authority {
+    instant takes_work_until{}; ///< Takes in workflows that are new to it.
+    instant acts_until{};       ///< Gives orders to backend servers.
+};
+
+/// Runs one dispatcher from the beginning of an ownership to its end: loads what the store knows,
+/// follows the changes, and performs the effects.
+class dispatch_driver {
+  public:
+    struct callbacks {
+        std::function<owner_authority()> authority;
+        std::function<std::int64_t()> unix_ms; ///< Time of day.
+        std::function<void()> superseded;      ///< Another owner has taken over.
+    };
+
+    static absl::StatusOr<std::unique_ptr<dispatch_driver>>
+    create(const dispatcher::charts& life_cycles, const dispatch_options& options,
+           dispatch_links links, callbacks on);
+
+    dispatch_driver(const dispatch_driver&) = delete;
+    dispatch_driver& operator=(const dispatch_driver&) = delete;
+    dispatch_driver(dispatch_driver&&) = delete;
+    dispatch_driver& operator=(dispatch_driver&&) = delete;
+    ~dispatch_driver() = default;
+
+    void start();
+
+    void apply(std::shared_ptr<const queue_catalog> catalog);
+    void apply(const operator_orders& orders);
+    void close(std::vector<backend_id> backends);
+
+    [[nodiscard]] const dispatcher& state() const { return *decisions_; }
+
+  private:
+    dispatch_driver(std::unique_ptr<dispatcher> decisions, const dispatch_options& options,
+                    dispatch_links links, callbacks on);
+
+    void handle(const dispatch_input& input);
+    void perform(const send_start& effect);
+    void perform(const send_stop& effect);
+    void perform(const send_look& effect);
+    void perform(const save_progress& effect);
+    void perform(const fenced_out& effect);
+    void perform(const dispatch_note& effect);
+
+    void tick(instant now);
+    void load_progress();
+    void take_progress(const absl::StatusOr<table_scan>& result);
+    void take_work(std::span<const table_row> rows, bool stored_before);
+    void take_work_row(const table_row& row, bool stored_before);
+    void take_backends(std::span<const table_row> rows);
+    void take_backend_row(const table_row& row);
+    void show_waiting(instant now);
+    void release_ended_rows(instant now);
+
+    std::unique_ptr<dispatcher> decisions_;
+    dispatch_options options_;
+    dispatch_links links_;
+    callbacks on_;
+    progress_writer progress_;
+    table_follower work_;
+    table_follower backends_;
+    timer_subscription ticks_;
+    std::map<job_id, workflow_progress> saved_; ///< Read at the start, until the rows are matched.
+    std::vector<table_row> postponed_;          ///< New work that came while the lease was over.
+    std::set<backend_id> listed_;
+    std::vector<job_id> ended_rows_; ///< Whose work rows are no longer needed.
+    bool releasing_rows_ = false;
+    instant released_at_{};
+    std::string shown_waiting_;
+    instant shown_at_{};
+    bool showing_ = false;
+    bool over_ = false;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+} // namespace citronford
--- /dev/null
+++ b/src/node/fleet/fleet_node.cpp
@@ -0,0 +1,233 @@
+#include "node/fleet/fleet_node.h"
+
+#include "citronford/result_code.h"
+#include "io/digest.h"
+#include "io/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronford {
+namespace {
+
+constexpr duration stop_tick_period = milliseconds(20);
+
+/// From the failed readiness until the load balancer sends nothing more: it asks once a second and
+/// acts after two failures.
+constexpr duration balancer_delay = milliseconds(2300);
+
+/// Kept free between the last answer and the end of the process by force.
+constexpr duration stop_margin = milliseconds(700);
+
+/// The wait of a vacant owner's successor, for a VM with a whole processor and for the smallest.
+constexpr duration longest_claim_delay = milliseconds(300);
+
+ownership_options options_of(const fleet_settings& own) {
+    ownership_options options;
+    options.node = own.node;
+    constexpr std::size_t incarnation_bytes = 8;
+    options.incarnation = random_hex(incarnation_bytes);
+    constexpr std::int64_t whole = 1000;
+    const std::int64_t share = std::min(own.processors_permille, whole);
+    // Nodes of one size are spread, so that they do not claim at the same moment.
+    const auto spread = static_cast<std::int64_t>(std::hash<std::string_view>{}(options.incarnation) % 100);
+    options.claim_delay = longest_claim_delay * (whole - share) / whole + milliseconds(spread);
+    return options;
+}
+
+absl::StatusOr<chart> load_chart(const fleet_settings& own, std::string_view name) {
+    return chart::load(own.charts + "/" + std::string(name) + ".scxml");
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<fleet_node>>
+fleet_node::create(const fleet_settings& own, fleet_links links, fleet_process process) {
+    constexpr std::string_view names[] = {"workflow", "task_run",   "backend_contact",
+                                          "drain",    "ownership", "submission"};
+    std::map<std::string_view, chart> charts;
+    for (const std::string_view name : names) {
+        auto loaded = load_chart(own, name);
+        if (!loaded.ok()) {
+            return loaded.status();
+        }
+        charts.emplace(name, *std::move(loaded));
+    }
+    const duration stop_time = own.stop_grace - balancer_delay - stop_margin;
+    auto stop = drain::create(charts.at("drain"), {balancer_delay, stop_time});
+    if (!stop.ok()) {
+        return stop.status();
+    }
+    const ownership_options options = options_of(own);
+    auto owner = ownership::create(charts.at("ownership"), options);
+    if (!owner.ok()) {
+        return owner.status();
+    }
+    auto desk = submission_desk::create(charts.at("submission"));
+    if (!desk.ok()) {
+        return desk.status();
+    }
+    return std::unique_ptr<fleet_node>(new fleet_node(
+        own, std::move(links), std::move(process),
+        {charts.at("workflow"), charts.at("task_run"), charts.at("backend_contact")},
+        *std::move(stop), *std::move(owner), options, *std::move(desk)));
+}
+
+fleet_node::fleet_node(const fleet_settings& own, fleet_links links, fleet_process process,
+                       life_cycles charts, drain stop, ownership owner,
+                       const ownership_options& options, submission_desk desk)
+    : own_(own), links_(std::move(links)), process_(std::move(process)),
+      charts_(std::move(charts)), table_(links_.table, links_.timers), stop_(std::move(stop)),
+      owner_(std::move(owner), options, table_, links_.timers,
+             {[this](fencing_token token) { begin_dispatching(token); },
+              [this] { end_dispatching(); }, [this] { owner_left_ = true; }}),
+      orders_follower_(
+          table_, links_.timers,
+          {{std::string(links_.rows.orders_prefix())}, std::string(links_.rows.orders_prefix()),
+           milliseconds(2000), duration::zero()},
+          [this](std::span<const table_row> rows) { take_orders(rows, true); },
+          [this](std::span<const table_row> rows) { take_orders(rows, false); }),
+      callers_(std::move(desk), table_, links_.timers) {}
+
+void fleet_node::start() {
+    owner_.start();
+    orders_follower_.start();
+    callers_.start();
+}
+
+bool fleet_node::ready() const {
+    // Three calls in a row is more than one lost answer.
+    constexpr int out_after = 3;
+    return catalog_ != nullptr && stop_.ready() && table_.failures_in_row() < out_after;
+}
+
+void fleet_node::begin_dispatching(fencing_token token) {
+    dispatch_options options;
+    options.token = token;
+    options.lease = std::min<duration>(options.lease, own_.longest_backend_lease);
+    options.longest_lease = own_.longest_backend_lease;
+    options.stop_time = own_.backend_stop_time;
+    // Registrations that lapsed while the table was away are back within two seconds; a failure of
+    // the last seconds may have been such an outage.
+    constexpr duration outage_memory = seconds(6);
+    constexpr duration registration_time = milliseconds(2300);
+    if (links_.timers.now() - outage_memory < table_.last_failure_at()) {
+        options.listing_delay = registration_time;
+    }
+    auto created = dispatch_driver::create(
+        {charts_.workflow, charts_.task_run, charts_.backend_contact}, options,
+        {links_.timers, table_, links_.backends, links_.rows},
+        {[this] {
+             return owner_authority{owner_.state().lease_until(), owner_.state().authority_until()};
+         },
+         links_.unix_ms, [this] { owner_.fenced_out(); }});
+    if (!created.ok()) {
+        log_event(log_level::error, "dispatcher_failed",
+                  {{"reason", message_of(created.status())}});
+        return;
+    }
+    dispatch_ = *std::move(created);
+    if (catalog_) {
+        dispatch_->apply(catalog_);
+    }
+    dispatch_->apply(orders_);
+    dispatch_->start();
+}
+
+void fleet_node::end_dispatching() {
+    if (!dispatch_) {
+        return;
+    }
+    // The end may be found out within a call of the driver.
+    const std::shared_ptr<dispatch_driver> ended(std::move(dispatch_));
+    links_.timers.once(duration::zero(), [ended](instant) {});
+}
+
+void fleet_node::take_orders(std::span<const table_row> rows, bool is_snapshot) {
+    if (is_snapshot) {
+        orders_.removed_zones.clear();
+        waves_.clear();
+    }
+    for (const table_row& row : rows) {
+        take_order(row);
+    }
+    if (dispatch_) {
+        dispatch_->apply(orders_);
+    }
+}
+
+void fleet_node::take_order(const table_row& row) {
+    auto order = links_.rows.order_of(row);
+    if (!order.ok()) {
+        log_event(log_level::error, "row_unreadable",
+                  {{"key", row.key}, {"reason", message_of(order.status())}});
+        return;
+    }
+    std::visit([this](const auto& item) { apply(item); }, *order);
+}
+
+void fleet_node::apply(const std::shared_ptr<const queue_catalog>& catalog) {
+    // A version never reverts within the life of a process.
+    if (catalog_ && catalog->version() <= catalog_->version()) {
+        return;
+    }
+    log_event(log_level::info, "catalog_applied",
+              {{"version", catalog->version()},
+               {"queues", static_cast<std::int64_t>(catalog->queues().size())}});
+    catalog_ = catalog;
+    if (dispatch_) {
+        dispatch_->apply(catalog_);
+    }
+}
+
+void fleet_node::apply(const zone_removal& order) {
+    log_event(log_level::info, order.removed ? "zone_removed" : "zone_taken_back",
+              {{"zone", order.zone.view()}});
+    if (order.removed) {
+        orders_.removed_zones.insert(order.zone);
+    } else {
+        orders_.removed_zones.erase(order.zone);
+    }
+}
+
+void fleet_node::apply(const wave_order& order) {
+    log_event(log_level::info, "wave_ordered",
+              {{"wave", order.number},
+               {"vms", static_cast<std::int64_t>(order.vms.size())},
+               {"time_ms", to_ms(order.time)},
+               {"most_at_once", static_cast<std::int64_t>(order.most_at_once)}});
+    waves_.insert_or_assign(order.number, order);
+}
+
+void fleet_node::apply(const wave_withdrawn& order) {
+    waves_.erase(order.number);
+}
+
+void fleet_node::request_stop() {
+    log_event(log_level::info, "stop_requested",
+              {{"open_requests", static_cast<std::int64_t>(process_.open_requests())}});
+    stop_.handle(stop_requested{}, links_.timers.now());
+    owner_.request_stop();
+    stop_ticks_ = links_.timers.every(stop_tick_period, [this](instant) { tick_stop(); });
+}
+
+void fleet_node::tick_stop() {
+    const std::size_t handovers = owner_left_ ? 0 : 1;
+    for (const drain_effect& effect :
+         stop_.handle(drain_tick{process_.open_requests(), handovers}, links_.timers.now())) {
+        std::visit([this](const auto& item) { perform(item); }, effect);
+    }
+}
+
+void fleet_node::perform(const stop_listening& /*effect*/) {
+    process_.stop_listening();
+}
+
+void fleet_node::perform(const hand_over& /*effect*/) {}
+
+void fleet_node::perform(const leave& /*effect*/) {
+    stop_ticks_.cancel();
+    process_.leave();
+}
+
+} // namespace citronford
--- /dev/null
+++ b/src/node/fleet/fleet_node.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "citronford/backend_link.h"
+#include "citronford/drain.h"
+#include "citronford/fleet_rows.h"
+#include "citronford/fleet_settings.h"
+#include "citronford/queue_catalog.h"
+#include "citronford/vm_fleet.h"
+#include "node/fleet/dispatch_driver.h"
+#include "node/fleet/observed_table.h"
+#include "node/fleet/ownership_driver.h"
+#include "node/fleet/workflow_service.h"
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace citronford {
+
+/// The interfaces that a node of the scheduler performs its effects through.
+struct fleet_links {
+    timer_service& timers;
+    table_service& table;
+    backend_link& backends;
+    vm_fleet& vms;
+    const fleet_rows& rows;
+    std::function<std::int64_t()> unix_ms; ///< Time of day.
+};
+
+/// What a node asks of its process.
+struct fleet_process {
+    std::function<std::size_t()> open_requests; ///< Received and not answered.
+    std::function<void()> stop_listening;
+    std::function<void()> leave;
+};
+
+/// One entry VM of the scheduler: serves callers, follows the operators, and owns the scheduler
+/// while it holds the lease.
+class fleet_node {
+  public:
+    static absl::StatusOr<std::unique_ptr<fleet_node>>
+    create(const fleet_settings& own, fleet_links links, fleet_process process);
+
+    fleet_node(const fleet_node&) = delete;
+    fleet_node& operator=(const fleet_node&) = delete;
+    fleet_node(fleet_node&&) = delete;
+    fleet_node& operator=(fleet_node&&) = delete;
+    ~fleet_node() = default;
+
+    void start();
+
+    /// Begins a planned stop.
+    void request_stop();
+
+    /// Whether the load balancer should send requests here.
+    [[nodiscard]] bool ready() const;
+
+    /// Null until the first configuration has been read.
+    [[nodiscard]] const queue_catalog* catalog() const { return catalog_.get(); }
+
+    [[nodiscard]] workflow_service& callers() { return callers_; }
+    [[nodiscard]] const observed_table& table() const { return table_; }
+    [[nodiscard]] const ownership_driver& owner() const { return owner_; }
+
+    /// Null while another node owns the scheduler.
+    [[nodiscard]] const dispatch_driver* dispatching() const { return dispatch_.get(); }
+
+  private:
+    struct life_cycles {
+        chart workflow;
+        chart task_run;
+        chart backend_contact;
+    };
+
+    fleet_node(const fleet_settings& own, fleet_links links, fleet_process process,
+               life_cycles charts, drain stop, ownership owner, const ownership_options& options,
+               submission_desk desk);
+
+    void begin_dispatching(fencing_token token);
+    void end_dispatching();
+    void take_orders(std::span<const table_row> rows, bool is_snapshot);
+    void take_order(const table_row& row);
+    void apply(const std::shared_ptr<const queue_catalog>& catalog);
+    void apply(const zone_removal& order);
+    void apply(const wave_order& order);
+    void apply(const wave_withdrawn& order);
+    void apply(const order_ignored& /*order*/) {}
+    void tick_stop();
+    void perform(const stop_listening& effect);
+    void perform(const hand_over& effect);
+    void perform(const leave& effect);
+
+    fleet_settings own_;
+    fleet_links links_;
+    fleet_process process_;
+    life_cycles charts_;
+    observed_table table_;
+    drain stop_;
+    timer_subscription stop_ticks_;
+    ownership_driver owner_;
+    table_follower orders_follower_;
+    workflow_service callers_;
+    std::shared_ptr<const queue_catalog> catalog_;
+    operator_orders orders_;
+    std::map<wave_number, wave_order> waves_;
+    std::unique_ptr<dispatch_driver> dispatch_;
+    bool owner_left_ = false;
+};
+
+} // namespace citronford
--- /dev/null
+++ b/src/node/fleet/ownership_driver.cpp
@@ -0,0 +1,143 @@
+#include "node/fleet/ownership_driver.h"
+
+#include "citronford/result_code.h"
+#include "citronford/workflow_rows.h"
+#include "io/log.h"
+#include "io/workflow_codec.h"
+
+#include <array>
+#include <utility>
+
+namespace citronford {
+namespace {
+
+constexpr duration tick_period = milliseconds(50);
+
+rows_observed observed(const table_scan& scan) {
+    rows_observed rows;
+    for (const table_row& row : scan.rows) {
+        if (row.key == renewal_row_key) {
+            rows.renewal_version = row.version;
+        } else if (row.key == owner_row_key && row.value) {
+            rows.owner_version = row.version;
+            auto owner = decode_owner(*row.value);
+            if (owner.ok()) {
+                rows.owner = *std::move(owner);
+            } else {
+                log_event(log_level::error, "row_unreadable",
+                          {{"key", row.key}, {"reason", message_of(owner.status())}});
+            }
+        }
+    }
+    return rows;
+}
+
+} // namespace
+
+ownership_driver::ownership_driver(ownership decisions, ownership_options options,
+                                   table_service& table, timer_service& timers, handlers on)
+    : decisions_(std::move(decisions)), options_(std::move(options)), table_(table),
+      timers_(timers), on_(std::move(on)) {}
+
+void ownership_driver::start() {
+    ticks_ = timers_.every(tick_period, [this](instant now) { tick(now); });
+    read_rows();
+}
+
+void ownership_driver::request_stop() {
+    handle(ownership_stop{});
+}
+
+void ownership_driver::fenced_out() {
+    handle(renewal_conflict{});
+}
+
+void ownership_driver::tick(instant now) {
+    handle(ownership_tick{});
+    if (!decisions_.owning() && !reading_ && now >= read_at_ + decisions_.read_period(now)) {
+        read_rows();
+    }
+}
+
+void ownership_driver::read_rows() {
+    reading_ = true;
+    read_at_ = timers_.now();
+    table_.scan(owner_rows_prefix, 0, [this](const absl::StatusOr<table_scan>& result) {
+        reading_ = false;
+        // While an own write is under way, its answer tells more than the rows before it.
+        if (result.ok() && !writing_) {
+            handle(observed(*result));
+        }
+    });
+}
+
+void ownership_driver::handle(const ownership_input& input) {
+    for (const ownership_effect& effect : decisions_.handle(input, timers_.now())) {
+        std::visit([this](const auto& item) { perform(item); }, effect);
+    }
+}
+
+table_write ownership_driver::owner_write(bool released) const {
+    return {std::string(owner_row_key),
+            encode_owner({options_.node, options_.incarnation, released})};
+}
+
+void ownership_driver::perform(const write_claim& effect) {
+    const std::array checks = {table_check{std::string(owner_row_key), effect.expected}};
+    const std::array writes = {owner_write(false)};
+    writing_ = true;
+    table_.commit(checks, writes, [this](const absl::StatusOr<table_commit>& result) {
+        writing_ = false;
+        if (result.ok() && result->committed) {
+            handle(claim_committed{result->version});
+        } else if (!result.ok() && code_of(result.status()) == result_code::commit_in_doubt) {
+            handle(claim_in_doubt{});
+        } else {
+            handle(claim_refused{});
+        }
+    });
+}
+
+void ownership_driver::perform(const write_renewal& effect) {
+    const std::array checks = {table_check{std::string(owner_row_key), effect.token}};
+    const std::array writes = {table_write{std::string(renewal_row_key), "renewed"}};
+    table_.commit(checks, writes,
+                  [this, sent_at = timers_.now()](const absl::StatusOr<table_commit>& result) {
+                      if (!result.ok()) {
+                          return;
+                      }
+                      if (result->committed) {
+                          handle(renewal_committed{sent_at});
+                      } else {
+                          handle(renewal_conflict{});
+                      }
+                  });
+}
+
+void ownership_driver::perform(const write_release& effect) {
+    const std::array checks = {table_check{std::string(owner_row_key), effect.token}};
+    const std::array writes = {owner_write(true)};
+    table_.commit(checks, writes, [this](const absl::StatusOr<table_commit>& result) {
+        log_event(log_level::info, "ownership_released",
+                  {{"written", result.ok() && result->committed ? "yes" : "no"}});
+        handle(release_ended{});
+    });
+}
+
+void ownership_driver::perform(const ownership_begun& effect) {
+    log_event(log_level::info, "ownership_begun",
+              {{"token", static_cast<std::int64_t>(effect.token)}});
+    on_.begun(effect.token);
+}
+
+void ownership_driver::perform(const ownership_over& /*effect*/) {
+    log_event(log_level::warning, "ownership_over", {{"state", decisions_.state()}});
+    on_.over();
+}
+
+void ownership_driver::perform(const ownership_left& /*effect*/) {
+    ticks_.cancel();
+    on_.left();
+}
+
+} // namespace citronford
--- /dev/null
+++ b/src/node/fleet/ownership_driver.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "citronford/ownership.h"
+#include "citronford/table_service.h"
+#include "citronford/timer_service.h"
+
+#include <functional>
+#include <memory>
+
+namespace citronford {
+
+/// Performs the effects of `ownership` on the platform's table.
+class ownership_driver {
+  public:
+    struct handlers {
+        std::function<void(fencing_token)> begun;
+        std::function<void()> over;
+        std::function<void()> left; ///< After a planned stop.
+    };
+
+    ownership_driver(ownership decisions, ownership_options options, table_service& table,
+                     timer_service& timers, handlers on);
+
+    void start();
+    void request_stop();
+
+    /// Another node has shown a higher token.
+    void fenced_out();
+
+    [[nodiscard]] const ownership& state() const { return decisions_; }
+
+  private:
+    void handle(const ownership_input& input);
+    void perform(const write_claim& effect);
+    void perform(const write_renewal& effect);
+    void perform(const write_release& effect);
+    void perform(const ownership_begun& effect);
+    void perform(const ownership_over& effect);
+    void perform(const ownership_left& effect);
+
+    void tick(instant now);
+    void read_rows();
+    [[nodiscard]] table_write owner_write(bool released) const;
+
+    ownership decisions_;
+    ownership_options options_;
+    table_service& table_;
+    timer_service& timers_;
+    handlers on_;
+    timer_subscription ticks_;
+    bool reading_ = false;
+    bool writing_ = false;
+    instant read_at_ = instant::min();
+};
+
+} // namespace citronford
--- /dev/null
+++ b/src/node/fleet/progress_writer.cpp
@@ -0,0 +1,99 @@
+#include "node/fleet/progress_writer.h"
+
+#include "citronford/result_code.h"
+#include "citronford/workflow_rows.h"
+#include "io/log.h"
+#include "io/workflow_codec.h"
+
+#include <array>
+#include <utility>
+
+namespace citronford {
+namespace {
+
+/// Before a write that the table refused or did not answer is sent again.
+constexpr duration retry_pause = milliseconds(150);
+
+} // namespace
+
+progress_writer::progress_writer(table_service& table, timer_service& timers, fencing_token token,
+                                 std::function<void()> superseded)
+    : table_(table), timers_(timers), token_(token), superseded_(std::move(superseded)) {}
+
+std::string progress_writer::fence_value() const {
+    return std::to_string(token_) + ' ' + std::to_string(sequence_);
+}
+
+void progress_writer::later(void (progress_writer::*next)()) {
+    pending_ = timers_.after(retry_pause, [this, next](instant) { (this->*next)(); });
+}
+
+void progress_writer::take_fence(std::function<void()> done) {
+    done_ = std::move(done);
+    writes_.clear();
+    read_fence();
+}
+
+void progress_writer::read_fence() {
+    table_.scan(progress_fence_key, 0,
+                [this, alive = std::weak_ptr(alive_)](const absl::StatusOr<table_scan>& result) {
+                    if (alive.expired()) {
+                        return;
+                    }
+                    if (!result.ok()) {
+                        later(&progress_writer::read_fence);
+                        return;
+                    }
+                    fence_ = result->rows.empty() ? absent_row : result->rows.front().version;
+                    send();
+                });
+}
+
+void progress_writer::write(std::span<const progress_row> rows, std::function<void()> done) {
+    done_ = std::move(done);
+    ++sequence_;
+    writes_.clear();
+    for (const progress_row& row : rows) {
+        writes_.push_back({progress_row_key(row.job), encode_progress(row.progress)});
+    }
+    send();
+}
+
+void progress_writer::send() {
+    const std::array checks = {table_check{std::string(progress_fence_key), fence_}};
+    std::vector<table_write> writes = writes_;
+    writes.push_back({std::string(progress_fence_key), fence_value()});
+    table_.commit(
+        checks, writes,
+        [this, alive = std::weak_ptr(alive_)](const absl::StatusOr<table_commit>& result) {
+            if (!alive.expired()) {
+                take_result(result);
+            }
+        });
+}
+
+void progress_writer::take_result(const absl::StatusOr<table_commit>& result) {
+    if (!result.ok()) {
+        later(&progress_writer::send);
+        return;
+    }
+    if (result->committed) {
+        fence_ = result->version;
+        std::exchange(done_, nullptr)();
+        return;
+    }
+    for (const table_row& row : result->conflicts) {
+        // An earlier sending of the same write, whose answer was lost, was carried out.
+        if (row.key == progress_fence_key && row.value == fence_value()) {
+            fence_ = row.version;
+            std::exchange(done_, nullptr)();
+            return;
+        }
+    }
+    log_event(log_level::warning, "progress_superseded",
+              {{"token", static_cast<std::int64_t>(token_)},
+               {"expected", static_cast<std::int64_t>(fence_)}});
+    superseded_();
+}
+
+} // namespace citronford
--- /dev/null
+++ b/src/node/fleet/progress_writer.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "citronford/backend_link.h"
+#include "citronford/dispatcher.h"
+#include "citronford/table_service.h"
+#include "citronford/timer_service.h"
+
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace citronford {
+
+/// Writes the progress of workflows for one ownership. Each write changes the fence row and requires
+/// it as the writer left it, so that neither an earlier owner nor a delayed write of this one can
+/// overwrite newer progress.
+class progress_writer {
+  public:
+    /// Called once the fence is taken, or with an error when another owner holds it.
+    using fence_callback = std::function<void(absl::Status)>;
+
+    progress_writer(table_service& table, timer_service& timers, fencing_token token,
+                    std::function<void()> superseded);
+
+    /// Takes the fence from the earlier owner; repeats until the table answers.
+    void take_fence(std::function<void()> done);
+
+    /// Writes the rows; repeats until the table has them. One call at a time.
+    void write(std::span<const progress_row> rows, std::function<void()> done);
+
+  private:
+    void claim_fence(table_version expected);
+    void send();
+    void take_result(const absl::StatusOr<table_commit>& result);
+    void later(void (progress_writer::*next)());
+    void read_fence();
+    [[nodiscard]] std::string fence_value() const;
+
+    table_service& table_;
+    timer_service& timers_;
+    fencing_token token_;
+    std::function<void()> superseded_;
+    table_version fence_ = absent_row;
+    std::uint64_t sequence_ = 0; ///< Of the write under way.
+    std::vector<table_write> writes_;
+    std::function<void()> done_;
+    timer_subscription pending_;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+} // namespace citronford
--- /dev/null
+++ b/src/node/fleet/table_follower.cpp
@@ -0,0 +1,82 @@
+#include "node/fleet/table_follower.h"
+
+#include "citronford/result_code.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronford {
+namespace {
+
+/// Before a read that failed is sent again.
+constexpr duration retry_pause = milliseconds(200);
+
+} // namespace
+
+table_follower::table_follower(table_service& table, timer_service& timers, follow_options options,
+                               row_handler on_snapshot, row_handler on_change)
+    : table_(table), timers_(timers), options_(std::move(options)),
+      on_snapshot_(std::move(on_snapshot)), on_change_(std::move(on_change)) {}
+
+void table_follower::start() {
+    snapshot_.clear();
+    read_part(0);
+}
+
+void table_follower::later(duration delay, void (table_follower::*next)()) {
+    pending_ = timers_.after(delay, [this, next](instant) { (this->*next)(); });
+}
+
+void table_follower::read_part(std::size_t part) {
+    table_.scan(options_.snapshot_prefixes[part], 0,
+                [this, part, alive = std::weak_ptr(alive_)](absl::StatusOr<table_scan> result) {
+                    if (!alive.expired()) {
+                        take_part(part, std::move(result));
+                    }
+                });
+}
+
+void table_follower::take_part(std::size_t part, absl::StatusOr<table_scan> result) {
+    if (!result.ok()) {
+        later(retry_pause, &table_follower::start);
+        return;
+    }
+    // Changes of an earlier part since its read are delivered again by the watch.
+    since_ = part == 0 ? result->version : std::min(since_, result->version);
+    std::ranges::move(result->rows, std::back_inserter(snapshot_));
+    if (part + 1 < options_.snapshot_prefixes.size()) {
+        read_part(part + 1);
+        return;
+    }
+    const std::vector<table_row> rows = std::exchange(snapshot_, {});
+    on_snapshot_(rows);
+    watch();
+}
+
+void table_follower::watch() {
+    table_.watch(options_.watch_prefix, since_, options_.wait,
+                 [this, alive = std::weak_ptr(alive_)](const absl::StatusOr<table_scan>& result) {
+                     if (!alive.expired()) {
+                         take_changes(result);
+                     }
+                 });
+}
+
+void table_follower::take_changes(const absl::StatusOr<table_scan>& result) {
+    if (!result.ok()) {
+        const bool lost = code_of(result.status()) == result_code::history_lost;
+        later(lost ? duration::zero() : retry_pause,
+              lost ? &table_follower::start : &table_follower::watch);
+        return;
+    }
+    since_ = std::max(since_, result->version);
+    const std::weak_ptr alive(alive_);
+    if (!result->rows.empty()) {
+        on_change_(result->rows);
+    }
+    if (!alive.expired()) {
+        later(result->rows.empty() ? duration::zero() : options_.pause, &table_follower::watch);
+    }
+}
+
+} // namespace citronford
--- /dev/null
+++ b/src/node/fleet/workflow_service.cpp
@@ -0,0 +1,258 @@
+#include "node/fleet/workflow_service.h"
+
+#include "citronford/overloaded.h"
+#include "citronford/result_code.h"
+#include "citronford/workflow_rows.h"
+#include "io/log.h"
+#include "io/workflow_codec.h"
+
+#include <array>
+#include <utility>
+
+namespace citronford {
+namespace {
+
+constexpr duration tick_period = milliseconds(50);
+
+/// What callers are told to wait while the table does not answer. Most outages last a few seconds.
+constexpr duration outage_retry = seconds(1);
+
+/// Ended workflows whose state a node remembers.
+constexpr std::size_t most_ends = 4000;
+
+} // namespace
+
+workflow_service::workflow_service(submission_desk decisions, observed_table& table,
+                                   timer_service& timers)
+    : decisions_(std::move(decisions)), table_(table), timers_(timers) {}
+
+void workflow_service::start() {
+    ticks_ = timers_.every(tick_period, [this](instant) {
+        if (decisions_.open() > 0) {
+            handle(submission_tick{});
+        }
+    });
+}
+
+bool workflow_service::table_is_out() const {
+    constexpr int sure_after = 3;
+    return table_.failures_in_row() >= sure_after;
+}
+
+void workflow_service::submit(accepted_workflow row, duration timeout, workflow_reply reply) {
+    if (table_is_out()) {
+        log_event(log_level::info, "submission_refused",
+                  {{"job", row.id.view()}, {"reason", "the table does not answer"}});
+        reply(workflow_refused{result_code::table_unavailable, outage_retry});
+        return;
+    }
+    const std::uint64_t number = ++last_submission_;
+    ++open_;
+    callers_.emplace(number, std::move(reply));
+    const std::uint32_t part = work_part(row.id);
+    handle(workflow_submitted{static_cast<submission_id>(number), std::move(row), part,
+                              timers_.now() + timeout});
+}
+
+void workflow_service::handle(const submission_input& input) {
+    for (const submission_effect& effect : decisions_.handle(input, timers_.now())) {
+        std::visit([this](const auto& item) { perform(item); }, effect);
+    }
+}
+
+void workflow_service::perform(const write_batch& effect) {
+    std::vector<table_check> checks;
+    std::vector<table_write> writes;
+    for (const accepted_workflow* row : effect.rows) {
+        const std::string key = work_row_key(row->id);
+        checks.push_back({key, absent_row});
+        writes.push_back({key, encode_workflow(*row)});
+    }
+    table_.commit(checks, writes,
+                  [this, part = effect.part](const absl::StatusOr<table_commit>& result) {
+                      if (!result.ok()) {
+                          if (code_of(result.status()) == result_code::commit_in_doubt) {
+                              handle(batch_in_doubt{part});
+                          } else {
+                              handle(batch_refused{part});
+                          }
+                          return;
+                      }
+                      if (result->committed) {
+                          handle(batch_stored{part});
+                          return;
+                      }
+                      batch_conflict conflict{part, {}};
+                      for (const table_row& row : result->conflicts) {
+                          if (row.version != absent_row) {
+                              conflict.stored.push_back(row_name_of(row.key).job);
+                          }
+                      }
+                      handle(conflict);
+                  });
+}
+
+void workflow_service::perform(const answer_submission& effect) {
+    constexpr std::string_view names[] = {"accepted", "refused", "unknown"};
+    log_event(log_level::info, "submission_answered",
+              {{"job", effect.job.view()},
+               {"result", names[static_cast<std::size_t>(effect.result)]}});
+    auto caller = callers_.extract(static_cast<std::uint64_t>(effect.id));
+    --open_;
+    switch (effect.result) {
+    case submission_result::accepted:
+        caller.mapped()(workflow_accepted{effect.job});
+        return;
+    case submission_result::refused:
+        caller.mapped()(workflow_refused{result_code::table_unavailable, outage_retry});
+        return;
+    case submission_result::unknown:
+        caller.mapped()(workflow_in_doubt{});
+        return;
+    }
+}
+
+void workflow_service::remember_end(const job_id& job, workflow_state state) {
+    if (ends_.emplace(job, state).second) {
+        ends_in_order_.push_back(job);
+        if (ends_in_order_.size() > most_ends) {
+            ends_.erase(ends_in_order_.front());
+            ends_in_order_.pop_front();
+        }
+    }
+}
+
+void workflow_service::read_state(const job_id& job, state_callback done) {
+    const auto known = ends_.find(job);
+    if (known != ends_.end()) {
+        done(workflow_shown{known->second});
+        return;
+    }
+    table_.scan(progress_row_key(job), 0,
+                [this, job, done = std::move(done)](absl::StatusOr<table_scan> result) mutable {
+                    if (!result.ok()) {
+                        done(result.status());
+                        return;
+                    }
+                    if (result->rows.empty() || !result->rows.front().value) {
+                        read_work_row(job, std::move(done));
+                        return;
+                    }
+                    const auto progress = decode_progress(*result->rows.front().value);
+                    if (!progress.ok()) {
+                        done(progress.status());
+                        return;
+                    }
+                    if (ended(progress->state)) {
+                        remember_end(job, progress->state);
+                    }
+                    done(workflow_shown{progress->state});
+                });
+}
+
+void workflow_service::read_work_row(const job_id& job, state_callback done) {
+    table_.scan(work_row_key(job), 0,
+                [job, done = std::move(done)](absl::StatusOr<table_scan> result) {
+                    if (!result.ok()) {
+                        done(result.status());
+                        return;
+                    }
+                    for (const table_row& row : result->rows) {
+                        if (!row_name_of(row.key).is_cancel) {
+                            done(workflow_shown{workflow_state::pending});
+                            return;
+                        }
+                    }
+                    done(workflow_unknown{});
+                });
+}
+
+void workflow_service::show(const job_id& job, workflow_reply reply) {
+    ++open_;
+    read_state(job, [this, job, reply = std::move(reply)](absl::StatusOr<workflow_answer> answer) {
+        --open_;
+        if (!answer.ok()) {
+            log_event(log_level::warning, "state_unavailable",
+                      {{"job", job.view()}, {"reason", message_of(answer.status())}});
+            reply(answer_unavailable{outage_retry});
+            return;
+        }
+        reply(*answer);
+    });
+}
+
+void workflow_service::cancel(const job_id& job, workflow_reply reply) {
+    ++open_;
+    read_state(
+        job, [this, job, reply = std::move(reply)](absl::StatusOr<workflow_answer> answer) mutable {
+            if (!answer.ok()) {
+                --open_;
+                reply(answer_unavailable{outage_retry});
+                return;
+            }
+            const auto* shown = std::get_if<workflow_shown>(&*answer);
+            if (shown == nullptr) {
+                --open_;
+                reply(*answer);
+                return;
+            }
+            if (ended(shown->state)) {
+                --open_;
+                reply(workflow_cancel_stored{});
+                return;
+            }
+            constexpr int tries = 3;
+            store_cancel(job, tries, std::move(reply));
+        });
+}
+
+void workflow_service::store_cancel(const job_id& job, int tries, workflow_reply reply) {
+    const std::array writes = {table_write{cancel_row_key(job), "cancel"}};
+    table_.commit(
+        {}, writes,
+        [this, job, tries, reply = std::move(reply)](absl::StatusOr<table_commit> result) mutable {
+            if (!result.ok() && tries > 1) {
+                constexpr duration pause = milliseconds(150);
+                timers_.once(pause, [this, job, tries, reply = std::move(reply)](instant) mutable {
+                    store_cancel(job, tries - 1, std::move(reply));
+                });
+                return;
+            }
+            --open_;
+            log_event(log_level::info, "cancel_answered",
+                      {{"job", job.view()}, {"stored", result.ok() ? "yes" : "unknown"}});
+            if (result.ok()) {
+                reply(workflow_cancel_stored{});
+            } else {
+                reply(answer_unavailable{outage_retry});
+            }
+        });
+}
+
+void workflow_service::show_queue(const queue_id& queue, workflow_reply reply) {
+    ++open_;
+    table_.scan(waiting_row_key, 0,
+                [this, queue, reply = std::move(reply)](const absl::StatusOr<table_scan>& result) {
+                    --open_;
+                    if (!result.ok()) {
+                        reply(answer_unavailable{outage_retry});
+                        return;
+                    }
+                    queue_shown shown;
+                    if (!result->rows.empty() && result->rows.front().value) {
+                        const auto counts = decode_waiting(*result->rows.front().value);
+                        if (!counts.ok()) {
+                            log_event(log_level::error, "row_unreadable",
+                                      {{"key", waiting_row_key},
+                                       {"reason", message_of(counts.status())}});
+                            reply(answer_unavailable{outage_retry});
+                            return;
+                        }
+                        const auto found = counts->find(queue);
+                        shown.waiting = found == counts->end() ? 0 : found->second;
+                    }
+                    reply(shown);
+                });
+}
+
+} // namespace citronford
