--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -130,6 +130,8 @@
         view.query = path.substr(request->query_at + 1);
     }
     view.body = view_of(request->entity);
+    // h2o keeps the host apart from the other headers.
+    view.headers.emplace_back("host", view_of(request->authority));
     for (std::size_t index = 0; index < request->headers.size; ++index) {
         const h2o_header_t& header = request->headers.entries[index];
         view.headers.emplace_back(view_of(*header.name), view_of(header.value));
