--- a/include/citronford/workflow_progress.h
+++ b/include/citronford/workflow_progress.h
@@ -23,7 +23,7 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
     std::uint32_t failures = 0;
-    std::uint32_t last_run = 0; ///< Highest number of a run of the task that is known.
+    std::uint32_t last_failed_run = 0; ///< Number of the last run that is counted.
 
     friend bool operator==(const task_failures&, const task_failures&) = default;
 };
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -58,7 +58,11 @@
 }
 
 void dispatcher::implementation::take(const workflow_found& input) {
-    if (workflows_.contains(input.row.id) || ended(input.progress.state)) {
+    if (workflows_.contains(input.row.id) || past_.contains(input.row.id)) {
+        return;
+    }
+    if (ended(input.progress.state)) {
+        past_.emplace(input.row.id, now_);
         return;
     }
     auto added = std::make_unique<workflow_entry>();
@@ -155,6 +159,7 @@
          std::string(name) + " after_ms=" + std::to_string(to_ms(now_ - entry.accepted_at)) +
              " allowance_ms=" + std::to_string(to_ms(entry.allowance)));
     mark_changed(entry);
+    past_.emplace(entry.row.id, now_);
     ended_.push_back(entry.row.id);
     std::erase(scheduled_, &entry);
     pools_[entry.row.pool].open.erase(&entry);
@@ -198,6 +203,17 @@
     });
 }
 
+void dispatcher::implementation::forget_past() {
+    // The rows of ended workflows are marked as such long before.
+    constexpr duration retention = seconds(180);
+    constexpr duration period = seconds(10);
+    if (now_ < past_reviewed_at_ + period) {
+        return;
+    }
+    past_reviewed_at_ = now_;
+    std::erase_if(past_, [&](const auto& item) { return now_ >= item.second + retention; });
+}
+
 void dispatcher::implementation::save_changes() {
     if (saving_) {
         return;
@@ -293,6 +309,7 @@
     place_tasks();
     save_changes();
     send_looks();
+    forget_past();
 }
 
 std::map<queue_id, std::uint64_t> dispatcher::implementation::waiting() const {
--- a/src/decide/dispatch/dispatcher_looks.cpp
+++ b/src/decide/dispatch/dispatcher_looks.cpp
@@ -179,7 +179,7 @@
     } else if (place.slot->waits() && place.slot->unaccounted) {
         // A run of an earlier owner on a server that could not be read before.
         place.slot->last_run = std::max(place.slot->last_run, end.run);
-        apply_end(place, end.task, server, {end.how, end.checkpoint});
+        apply_end(place, end.task, end.run, server, {end.how, end.checkpoint});
     } else if (end.how == run_end::done && !place.slot->done) {
         note("end_ignored", end.task.job, server.listing.id, "run=" + std::to_string(end.run));
     }
--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -158,7 +158,7 @@
                                                std::uint32_t number, backend_entry& server,
                                                const run_outcome& outcome) {
     std::visit(overloaded{
-                   [&](const run_ended& end) { apply_end(place, key, server, end); },
+                   [&](const run_ended& end) { apply_end(place, key, number, server, end); },
                    [&](const run_not_begun&) { ++counts_.refusals; },
                    [&](const run_lost&) {
                        ++counts_.losses;
@@ -174,7 +174,8 @@
 }
 
 void dispatcher::implementation::apply_end(const task_place& place, const task_key& key,
-                                           backend_entry& server, const run_ended& end) {
+                                           std::uint32_t number, backend_entry& server,
+                                           const run_ended& end) {
     task_slot& slot = *place.slot;
     if (place.workflow->is_ended() || slot.done) {
         return;
@@ -191,7 +192,7 @@
     case run_end::failed:
         ++counts_.ends_failed;
         rate_server(server, true);
-        count_failure(place, key, server);
+        count_failure(place, key, number, server);
         break;
     case run_end::stopped:
     case run_end::lapsed:
@@ -222,10 +223,11 @@
 }
 
 void dispatcher::implementation::count_failure(const task_place& place, const task_key& key,
-                                               backend_entry& server) {
+                                               std::uint32_t number, backend_entry& server) {
     workflow_entry& entry = *place.workflow;
     task_slot& slot = *place.slot;
     ++slot.failures;
+    slot.last_failed_run = number;
     slot.failed_on = server.listing.id;
     mark_changed(entry);
     const queue_definition* queue = catalog_->queue(entry.row.queue);
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -107,6 +107,7 @@
     void close_workflow(workflow_entry& entry);
     void mark_changed(workflow_entry& entry);
     void erase_ended();
+    void forget_past();
     void save_changes();
     [[nodiscard]] task_place place_of(const task_key& key);
     void for_each_run(workflow_entry& entry, const std::function<void(task_run&)>& visit);
@@ -118,10 +119,11 @@
     void remove_run(task_run& run);
     void apply_outcome(const task_place& place, const task_key& key, std::uint32_t number,
                        backend_entry& server, const dispatch::run_outcome& outcome);
-    void apply_end(const task_place& place, const task_key& key, backend_entry& server,
-                   const dispatch::run_ended& end);
+    void apply_end(const task_place& place, const task_key& key, std::uint32_t number,
+                   backend_entry& server, const dispatch::run_ended& end);
     void complete(const task_place& place, const task_key& key);
-    void count_failure(const task_place& place, const task_key& key, backend_entry& server);
+    void count_failure(const task_place& place, const task_key& key, std::uint32_t number,
+                       backend_entry& server);
     void stop_gang(const task_place& place, std::uint32_t step);
     void order_start(task_run& run);
     void order_stop(const task_run& run);
@@ -198,7 +200,10 @@
     std::map<team_id, resources> charged_; ///< What each team may have running.
     std::map<team_id, owed_rate> owed_;
     std::vector<workflow_entry*> changed_; ///< To be saved.
-    std::vector<job_id> ended_;            ///< May be forgotten once their runs are over.
+    std::vector<job_id> ended_;            ///< May be dropped once their runs are over.
+    /// Workflows that have ended; their rows can be delivered again.
+    std::unordered_map<job_id, instant> past_;
+    instant past_reviewed_at_{};
     std::vector<workflow_entry*> scheduled_; ///< With occurrences that are not due yet.
     std::uint64_t last_run_id_ = 0;
     dispatch_counts counts_;
--- a/src/decide/dispatch/dispatcher_takeover.cpp
+++ b/src/decide/dispatch/dispatcher_takeover.cpp
@@ -93,17 +93,17 @@
             server.ends_taken = std::max(server.ends_taken, end.number);
         }
     }
-    // Failures up to the run that the saved progress names are counted there.
+    // Failures up to the run that the saved progress names are counted in it.
     std::ranges::stable_sort(ends, {}, [](const listed_end& item) { return item.end->run; });
     for (const auto& [server, end] : ends) {
         const task_place place = place_of(end->task);
         if (place.slot == nullptr || place.slot->done) {
             continue;
         }
-        const bool newer = end->run > place.slot->last_run;
+        const bool newer = end->run > place.slot->last_failed_run;
         if (place.slot->run == nullptr && newer) {
-            place.slot->last_run = end->run;
-            apply_end(place, end->task, *server, {end->how, end->checkpoint});
+            place.slot->last_run = std::max(place.slot->last_run, end->run);
+            apply_end(place, end->task, end->run, *server, {end->how, end->checkpoint});
         }
     }
 }
--- a/src/decide/dispatch/workflow_entry.cpp
+++ b/src/decide/dispatch/workflow_entry.cpp
@@ -72,7 +72,7 @@
             for (std::uint32_t index = 0; index < source.tasks.size(); ++index) {
                 const task_slot& task = source.tasks[index];
                 if (task.failures > 0 && !task.done) {
-                    saved.failures.push_back({number, step, index, task.failures, task.last_run});
+                    saved.failures.push_back({number, step, index, task.failures, task.last_failed_run});
                 }
             }
         }
@@ -103,7 +103,8 @@
                                   .steps[source.step]
                                   .tasks[source.index];
             task.failures = source.failures;
-            task.last_run = source.last_run;
+            task.last_run = source.last_failed_run;
+            task.last_failed_run = source.last_failed_run;
         }
     }
     changed = false;
--- a/src/decide/dispatch/workflow_entry.h
+++ b/src/decide/dispatch/workflow_entry.h
@@ -22,7 +22,8 @@
     /// May be running on a server whose lists were not read since the ownership began.
     bool unaccounted = false;
     std::uint32_t failures = 0;
-    std::uint32_t last_run = 0; ///< Highest number of a run that is known.
+    std::uint32_t last_run = 0;        ///< Highest number of a run that is known.
+    std::uint32_t last_failed_run = 0; ///< The last run that counts among the failures.
     task_run* run = nullptr;    ///< The run that may exist now.
     backend_id failed_on;       ///< Where its last run failed.
     std::string checkpoint;
--- a/src/io/workflow_codec.cpp
+++ b/src/io/workflow_codec.cpp
@@ -167,7 +167,7 @@
     }
     for (const task_failures& task : progress.failures) {
         document["failed"].push_back(
-            {task.occurrence, task.step, task.index, task.failures, task.last_run});
+            {task.occurrence, task.step, task.index, task.failures, task.last_failed_run});
     }
     return document.dump();
 }
--- a/src/node/fleet/dispatch_driver.cpp
+++ b/src/node/fleet/dispatch_driver.cpp
@@ -60,7 +60,8 @@
       work_(
           links.table, links.timers, work_options(),
           [this](std::span<const table_row> rows) {
-              take_work(rows, true);
+              // Rows that are read again, after changes were missed, hold work of this ownership too.
+              take_work(rows, !std::exchange(loaded_, true));
               handle(workflows_loaded{});
               saved_.clear();
           },
@@ -146,7 +147,6 @@
     const workflow_progress progress = saved == saved_.end() ? workflow_progress{} : saved->second;
     if (ended(progress.state)) {
         ended_rows_.push_back(name.job);
-        return;
     }
     log_event(log_level::info, "workflow_found",
               {{"job", name.job.view()},
--- a/src/node/fleet/dispatch_driver.h
+++ b/src/node/fleet/dispatch_driver.h
@@ -97,6 +97,7 @@
     std::string shown_waiting_;
     instant shown_at_{};
     bool showing_ = false;
+    bool loaded_ = false; ///< The work that was stored before has been taken in.
     bool over_ = false;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
