--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -51,9 +51,10 @@
 };
 /// All backend servers that were registered when the ownership began have been listed.
 struct backends_loaded {};
-/// Until when the owner may give orders.
+/// What the owner may do, by the time up to which it holds its lease.
 struct authority_extended {
-    instant until{};
+    instant lease_until{}; ///< No other node can be the owner before.
+    instant acts_until{};  ///< It may give orders to backend servers.
 };
 struct start_answered {
     run_id run{};
--- a/src/decide/dispatch/backend_entry.h
+++ b/src/decide/dispatch/backend_entry.h
@@ -37,6 +37,7 @@
     instant look_sent_at{};
     instant next_look_at{};
     bool confirmed = false;       ///< The last look succeeded, so that `ends_saved` is valid there.
+    bool has_strays = false;      ///< The last view showed runs that are not followed.
     std::uint64_t ends_taken = 0; ///< Highest number of an end that was taken in.
     std::uint64_t ends_saving = 0; ///< `ends_taken` when the save under way began.
     std::uint64_t ends_saved = 0;
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -281,7 +281,8 @@
 }
 
 void dispatcher::implementation::take(const authority_extended& input) {
-    authority_until_ = std::max(authority_until_, input.until);
+    lease_until_ = std::max(lease_until_, input.lease_until);
+    authority_until_ = std::max(authority_until_, input.acts_until);
 }
 
 void dispatcher::implementation::take(const backends_closing& input) {
--- a/src/decide/dispatch/dispatcher_looks.cpp
+++ b/src/decide/dispatch/dispatcher_looks.cpp
@@ -138,6 +138,7 @@
     for (task_run* run : server.runs) {
         run->listed = false;
     }
+    server.has_strays = false;
     for (const running_task& shown : view.running) {
         take_running(server, shown);
     }
@@ -217,7 +218,8 @@
         }
         const bool ends_open = server->ends_saved < server->ends_taken;
         const bool settled = pools_[server->listing.pool].settled;
-        const bool needed = !server->confirmed || !settled || !server->runs.empty() || ends_open;
+        const bool needed = !server->confirmed || !settled || !server->runs.empty() ||
+                            server->has_strays || ends_open;
         // While ends are being saved, a held look would return at once with the same ends.
         constexpr duration unsaved_pause = milliseconds(1000);
         const bool repeats = server->confirmed && ends_open &&
@@ -231,7 +233,8 @@
 void dispatcher::implementation::order_look(backend_entry& server) {
     constexpr duration longest_wait = milliseconds(2000);
     const bool may_wait = server.confirmed && server.ends_saved >= server.ends_taken &&
-                          pools_[server.listing.pool].settled && !server.runs.empty();
+                          pools_[server.listing.pool].settled &&
+                          (!server.runs.empty() || server.has_strays);
     look_order order;
     order.token = options_.token;
     // A life of the VM that was not seen yet numbers its ends anew.
@@ -256,7 +259,9 @@
         if (now_ >= earlier_leases_end()) {
             step_contact(*server, earlier_leases_over{});
         }
-        if (now_ >= server->lease_bound) {
+        // Once the ownership may have passed on, the next owner may have renewed the leases.
+        const instant leases_end = std::max(server->lease_bound, earlier_leases_end());
+        if (now_ >= leases_end && now_ < lease_until_) {
             step_contact(*server, own_leases_over{});
         }
         const bool unneeded = !server->listed || is(*server, "gone");
--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -114,7 +114,7 @@
     bool skipped = false;
     std::uint32_t number = 0;
     for (const task_slot& slot : state.tasks) {
-        number = std::max(number, slot.last_run + 1);
+        number = std::max(number, slot.next_run());
     }
     for (std::uint32_t index = 0; index < state.tasks.size() && complete; ++index) {
         task_slot& slot = state.tasks[index];
@@ -132,7 +132,7 @@
             break;
         }
         begun.push_back(&add_run(*item.workflow, *item.occurrence, item.step, index,
-                                 definition.gang ? number : slot.last_run + 1, *server));
+                                 definition.gang ? number : slot.next_run(), *server));
     }
     const bool partial_gang =
         definition.gang && (!complete || state.active != state.tasks.size() - state.done);
--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -270,6 +270,7 @@
 }
 
 void dispatcher::implementation::stop_stray(backend_entry& server, const running_task& shown) {
+    server.has_strays = true;
     note("stray_run_stopped", shown.task.job, server.listing.id,
          "run=" + std::to_string(shown.run));
     effects_.emplace_back(send_stop{run_id{},
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -185,6 +185,7 @@
     dispatch_options options_;
     instant begun_at_;
     instant now_;
+    instant lease_until_ = instant::min();
     instant authority_until_ = instant::min();
     std::int64_t unix_ms_ = 0;
     bool workflows_loaded_ = false;
--- a/src/decide/dispatch/dispatcher_takeover.cpp
+++ b/src/decide/dispatch/dispatcher_takeover.cpp
@@ -51,7 +51,7 @@
         }
         for (const running_task& shown : server.first_view->running) {
             const task_place place = place_of(shown.task);
-            if (place.slot == nullptr || place.slot->done) {
+            if (place.slot == nullptr || place.slot->done || place.workflow->is_ended()) {
                 stop_stray(server, shown);
                 continue;
             }
@@ -123,7 +123,7 @@
                 for (task_slot& slot : step.tasks) {
                     if (slot.waits()) {
                         slot.unaccounted = true;
-                        slot.last_run += skipped_runs;
+                        slot.reserved_runs = slot.last_run + skipped_runs;
                     }
                 }
             }
--- a/src/decide/dispatch/workflow_entry.h
+++ b/src/decide/dispatch/workflow_entry.h
@@ -3,6 +3,7 @@
 #include "citronford/chart_machine.h"
 #include "citronford/dispatcher.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -24,10 +25,13 @@
     std::uint32_t failures = 0;
     std::uint32_t last_run = 0;        ///< Highest number of a run that is known.
     std::uint32_t last_failed_run = 0; ///< The last run that counts among the failures.
+    /// Numbers up to this one may have been used by an earlier owner.
+    std::uint32_t reserved_runs = 0;
     task_run* run = nullptr;    ///< The run that may exist now.
     backend_id failed_on;       ///< Where its last run failed.
     std::string checkpoint;
 
+    [[nodiscard]] std::uint32_t next_run() const { return std::max(last_run, reserved_runs) + 1; }
     [[nodiscard]] bool waits() const { return !done && run == nullptr; }
 };
 
--- a/src/node/fleet/dispatch_driver.cpp
+++ b/src/node/fleet/dispatch_driver.cpp
@@ -76,7 +76,8 @@
           }) {}
 
 void dispatch_driver::start() {
-    handle(authority_extended{on_.authority().acts_until});
+    const owner_authority authority = on_.authority();
+    handle(authority_extended{authority.takes_work_until, authority.acts_until});
     backends_.start();
     progress_.take_fence([this] { load_progress(); });
     ticks_ = links_.timers.every(tick_period, [this](instant now) { tick(now); });
@@ -207,7 +208,7 @@
 
 void dispatch_driver::tick(instant now) {
     const owner_authority authority = on_.authority();
-    handle(authority_extended{authority.acts_until});
+    handle(authority_extended{authority.takes_work_until, authority.acts_until});
     if (!postponed_.empty() && now < authority.takes_work_until) {
         take_work(std::exchange(postponed_, {}), false);
     }
