--- a/src/decide/dispatch/dispatcher_looks.cpp
+++ b/src/decide/dispatch/dispatcher_looks.cpp
@@ -177,7 +177,7 @@
     task_run* run = place.slot->run;
     if (run != nullptr && run->server == &server && run->number == end.run) {
         step_run(*run, end_listed{&end});
-    } else if (place.slot->waits() && place.slot->unaccounted) {
+    } else if (place.slot->waits() && place.workflow->unaccounted(*place.slot)) {
         // A run of an earlier owner on a server that could not be read before.
         place.slot->last_run = std::max(place.slot->last_run, end.run);
         apply_end(place, end.task, end.run, server, {end.how, end.checkpoint});
--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -114,14 +114,14 @@
     bool skipped = false;
     std::uint32_t number = 0;
     for (const task_slot& slot : state.tasks) {
-        number = std::max(number, slot.next_run());
+        number = std::max(number, item.workflow->next_run(slot));
     }
     for (std::uint32_t index = 0; index < state.tasks.size() && complete; ++index) {
         task_slot& slot = state.tasks[index];
         if (!slot.waits()) {
             continue;
         }
-        if (slot.unaccounted && is_unresolved) {
+        if (item.workflow->unaccounted(slot) && is_unresolved) {
             skipped = true;
             complete = !definition.gang;
             continue;
@@ -132,7 +132,7 @@
             break;
         }
         begun.push_back(&add_run(*item.workflow, *item.occurrence, item.step, index,
-                                 definition.gang ? number : slot.next_run(), *server));
+                                 definition.gang ? number : item.workflow->next_run(slot), *server));
     }
     const bool partial_gang =
         definition.gang && (!complete || state.active != state.tasks.size() - state.done);
--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -107,7 +107,7 @@
     task_slot& slot = state.tasks[index];
     slot.run = &run;
     slot.last_run = number;
-    slot.unaccounted = false;
+    slot.accounted = true;
     ++state.active;
     ++entry.runs;
     if (entry.state == workflow_state::pending) {
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -153,10 +153,9 @@
 
     // Beginning of an ownership.
     void settle_pools();
-    void settle(const pool_id& name, pool_state& pool);
+    void settle(pool_state& pool);
     void adopt_running(const pool_state& pool);
     void apply_first_ends(const pool_state& pool);
-    void mark_unaccounted(const pool_id& name, pool_state& pool);
     [[nodiscard]] bool unresolved(const pool_state& pool) const;
     [[nodiscard]] instant earlier_leases_end() const;
 
--- a/src/decide/dispatch/dispatcher_takeover.cpp
+++ b/src/decide/dispatch/dispatcher_takeover.cpp
@@ -20,12 +20,12 @@
             return !is(*servers_.at(id), "unread");
         });
         if (all_read || now_ >= begun_at_ + patience) {
-            settle(name, pool);
+            settle(pool);
         }
     }
 }
 
-void dispatcher::implementation::settle(const pool_id& name, pool_state& pool) {
+void dispatcher::implementation::settle(pool_state& pool) {
     adopt_running(pool);
     apply_first_ends(pool);
     for (const backend_id& id : pool.servers) {
@@ -33,7 +33,6 @@
         server.first_view.reset();
         server.next_look_at = now_;
     }
-    mark_unaccounted(name, pool);
     pool.settled = true;
     pool.due = true;
 }
@@ -101,36 +100,14 @@
             continue;
         }
         const bool newer = end->run > place.slot->last_failed_run;
-        if (place.slot->run == nullptr && newer) {
+        // While a later run goes on, only a failure still counts.
+        if (newer && (place.slot->run == nullptr || end->how == run_end::failed)) {
             place.slot->last_run = std::max(place.slot->last_run, end->run);
             apply_end(place, end->task, end->run, *server, {end->how, end->checkpoint});
         }
     }
 }
 
-void dispatcher::implementation::mark_unaccounted(const pool_id& /*name*/, pool_state& pool) {
-    // Runs that an earlier owner has ordered and that no server shows stay below the next numbers.
-    constexpr std::uint32_t skipped_runs = 8;
-    for (workflow_entry* entry : pool.open) {
-        if (!entry->stored_before) {
-            continue;
-        }
-        for (auto& [number, occurrence] : entry->occurrences) {
-            for (step_state& step : occurrence.steps) {
-                if (!step.open) {
-                    continue;
-                }
-                for (task_slot& slot : step.tasks) {
-                    if (slot.waits()) {
-                        slot.unaccounted = true;
-                        slot.reserved_runs = slot.last_run + skipped_runs;
-                    }
-                }
-            }
-        }
-    }
-}
-
 bool dispatcher::implementation::unresolved(const pool_state& pool) const {
     if (now_ < begun_at_ + options_.listing_delay) {
         return true;
--- a/src/decide/dispatch/workflow_entry.h
+++ b/src/decide/dispatch/workflow_entry.h
@@ -20,18 +20,14 @@
 /// One task of one occurrence.
 struct task_slot {
     bool done = false;
-    /// May be running on a server whose lists were not read since the ownership began.
-    bool unaccounted = false;
+    bool accounted = false; ///< A run of it is or was known under this ownership.
     std::uint32_t failures = 0;
     std::uint32_t last_run = 0;        ///< Highest number of a run that is known.
     std::uint32_t last_failed_run = 0; ///< The last run that counts among the failures.
-    /// Numbers up to this one may have been used by an earlier owner.
-    std::uint32_t reserved_runs = 0;
     task_run* run = nullptr;    ///< The run that may exist now.
     backend_id failed_on;       ///< Where its last run failed.
     std::string checkpoint;
 
-    [[nodiscard]] std::uint32_t next_run() const { return std::max(last_run, reserved_runs) + 1; }
     [[nodiscard]] bool waits() const { return !done && run == nullptr; }
 };
 
@@ -72,6 +68,18 @@
     }
     [[nodiscard]] bool is_ended() const { return ended(state); }
 
+    /// Whether a task may have a run of an earlier owner on a server that was not read yet.
+    [[nodiscard]] bool unaccounted(const task_slot& slot) const {
+        return stored_before && !slot.accounted;
+    }
+
+    /// Number of the next run of a task. An earlier owner may have used the numbers behind the last
+    /// known one.
+    [[nodiscard]] std::uint32_t next_run(const task_slot& slot) const {
+        constexpr std::uint32_t reserved_runs = 8;
+        return slot.last_run + 1 + (unaccounted(slot) ? reserved_runs : 0);
+    }
+
     /// Adds the occurrence `number`, which is due.
     occurrence_state& begin_occurrence(std::uint32_t number, instant due_at);
 
