--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -70,9 +70,10 @@
 };
 /// The store has the progress of all workflows up to a `save_progress`.
 struct progress_saved {};
-/// Backend servers that take no new tasks because their VMs are about to be maintained or moved.
+/// Backend servers whose VMs are to be maintained or moved.
 struct backends_closing {
-    std::vector<backend_id> backends;
+    std::vector<backend_id> now;   ///< Take no new tasks and give up those that can go elsewhere.
+    std::vector<backend_id> later; ///< Long-running tasks should not be placed there.
 };
 struct dispatch_tick {
     std::int64_t unix_ms = 0; ///< Time of day, for scheduled occurrences.
@@ -132,6 +133,16 @@
     duration listing_delay{};
 };
 
+/// What runs on one backend server.
+struct backend_load {
+    backend_id backend;
+    pool_id pool;
+    resources capacity;
+    resources used;
+    std::size_t runs = 0;
+    std::size_t long_running = 0; ///< Those of them that must not simply be ended.
+};
+
 /// Numbers of a dispatcher, for figures and for the state page.
 struct dispatch_counts {
     std::size_t workflows = 0; ///< Not ended, or ended with runs that are being stopped.
@@ -170,8 +181,8 @@
     /// Workflows of each queue none of whose tasks has started.
     [[nodiscard]] std::map<queue_id, std::uint64_t> waiting() const;
 
-    /// Whether a server has no runs, so that its VM can be taken away without a loss.
-    [[nodiscard]] bool vacant(const backend_id& backend) const;
+    /// The servers that are in contact, and what runs there.
+    [[nodiscard]] std::vector<backend_load> loads() const;
 
     [[nodiscard]] dispatch_counts counts() const;
 
--- a/include/citronford/vm_fleet.h
+++ b/include/citronford/vm_fleet.h
@@ -38,7 +38,8 @@
 enum class vm_order_result {
     carried_out, ///< Also when it had been carried out before.
     busy,        ///< The VM is not up, or is leaving.
-    rejected,    ///< Fenced, not part of the wave, or no such VM or pool.
+    rejected,    ///< Not part of the wave, or no such VM or pool.
+    fenced,      ///< The platform has seen a higher token for the VM.
     not_sent,    ///< Certainly not carried out: over the rate, or unreachable.
     in_doubt,
 };
--- a/include/citronford/workflow_rows.h
+++ b/include/citronford/workflow_rows.h
@@ -17,6 +17,7 @@
 //   progress/run/{job}       its state and the tasks that are done; written by the owner only
 //   progress/run/!fence      changed by each write of progress, so that no late write is carried out
 //   shown/queues/waiting     waiting workflows of each queue
+//   waves/run/{number}       which VMs of a wave have been maintained
 
 inline constexpr std::string_view owner_row_key = "control/owner/owner";
 inline constexpr std::string_view renewal_row_key = "control/owner/renewal";
@@ -25,6 +26,7 @@
 inline constexpr std::string_view progress_rows_prefix = "progress/run/";
 inline constexpr std::string_view progress_fence_key = "progress/run/!fence";
 inline constexpr std::string_view waiting_row_key = "shown/queues/waiting";
+inline constexpr std::string_view wave_rows_prefix = "waves/run/";
 inline constexpr std::string_view ended_work_value = "ended";
 
 /// Parts of the work rows, which the table writes side by side.
--- a/src/decide/dispatch/backend_entry.h
+++ b/src/decide/dispatch/backend_entry.h
@@ -24,7 +24,8 @@
 struct backend_entry {
     backend_listing listing;
     bool listed = false; ///< Registered at present.
-    bool closing = false; ///< Its VM is about to be maintained or moved.
+    bool closing = false;       ///< Its VM is about to be maintained or moved.
+    bool closing_later = false; ///< Its VM will be maintained or moved before long.
     chart_position contact{};
     resources used; ///< By all runs that may exist on it.
     std::vector<task_run*> runs;
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -286,12 +286,16 @@
 }
 
 void dispatcher::implementation::take(const backends_closing& input) {
+    const auto names = [](const std::vector<backend_id>& all, const backend_id& id) {
+        return std::ranges::find(all, id) != all.end();
+    };
     for (auto& [id, server] : servers_) {
-        const bool closing = std::ranges::find(input.backends, id) != input.backends.end();
+        const bool closing = names(input.now, id);
         if (server->closing && !closing) {
             pools_[server->listing.pool].due = true;
         }
         server->closing = closing;
+        server->closing_later = names(input.later, id);
     }
 }
 
@@ -323,9 +327,19 @@
     return counts;
 }
 
-bool dispatcher::implementation::vacant(const backend_id& backend) const {
-    const auto found = servers_.find(backend);
-    return found != servers_.end() && found->second->runs.empty() && is(*found->second, "current");
+std::vector<backend_load> dispatcher::implementation::loads() const {
+    std::vector<backend_load> all;
+    for (const auto& [id, server] : servers_) {
+        if (!is(*server, "current")) {
+            continue;
+        }
+        const auto long_running = std::ranges::count_if(server->runs, [](const task_run* run) {
+            return run->workflow->step(run->step).long_running;
+        });
+        all.push_back({id, server->listing.pool, server->listing.capacity, server->used,
+                       server->runs.size(), static_cast<std::size_t>(long_running)});
+    }
+    return all;
 }
 
 dispatch_counts dispatcher::implementation::counts() const {
@@ -357,8 +371,8 @@
     return body_->waiting();
 }
 
-bool dispatcher::vacant(const backend_id& backend) const {
-    return body_->vacant(backend);
+std::vector<backend_load> dispatcher::loads() const {
+    return body_->loads();
 }
 
 dispatch_counts dispatcher::counts() const {
--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -174,7 +174,7 @@
         return nullptr;
     }
     backend_entry* best = nullptr;
-    std::tuple<bool, bool, std::int64_t> best_score;
+    std::tuple<bool, bool, bool, std::int64_t> best_score;
     for (backend_entry* server : servers) {
         const resources room = server->room();
         if (!room.holds(reserved) || held_back.contains(server) ||
@@ -183,7 +183,9 @@
         }
         const bool near = definition.data_rack.empty() ||
                           server->listing.has_label(definition.data_rack);
-        const std::tuple score(server->listing.id != slot.failed_on, near, room.millicores);
+        const bool stays = !definition.long_running || !server->closing_later;
+        const std::tuple score(server->listing.id != slot.failed_on, stays, near,
+                               room.millicores);
         if (best == nullptr || score > best_score) {
             best = server;
             best_score = score;
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -51,7 +51,7 @@
     std::vector<dispatch_effect> handle(const dispatch_input& input, instant now);
 
     [[nodiscard]] std::map<queue_id, std::uint64_t> waiting() const;
-    [[nodiscard]] bool vacant(const backend_id& backend) const;
+    [[nodiscard]] std::vector<backend_load> loads() const;
     [[nodiscard]] dispatch_counts counts() const;
 
   private:
--- a/src/io/workflow_codec.cpp
+++ b/src/io/workflow_codec.cpp
@@ -228,4 +228,25 @@
     });
 }
 
+std::string encode_wave(const wave_record& record) {
+    json document = {
+        {"wave", record.number}, {"begun", record.begun_unix_ms}, {"maintained", json::array()}};
+    for (const vm_id& vm : record.maintained) {
+        document["maintained"].push_back(vm.view());
+    }
+    return document.dump();
+}
+
+absl::StatusOr<wave_record> decode_wave(std::string_view text) {
+    return decoded<wave_record>(text, [](const json& document) {
+        wave_record record;
+        record.number = document.at("wave");
+        record.begun_unix_ms = document.at("begun");
+        for (const json& vm : document.at("maintained")) {
+            record.maintained.emplace_back(vm.get_ref<const std::string&>());
+        }
+        return record;
+    });
+}
+
 } // namespace citronford
--- a/src/io/workflow_codec.h
+++ b/src/io/workflow_codec.h
@@ -2,6 +2,7 @@
 
 #include "citronford/ownership.h"
 #include "citronford/queue_catalog.h"
+#include "citronford/wave_planner.h"
 #include "citronford/workflow.h"
 #include "citronford/workflow_progress.h"
 
@@ -28,6 +29,9 @@
 std::string encode_waiting(const std::map<queue_id, std::uint64_t>& counts);
 absl::StatusOr<std::map<queue_id, std::uint64_t>> decode_waiting(std::string_view text);
 
+std::string encode_wave(const wave_record& record);
+absl::StatusOr<wave_record> decode_wave(std::string_view text);
+
 std::string_view name_of(workflow_state state);
 
 } // namespace citronford
--- a/src/node/fleet/dispatch_driver.cpp
+++ b/src/node/fleet/dispatch_driver.cpp
@@ -202,8 +202,8 @@
     handle(orders_applied{orders});
 }
 
-void dispatch_driver::close(std::vector<backend_id> backends) {
-    handle(backends_closing{std::move(backends)});
+void dispatch_driver::close(const backends_closing& backends) {
+    handle(backends);
 }
 
 void dispatch_driver::tick(instant now) {
@@ -284,7 +284,7 @@
 
 void dispatch_driver::show_waiting(instant now) {
     constexpr duration period = milliseconds(500);
-    if (showing_ || now < shown_at_ + period) {
+    if (!loaded_ || showing_ || now < shown_at_ + period) {
         return;
     }
     const std::string text = encode_waiting(decisions_->waiting());
--- a/src/node/fleet/dispatch_driver.h
+++ b/src/node/fleet/dispatch_driver.h
@@ -54,7 +54,7 @@
 
     void apply(std::shared_ptr<const queue_catalog> catalog);
     void apply(const operator_orders& orders);
-    void close(std::vector<backend_id> backends);
+    void close(const backends_closing& backends);
 
     [[nodiscard]] const dispatcher& state() const { return *decisions_; }
 
--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -43,8 +43,8 @@
 
 absl::StatusOr<std::unique_ptr<fleet_node>>
 fleet_node::create(const fleet_settings& own, fleet_links links, fleet_process process) {
-    constexpr std::string_view names[] = {"workflow", "task_run",   "backend_contact",
-                                          "drain",    "ownership", "submission"};
+    constexpr std::string_view names[] = {"workflow", "task_run",   "backend_contact", "drain",
+                                          "ownership", "submission", "maintained_vm"};
     std::map<std::string_view, chart> charts;
     for (const std::string_view name : names) {
         auto loaded = load_chart(own, name);
@@ -69,7 +69,8 @@
     }
     return std::unique_ptr<fleet_node>(new fleet_node(
         own, std::move(links), std::move(process),
-        {charts.at("workflow"), charts.at("task_run"), charts.at("backend_contact")},
+        {charts.at("workflow"), charts.at("task_run"), charts.at("backend_contact"),
+         charts.at("maintained_vm")},
         *std::move(stop), *std::move(owner), options, *std::move(desk)));
 }
 
@@ -132,15 +133,47 @@
     }
     dispatch_->apply(orders_);
     dispatch_->start();
+    owner_since_ = links_.timers.now();
+    begin_vm_orders(token);
+}
+
+void fleet_node::begin_vm_orders(fencing_token token) {
+    auto waves = wave_planner::create(charts_.maintained_vm, {own_.maintenance_time});
+    if (!waves.ok()) {
+        log_event(log_level::error, "wave_planner_failed",
+                  {{"reason", message_of(waves.status())}});
+        return;
+    }
+    vms_ = std::make_unique<vm_driver>(
+        *std::move(waves), vm_order_origin{own_.node, token},
+        vm_links{links_.timers, table_, links_.vms, links_.rows},
+        vm_driver::callbacks{[this] { return may_order_vms(); }, links_.unix_ms,
+                             [this] { return dispatch_->state().loads(); },
+                             [this](const backends_closing& closing) {
+                                 dispatch_->close(closing);
+                             }});
+    for (const auto& [number, wave] : waves_) {
+        vms_->order(wave);
+    }
+    vms_->start();
+}
+
+bool fleet_node::may_order_vms() const {
+    // An order that is under way must have arrived before the lease is over.
+    constexpr duration margin = milliseconds(500);
+    const instant now = links_.timers.now();
+    return now + margin < owner_.state().lease_until() &&
+           now >= owner_since_ + own_.vm_order_interval;
 }
 
 void fleet_node::end_dispatching() {
     if (!dispatch_) {
         return;
     }
+    const std::shared_ptr<vm_driver> ended_vms(std::move(vms_));
     // The end may be found out within a call of the driver.
     const std::shared_ptr<dispatch_driver> ended(std::move(dispatch_));
-    links_.timers.once(duration::zero(), [ended](instant) {});
+    links_.timers.once(duration::zero(), [ended, ended_vms](instant) {});
 }
 
 void fleet_node::take_orders(std::span<const table_row> rows, bool is_snapshot) {
@@ -197,10 +230,16 @@
                {"time_ms", to_ms(order.time)},
                {"most_at_once", static_cast<std::int64_t>(order.most_at_once)}});
     waves_.insert_or_assign(order.number, order);
+    if (vms_) {
+        vms_->order(order);
+    }
 }
 
 void fleet_node::apply(const wave_withdrawn& order) {
     waves_.erase(order.number);
+    if (vms_) {
+        vms_->withdraw(order.number);
+    }
 }
 
 void fleet_node::request_stop() {
--- a/src/node/fleet/fleet_node.h
+++ b/src/node/fleet/fleet_node.h
@@ -9,6 +9,7 @@
 #include "node/fleet/dispatch_driver.h"
 #include "node/fleet/observed_table.h"
 #include "node/fleet/ownership_driver.h"
+#include "node/fleet/vm_driver.h"
 #include "node/fleet/workflow_service.h"
 
 #include <absl/status/statusor.h>
@@ -73,6 +74,7 @@
         chart workflow;
         chart task_run;
         chart backend_contact;
+        chart maintained_vm;
     };
 
     fleet_node(const fleet_settings& own, fleet_links links, fleet_process process,
@@ -80,6 +82,8 @@
                submission_desk desk);
 
     void begin_dispatching(fencing_token token);
+    void begin_vm_orders(fencing_token token);
+    [[nodiscard]] bool may_order_vms() const;
     void end_dispatching();
     void take_orders(std::span<const table_row> rows, bool is_snapshot);
     void take_order(const table_row& row);
@@ -107,6 +111,8 @@
     operator_orders orders_;
     std::map<wave_number, wave_order> waves_;
     std::unique_ptr<dispatch_driver> dispatch_;
+    std::unique_ptr<vm_driver> vms_; ///< As long as `dispatch_`.
+    instant owner_since_{};
     bool owner_left_ = false;
 };
 
--- /dev/null
+++ b/src/node/fleet/vm_driver.cpp
@@ -0,0 +1,164 @@
+#include "node/fleet/vm_driver.h"
+
+#include "citronford/result_code.h"
+#include "citronford/workflow_rows.h"
+#include "io/log.h"
+#include "io/workflow_codec.h"
+
+#include <array>
+#include <utility>
+
+namespace citronford {
+namespace {
+
+constexpr duration tick_period = milliseconds(100);
+
+/// Between two lists of VMs while a wave is under way.
+constexpr duration list_period = milliseconds(500);
+
+/// Before a read or write that failed is sent again.
+constexpr duration retry_pause = milliseconds(300);
+
+/// A row that is not written after so many tries is written again with the next change.
+constexpr int most_tries = 20;
+
+} // namespace
+
+vm_driver::vm_driver(wave_planner waves, vm_order_origin origin, vm_links links, callbacks on)
+    : waves_(std::move(waves)), origin_(std::move(origin)), links_(links), on_(std::move(on)) {}
+
+void vm_driver::start() {
+    read_records();
+    ticks_ = links_.timers.every(tick_period, [this](instant now) { tick(now); });
+}
+
+void vm_driver::read_records() {
+    links_.table.scan(
+        wave_rows_prefix, 0,
+        [this, alive = std::weak_ptr(alive_)](const absl::StatusOr<table_scan>& result) {
+            if (alive.expired()) {
+                return;
+            }
+            if (!result.ok()) {
+                links_.timers.once(retry_pause, [this, alive](instant) {
+                    if (!alive.expired()) {
+                        read_records();
+                    }
+                });
+                return;
+            }
+            for (const table_row& row : result->rows) {
+                const auto record = row.value ? decode_wave(*row.value)
+                                              : absl::StatusOr<wave_record>(wave_record{});
+                if (record.ok()) {
+                    waves_.restore(*record, on_.unix_ms(), links_.timers.now());
+                } else {
+                    log_event(log_level::error, "row_unreadable",
+                              {{"key", row.key}, {"reason", message_of(record.status())}});
+                }
+            }
+            records_read_ = true;
+        });
+}
+
+void vm_driver::order(const wave_order& wave) {
+    waves_.order(wave, on_.unix_ms(), links_.timers.now());
+}
+
+void vm_driver::withdraw(wave_number wave) {
+    waves_.withdraw(wave);
+}
+
+void vm_driver::tick(instant now) {
+    if (!records_read_ || !waves_.active()) {
+        return;
+    }
+    list_vms(now);
+    if (listed_at_ == instant::min()) {
+        return;
+    }
+    const std::vector<backend_load> loads = on_.loads();
+    const std::vector<wave_effect> effects =
+        waves_.plan({vms_, listed_at_, loads, on_.may_order()}, now);
+    on_.close(waves_.closing());
+    perform(effects);
+}
+
+void vm_driver::list_vms(instant now) {
+    if (listing_ || (list_asked_at_ != instant::min() && now < list_asked_at_ + list_period)) {
+        return;
+    }
+    listing_ = true;
+    list_asked_at_ = now;
+    links_.vms.list([this, now, alive = std::weak_ptr(alive_)](
+                        absl::StatusOr<std::vector<fleet_vm>> result) {
+        if (alive.expired()) {
+            return;
+        }
+        listing_ = false;
+        if (result.ok()) {
+            vms_ = *std::move(result);
+            listed_at_ = now;
+        } else {
+            log_event(log_level::warning, "vm_list_unavailable",
+                      {{"reason", message_of(result.status())}});
+        }
+    });
+}
+
+void vm_driver::perform(std::span<const wave_effect> effects) {
+    for (const wave_effect& effect : effects) {
+        std::visit([this](const auto& item) { perform(item); }, effect);
+    }
+}
+
+void vm_driver::perform(const maintain_vm& effect) {
+    static constexpr std::string_view names[] = {"carried_out", "busy", "rejected",
+                                          "fenced",      "not_sent", "in_doubt"};
+    links_.vms.maintain(
+        effect.vm, effect.wave, origin_,
+        [this, effect, alive = std::weak_ptr(alive_)](vm_order_result result) {
+            if (alive.expired()) {
+                return;
+            }
+            log_event(log_level::info, "vm_maintenance_ordered",
+                      {{"vm", effect.vm.view()},
+                       {"wave", effect.wave},
+                       {"result", names[static_cast<std::size_t>(result)]}});
+            perform(waves_.answer(effect.wave, effect.vm, result, links_.timers.now()));
+        });
+}
+
+void vm_driver::perform(const save_wave& effect) {
+    write({std::string(wave_rows_prefix) + std::to_string(effect.record.number),
+           encode_wave(effect.record)},
+          most_tries);
+}
+
+void vm_driver::perform(const show_wave& effect) {
+    log_event(log_level::info, effect.completed ? "wave_completed" : "wave_running",
+              {{"wave", effect.wave}});
+    write(links_.rows.wave_status(effect.wave, effect.completed), most_tries);
+}
+
+void vm_driver::write(const table_write& row, int tries) {
+    const std::array writes = {row};
+    links_.table.commit(
+        {}, writes,
+        [this, row, tries, alive = std::weak_ptr(alive_)](const absl::StatusOr<table_commit>& result) {
+            if (alive.expired() || result.ok()) {
+                return;
+            }
+            if (tries <= 1) {
+                log_event(log_level::error, "row_not_written", {{"key", row.key}});
+                return;
+            }
+            links_.timers.once(retry_pause, [this, row, tries, alive](instant) {
+                if (!alive.expired()) {
+                    write(row, tries - 1);
+                }
+            });
+        });
+}
+
+} // namespace citronford
--- /dev/null
+++ b/src/node/fleet/vm_driver.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "citronford/dispatcher.h"
+#include "citronford/fleet_rows.h"
+#include "citronford/table_service.h"
+#include "citronford/timer_service.h"
+#include "citronford/vm_fleet.h"
+#include "citronford/wave_planner.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace citronford {
+
+struct vm_links {
+    timer_service& timers;
+    table_service& table;
+    vm_fleet& vms;
+    const fleet_rows& rows;
+};
+
+/// Performs the effects of the wave planner during one ownership.
+class vm_driver {
+  public:
+    struct callbacks {
+        std::function<bool()> may_order; ///< The owner holds its lease and may give orders to VMs.
+        std::function<std::int64_t()> unix_ms; ///< Time of day.
+        std::function<std::vector<backend_load>()> loads;
+        std::function<void(const backends_closing&)> close;
+    };
+
+    vm_driver(wave_planner waves, vm_order_origin origin, vm_links links, callbacks on);
+    vm_driver(const vm_driver&) = delete;
+    vm_driver& operator=(const vm_driver&) = delete;
+    vm_driver(vm_driver&&) = delete;
+    vm_driver& operator=(vm_driver&&) = delete;
+    ~vm_driver() = default;
+
+    void start();
+
+    void order(const wave_order& wave);
+    void withdraw(wave_number wave);
+
+  private:
+    void tick(instant now);
+    void read_records();
+    void list_vms(instant now);
+    void perform(std::span<const wave_effect> effects);
+    void perform(const maintain_vm& effect);
+    void perform(const save_wave& effect);
+    void perform(const show_wave& effect);
+    void write(const table_write& row, int tries);
+
+    wave_planner waves_;
+    vm_order_origin origin_;
+    vm_links links_;
+    callbacks on_;
+    timer_subscription ticks_;
+    bool records_read_ = false;
+    bool listing_ = false;
+    instant list_asked_at_ = instant::min();
+    instant listed_at_ = instant::min(); ///< When the list at hand was asked for.
+    std::vector<fleet_vm> vms_;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+} // namespace citronford
