--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -141,6 +141,14 @@
     resources used;
     std::size_t runs = 0;
     std::size_t long_running = 0; ///< Those of them that must not simply be ended.
+    std::int64_t long_running_millicores = 0;
+};
+
+/// The work that callers ask of one pool; long-running tasks are not counted.
+struct pool_demand {
+    pool_id pool;
+    double arrived_core_s = 0; ///< By estimate, since the ownership began.
+    double waiting_core_s = 0; ///< Of tasks that could start and may still meet their objective.
 };
 
 /// Numbers of a dispatcher, for figures and for the state page.
@@ -184,6 +192,8 @@
     /// The servers that are in contact, and what runs there.
     [[nodiscard]] std::vector<backend_load> loads() const;
 
+    [[nodiscard]] std::vector<pool_demand> demands() const;
+
     [[nodiscard]] dispatch_counts counts() const;
 
     class implementation;
--- a/include/citronford/vm_fleet.h
+++ b/include/citronford/vm_fleet.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace citronford {
@@ -44,6 +45,8 @@
     in_doubt,
 };
 
+std::string_view name_of(vm_order_result result);
+
 /// The platform's VMs. An order ends all tasks on its VM at once; the VM comes back as another
 /// backend server. Callbacks are called exactly once and never from inside the call.
 class vm_fleet {
--- a/include/citronford/wave_planner.h
+++ b/include/citronford/wave_planner.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "citronford/chart_machine.h"
 #include "citronford/dispatcher.h"
 #include "citronford/fleet_rows.h"
 #include "citronford/instant.h"
 #include "citronford/vm_fleet.h"
+#include "citronford/vm_order_cycle.h"
 
 #include <absl/status/statusor.h>
 
@@ -61,7 +61,7 @@
 /// empties their backend servers, and keeps to the limit of each wave and to its time.
 class wave_planner {
   public:
-    /// `life_cycle` is the chart `maintained_vm`.
+    /// `life_cycle` is the chart `vm_order`.
     static absl::StatusOr<wave_planner> create(const chart& life_cycle, wave_options options);
 
     /// Adds a wave, or takes over a new order for it. `unix_ms` is the time of day.
@@ -71,8 +71,7 @@
     /// What an earlier owner has stored of a wave.
     void restore(const wave_record& record, std::int64_t unix_ms, instant now);
 
-    std::vector<wave_effect> answer(wave_number wave, const vm_id& vm, vm_order_result result,
-                                    instant now);
+    void answer(wave_number wave, const vm_id& vm, vm_order_result result, instant now);
     std::vector<wave_effect> plan(const wave_view& view, instant now);
 
     /// Servers to close, by the last plan.
@@ -81,65 +80,15 @@
     /// Whether a wave is not completed.
     [[nodiscard]] bool active() const;
 
-    /// Whether a wave still needs `vm`, so that it should not be moved.
-    [[nodiscard]] bool involves(const vm_id& vm) const;
-
-    // Events of one VM.
-    struct vm_chosen {
-        static constexpr std::string_view event_name = "vm_chosen";
-    };
-    /// Nothing that matters runs on it any more.
-    struct vm_clear {
-        static constexpr std::string_view event_name = "vm_clear";
-    };
-    /// Its pool needs it, and there is time.
-    struct vm_released {
-        static constexpr std::string_view event_name = "vm_released";
-    };
-    struct vm_absent {
-        static constexpr std::string_view event_name = "vm_absent";
-    };
-    struct order_done {
-        static constexpr std::string_view event_name = "order_done";
-    };
-    struct order_postponed {
-        static constexpr std::string_view event_name = "order_postponed";
-    };
-    struct order_doubtful {
-        static constexpr std::string_view event_name = "order_in_doubt";
-    };
-    struct order_rejected {
-        static constexpr std::string_view event_name = "order_rejected";
-    };
-    struct repeat_due {
-        static constexpr std::string_view event_name = "repeat_due";
-    };
-    struct vm_back {
-        static constexpr std::string_view event_name = "vm_back";
-    };
-    using event = std::variant<vm_chosen, vm_clear, vm_released, vm_absent, order_done,
-                               order_postponed, order_doubtful, order_rejected, repeat_due, vm_back>;
+    /// VMs that are being maintained, or are about to be.
+    [[nodiscard]] std::vector<vm_id> taken() const;
 
   private:
-    struct wave_state;
-    struct member {
-        vm_id vm;
-        chart_position position{};
-        instant since{}; ///< When the present state was entered.
-    };
-    struct step_context {
-        wave_number wave = 0;
-        member& item;
-        instant now{};
-        std::vector<wave_effect>& effects;
-    };
-    using machine = chart_machine<step_context, event>;
-
     struct wave_state {
         wave_order order;
         instant begun_at{};
         std::int64_t begun_unix_ms = 0;
-        std::vector<member> members;
+        std::vector<vm_under_order> members;
         bool changed = false; ///< Since it was saved last.
         bool shown_running = false;
         bool shown_completed = false;
@@ -152,25 +101,20 @@
         std::size_t closed = 0;
     };
 
-    wave_planner(machine life_cycle, wave_options options)
-        : machine_(std::move(life_cycle)), options_(options) {}
+    wave_planner(vm_order_cycle cycle, wave_options options)
+        : cycle_(std::move(cycle)), options_(options) {}
 
-    void step(wave_state& wave, member& item, const event& what, instant now,
-              std::vector<wave_effect>& effects);
+    void step(const wave_state& wave, vm_under_order& item, const vm_order_event& event,
+              instant now, std::vector<wave_effect>& effects) const;
     void follow(wave_state& wave, const wave_view& view, instant now,
-                std::vector<wave_effect>& effects);
+                std::vector<wave_effect>& effects) const;
     void choose(wave_state& wave, const wave_view& view, instant now,
-                std::vector<wave_effect>& effects);
-    void report(wave_state& wave, std::vector<wave_effect>& effects);
+                std::vector<wave_effect>& effects) const;
+    void report(wave_state& wave, std::vector<wave_effect>& effects) const;
     void list_closing(const wave_view& view);
-    [[nodiscard]] bool is(const member& item, std::string_view state) const {
-        return machine_.name_of(item.position) == state;
-    }
-    /// Whether the VM may be down by an order of this wave.
-    [[nodiscard]] bool may_be_down(const member& item) const;
     [[nodiscard]] bool short_of_time(const wave_state& wave, instant now) const;
 
-    machine machine_;
+    vm_order_cycle cycle_;
     wave_options options_;
     std::map<wave_number, wave_state> waves_;
     std::map<wave_number, wave_record> restored_; ///< Read before the order.
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -7,6 +7,20 @@
 
 using namespace dispatch;
 
+namespace {
+
+/// Work of some tasks of a step, by estimate; long-running ones have no end.
+double core_seconds(const workflow_step& step, std::size_t tasks) {
+    constexpr double millicore_ms_per_core_s = 1e6;
+    if (step.long_running) {
+        return 0;
+    }
+    return static_cast<double>(tasks) * static_cast<double>(step.size.millicores) *
+           static_cast<double>(step.estimate.count()) / millicore_ms_per_core_s;
+}
+
+} // namespace
+
 absl::StatusOr<std::unique_ptr<dispatcher::implementation>>
 dispatcher::implementation::create(const charts& life_cycles, dispatch_options options,
                                    instant now) {
@@ -89,6 +103,11 @@
     pool_state& pool = pools_[entry.row.pool];
     pool.open.insert(&entry);
     pool.due = true;
+    if (!input.stored_before && !entry.surplus) {
+        for (const workflow_step& step : entry.row.spec.steps) {
+            pool.arrived_core_s += core_seconds(step, step.tasks);
+        }
+    }
     if (entry.row.spec.occurrences == 0) {
         entry.begin_occurrence(0, entry.accepted_at);
         entry.next_occurrence = 1;
@@ -333,11 +352,36 @@
         if (!is(*server, "current")) {
             continue;
         }
-        const auto long_running = std::ranges::count_if(server->runs, [](const task_run* run) {
-            return run->workflow->step(run->step).long_running;
-        });
-        all.push_back({id, server->listing.pool, server->listing.capacity, server->used,
-                       server->runs.size(), static_cast<std::size_t>(long_running)});
+        backend_load load{id, server->listing.pool, server->listing.capacity, server->used,
+                          server->runs.size()};
+        for (const task_run* run : server->runs) {
+            if (run->workflow->step(run->step).long_running) {
+                ++load.long_running;
+                load.long_running_millicores += run->reserved.millicores;
+            }
+        }
+        all.push_back(std::move(load));
+    }
+    return all;
+}
+
+std::vector<pool_demand> dispatcher::implementation::demands() const {
+    std::vector<pool_demand> all;
+    for (const auto& [name, pool] : pools_) {
+        pool_demand demand{name, pool.arrived_core_s, 0};
+        for (const workflow_entry* entry : pool.open) {
+            // What is late anyway is no reason for more VMs.
+            if (entry->surplus || now_ >= entry->accepted_at + entry->allowance) {
+                continue;
+            }
+            for (const auto& [number, occurrence] : entry->occurrences) {
+                for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                    demand.waiting_core_s += core_seconds(
+                        entry->step(step), occurrence.steps[step].waiting());
+                }
+            }
+        }
+        all.push_back(std::move(demand));
     }
     return all;
 }
@@ -371,6 +415,10 @@
     return body_->waiting();
 }
 
+std::vector<pool_demand> dispatcher::demands() const {
+    return body_->demands();
+}
+
 std::vector<backend_load> dispatcher::loads() const {
     return body_->loads();
 }
--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -175,6 +175,8 @@
     }
     backend_entry* best = nullptr;
     std::tuple<bool, bool, bool, std::int64_t> best_score;
+    // Long-running tasks share servers, so that the VMs of the others can go where work waits.
+    const std::int64_t direction = definition.long_running ? -1 : 1;
     for (backend_entry* server : servers) {
         const resources room = server->room();
         if (!room.holds(reserved) || held_back.contains(server) ||
@@ -185,7 +187,7 @@
                           server->listing.has_label(definition.data_rack);
         const bool stays = !definition.long_running || !server->closing_later;
         const std::tuple score(server->listing.id != slot.failed_on, stays, near,
-                               room.millicores);
+                               direction * room.millicores);
         if (best == nullptr || score > best_score) {
             best = server;
             best_score = score;
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -52,6 +52,7 @@
 
     [[nodiscard]] std::map<queue_id, std::uint64_t> waiting() const;
     [[nodiscard]] std::vector<backend_load> loads() const;
+    [[nodiscard]] std::vector<pool_demand> demands() const;
     [[nodiscard]] dispatch_counts counts() const;
 
   private:
@@ -61,6 +62,7 @@
         bool settled = false; ///< The runs that the first looks listed have been taken over.
         bool due = false;     ///< Tasks may have become placeable since the last pass.
         std::set<workflow_entry*> open; ///< Workflows that have not ended.
+        double arrived_core_s = 0;      ///< Work that came under this ownership, by estimate.
     };
     /// The place of a task, if its workflow is known.
     struct task_place {
--- /dev/null
+++ b/src/decide/maintenance/vm_order_cycle.cpp
@@ -0,0 +1,61 @@
+#include "citronford/vm_order_cycle.h"
+
+#include <algorithm>
+
+namespace citronford {
+
+absl::StatusOr<vm_order_cycle> vm_order_cycle::create(const chart& life_cycle) {
+    static constexpr machine::action actions[] = {
+        {"note_time", [](step_context& context,
+                         const vm_order_event&) { context.item.since = context.now; }},
+        {"send_order",
+         [](step_context& context, const vm_order_event&) {
+             context.item.since = context.now;
+             context.order_due = true;
+         }},
+    };
+    auto bound = machine::create(life_cycle, {}, actions);
+    if (!bound.ok()) {
+        return bound.status();
+    }
+    return vm_order_cycle(*std::move(bound));
+}
+
+bool vm_order_cycle::step(vm_under_order& item, const vm_order_event& event, instant now) const {
+    step_context context{item, now};
+    machine_.step(item.position, context, event);
+    return context.order_due;
+}
+
+bool vm_order_cycle::may_be_away(const vm_under_order& item) const {
+    return is(item, "ordered") || is(item, "doubtful") || is(item, "away");
+}
+
+vm_order_event event_of(vm_order_result result) {
+    switch (result) {
+    case vm_order_result::carried_out:
+        return vm_order_done{};
+    case vm_order_result::busy:
+    case vm_order_result::fenced:
+    case vm_order_result::not_sent:
+        return vm_order_postponed{};
+    case vm_order_result::rejected:
+        return vm_order_rejected{};
+    case vm_order_result::in_doubt:
+        break;
+    }
+    return vm_order_doubtful{};
+}
+
+std::string_view name_of(vm_order_result result) {
+    constexpr std::string_view names[] = {"carried_out", "busy",     "rejected",
+                                          "fenced",      "not_sent", "in_doubt"};
+    return names[static_cast<std::size_t>(result)];
+}
+
+const fleet_vm* find_vm(std::span<const fleet_vm> vms, const vm_id& id) {
+    const auto found = std::ranges::find(vms, id, &fleet_vm::id);
+    return found == vms.end() ? nullptr : &*found;
+}
+
+} // namespace citronford
--- a/src/decide/maintenance/wave_planner.cpp
+++ b/src/decide/maintenance/wave_planner.cpp
@@ -15,11 +15,6 @@
 /// Servers of one pool that are closed at once while there is time.
 constexpr double most_closed = 0.34;
 
-const fleet_vm* find_vm(std::span<const fleet_vm> vms, const vm_id& id) {
-    const auto found = std::ranges::find(vms, id, &fleet_vm::id);
-    return found == vms.end() ? nullptr : &*found;
-}
-
 const backend_load* find_load(std::span<const backend_load> loads, const backend_id& id) {
     const auto found = std::ranges::find(loads, id, &backend_load::backend);
     return found == loads.end() ? nullptr : &*found;
@@ -28,20 +23,11 @@
 } // namespace
 
 absl::StatusOr<wave_planner> wave_planner::create(const chart& life_cycle, wave_options options) {
-    static constexpr machine::action actions[] = {
-        {"note_time", [](step_context& context,
-                         const event&) { context.item.since = context.now; }},
-        {"send_order",
-         [](step_context& context, const event&) {
-             context.item.since = context.now;
-             context.effects.emplace_back(maintain_vm{context.wave, context.item.vm});
-         }},
-    };
-    auto bound = machine::create(life_cycle, {}, actions);
-    if (!bound.ok()) {
-        return bound.status();
+    auto cycle = vm_order_cycle::create(life_cycle);
+    if (!cycle.ok()) {
+        return cycle.status();
     }
-    return wave_planner(*std::move(bound), options);
+    return wave_planner(*std::move(cycle), options);
 }
 
 void wave_planner::order(const wave_order& wave, std::int64_t unix_ms, instant now) {
@@ -57,12 +43,12 @@
         state.changed = true;
     }
     for (const vm_id& vm : wave.vms) {
-        if (std::ranges::find(state.members, vm, &member::vm) == state.members.end()) {
-            state.members.push_back({vm, machine_.initial(), now});
+        if (std::ranges::find(state.members, vm, &vm_under_order::vm) == state.members.end()) {
+            state.members.push_back(cycle_.begin(vm, now));
         }
     }
-    std::erase_if(state.members, [&](const member& item) {
-        return is(item, "waiting") && std::ranges::find(wave.vms, item.vm) == wave.vms.end();
+    std::erase_if(state.members, [&](const vm_under_order& item) {
+        return cycle_.is(item, "waiting") && std::ranges::find(wave.vms, item.vm) == wave.vms.end();
     });
     const auto stored = restored_.find(wave.number);
     if (stored != restored_.end()) {
@@ -86,57 +72,36 @@
     const std::int64_t age_ms = std::max<std::int64_t>(0, unix_ms - record.begun_unix_ms);
     state.begun_unix_ms = record.begun_unix_ms;
     state.begun_at = now - milliseconds(age_ms);
-    for (member& item : state.members) {
+    for (vm_under_order& item : state.members) {
         if (std::ranges::find(record.maintained, item.vm) != record.maintained.end()) {
-            item.position = machine_.position_of("maintained");
+            cycle_.finish(item);
         }
     }
 }
 
-void wave_planner::step(wave_state& wave, member& item, const event& what, instant now,
-                        std::vector<wave_effect>& effects) {
-    step_context context{wave.order.number, item, now, effects};
-    machine_.step(item.position, context, what);
+void wave_planner::step(const wave_state& wave, vm_under_order& item, const vm_order_event& event,
+                        instant now, std::vector<wave_effect>& effects) const {
+    if (cycle_.step(item, event, now)) {
+        effects.emplace_back(maintain_vm{wave.order.number, item.vm});
+    }
 }
 
-std::vector<wave_effect> wave_planner::answer(wave_number wave, const vm_id& vm,
-                                              vm_order_result result, instant now) {
-    std::vector<wave_effect> effects;
+void wave_planner::answer(wave_number wave, const vm_id& vm, vm_order_result result, instant now) {
     const auto found = waves_.find(wave);
     if (found == waves_.end()) {
-        return effects;
-    }
-    const auto item = std::ranges::find(found->second.members, vm, &member::vm);
-    if (item == found->second.members.end()) {
-        return effects;
+        return;
     }
-    switch (result) {
-    case vm_order_result::carried_out:
-        step(found->second, *item, order_done{}, now, effects);
-        found->second.changed = true;
-        break;
-    case vm_order_result::busy:
-    case vm_order_result::fenced:
-    case vm_order_result::not_sent:
-        step(found->second, *item, order_postponed{}, now, effects);
-        break;
-    case vm_order_result::rejected:
-        step(found->second, *item, order_rejected{}, now, effects);
-        break;
-    case vm_order_result::in_doubt:
-        step(found->second, *item, order_doubtful{}, now, effects);
-        break;
+    wave_state& state = found->second;
+    const auto item = std::ranges::find(state.members, vm, &vm_under_order::vm);
+    if (item != state.members.end()) {
+        cycle_.step(*item, event_of(result), now);
+        state.changed = state.changed || result == vm_order_result::carried_out;
     }
-    return effects;
-}
-
-bool wave_planner::may_be_down(const member& item) const {
-    return is(item, "ordered") || is(item, "doubtful") || is(item, "down");
 }
 
 bool wave_planner::short_of_time(const wave_state& wave, instant now) const {
     const auto open = std::ranges::count_if(
-        wave.members, [&](const member& item) { return !machine_.is_final(item.position); });
+        wave.members, [&](const vm_under_order& item) { return !cycle_.closed(item); });
     const auto at_once = static_cast<std::ptrdiff_t>(std::max(1U, wave.order.most_at_once));
     const std::ptrdiff_t rounds = (open + at_once - 1) / at_once;
     const duration round = options_.maintenance_time + options_.longest_task;
@@ -157,10 +122,10 @@
 }
 
 void wave_planner::follow(wave_state& wave, const wave_view& view, instant now,
-                          std::vector<wave_effect>& effects) {
+                          std::vector<wave_effect>& effects) const {
     const bool hurry = short_of_time(wave, now);
-    for (member& item : wave.members) {
-        if (machine_.is_final(item.position)) {
+    for (vm_under_order& item : wave.members) {
+        if (cycle_.closed(item)) {
             continue;
         }
         const fleet_vm* vm = find_vm(view.vms, item.vm);
@@ -171,16 +136,16 @@
             continue;
         }
         // The VM is back once a list that was asked for after its time shows it.
-        if (is(item, "down") && vm->state == fleet_vm::condition::up &&
+        if (cycle_.is(item, "away") && vm->state == fleet_vm::condition::up &&
             view.listed_at >= item.since + options_.maintenance_time) {
             step(wave, item, vm_back{}, now, effects);
             continue;
         }
-        if (is(item, "doubtful") && view.may_order && now >= item.since + repeat_pause) {
-            step(wave, item, repeat_due{}, now, effects);
+        if (cycle_.is(item, "doubtful") && view.may_order && now >= item.since + repeat_pause) {
+            step(wave, item, vm_repeat_due{}, now, effects);
             continue;
         }
-        if (!is(item, "closing") || !view.may_order) {
+        if (!cycle_.is(item, "closing") || !view.may_order) {
             continue;
         }
         const backend_load* load = find_load(view.loads, vm->backend);
@@ -189,7 +154,7 @@
         const bool forced = hurry && now >= item.since + options_.longest_task &&
                             load != nullptr && load->long_running == 0;
         const auto down = std::ranges::count_if(
-            wave.members, [this](const member& other) { return may_be_down(other); });
+            wave.members, [this](const vm_under_order& other) { return cycle_.may_be_away(other); });
         if ((empty || forced) && vm->state == fleet_vm::condition::up &&
             down < static_cast<std::ptrdiff_t>(wave.order.most_at_once)) {
             step(wave, item, vm_clear{}, now, effects);
@@ -198,7 +163,7 @@
 }
 
 void wave_planner::choose(wave_state& wave, const wave_view& view, instant now,
-                          std::vector<wave_effect>& effects) {
+                          std::vector<wave_effect>& effects) const {
     std::map<pool_id, pool_use> pools;
     for (const backend_load& load : view.loads) {
         pool_use& use = pools[load.pool];
@@ -207,8 +172,8 @@
         ++use.servers;
     }
     std::size_t taken = 0;
-    for (const member& item : wave.members) {
-        if (is(item, "closing") || may_be_down(item)) {
+    for (const vm_under_order& item : wave.members) {
+        if (cycle_.is(item, "closing") || cycle_.may_be_away(item)) {
             ++taken;
             const fleet_vm* vm = find_vm(view.vms, item.vm);
             if (vm != nullptr) {
@@ -217,15 +182,15 @@
         }
     }
     struct option {
-        member* item = nullptr;
+        vm_under_order* item = nullptr;
         const fleet_vm* vm = nullptr;
         double use = 0;
         std::size_t runs = 0;
     };
     std::vector<option> options;
-    for (member& item : wave.members) {
+    for (vm_under_order& item : wave.members) {
         const fleet_vm* vm = find_vm(view.vms, item.vm);
-        if (!is(item, "waiting") || vm == nullptr || vm->state != fleet_vm::condition::up) {
+        if (!cycle_.is(item, "waiting") || vm == nullptr || vm->state != fleet_vm::condition::up) {
             continue;
         }
         const pool_use& use = pools[vm->pool];
@@ -258,9 +223,9 @@
     }
 }
 
-void wave_planner::report(wave_state& wave, std::vector<wave_effect>& effects) {
+void wave_planner::report(wave_state& wave, std::vector<wave_effect>& effects) const {
     const bool completed = std::ranges::all_of(
-        wave.members, [this](const member& item) { return machine_.is_final(item.position); });
+        wave.members, [this](const vm_under_order& item) { return cycle_.closed(item); });
     if (!wave.shown_running) {
         wave.shown_running = true;
         effects.emplace_back(show_wave{wave.order.number, false});
@@ -271,8 +236,8 @@
     }
     if (std::exchange(wave.changed, false)) {
         wave_record record{wave.order.number, wave.begun_unix_ms, {}};
-        for (const member& item : wave.members) {
-            if (is(item, "down") || is(item, "maintained")) {
+        for (const vm_under_order& item : wave.members) {
+            if (cycle_.is(item, "away") || cycle_.is(item, "finished")) {
                 record.maintained.push_back(item.vm);
             }
         }
@@ -283,14 +248,14 @@
 void wave_planner::list_closing(const wave_view& view) {
     closing_ = {};
     for (const auto& [number, wave] : waves_) {
-        for (const member& item : wave.members) {
+        for (const vm_under_order& item : wave.members) {
             const fleet_vm* vm = find_vm(view.vms, item.vm);
             if (vm == nullptr || vm->backend.empty()) {
                 continue;
             }
-            if (is(item, "closing") || is(item, "ordered") || is(item, "doubtful")) {
+            if (cycle_.is(item, "closing") || cycle_.is(item, "ordered") || cycle_.is(item, "doubtful")) {
                 closing_.now.push_back(vm->backend);
-            } else if (is(item, "waiting")) {
+            } else if (cycle_.is(item, "waiting")) {
                 closing_.later.push_back(vm->backend);
             }
         }
@@ -302,12 +267,16 @@
                                [](const auto& item) { return !item.second.shown_completed; });
 }
 
-bool wave_planner::involves(const vm_id& vm) const {
-    return std::ranges::any_of(waves_, [&](const auto& item) {
-        return std::ranges::any_of(item.second.members, [&](const member& member) {
-            return member.vm == vm && !machine_.is_final(member.position);
-        });
-    });
+std::vector<vm_id> wave_planner::taken() const {
+    std::vector<vm_id> vms;
+    for (const auto& [number, wave] : waves_) {
+        for (const vm_under_order& item : wave.members) {
+            if (cycle_.is(item, "closing") || cycle_.may_be_away(item)) {
+                vms.push_back(item.vm);
+            }
+        }
+    }
+    return vms;
 }
 
 } // namespace citronford
--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -44,7 +44,7 @@
 absl::StatusOr<std::unique_ptr<fleet_node>>
 fleet_node::create(const fleet_settings& own, fleet_links links, fleet_process process) {
     constexpr std::string_view names[] = {"workflow", "task_run",   "backend_contact", "drain",
-                                          "ownership", "submission", "maintained_vm"};
+                                          "ownership", "submission", "vm_order"};
     std::map<std::string_view, chart> charts;
     for (const std::string_view name : names) {
         auto loaded = load_chart(own, name);
@@ -70,7 +70,7 @@
     return std::unique_ptr<fleet_node>(new fleet_node(
         own, std::move(links), std::move(process),
         {charts.at("workflow"), charts.at("task_run"), charts.at("backend_contact"),
-         charts.at("maintained_vm")},
+         charts.at("vm_order")},
         *std::move(stop), *std::move(owner), options, *std::move(desk)));
 }
 
@@ -138,17 +138,28 @@
 }
 
 void fleet_node::begin_vm_orders(fencing_token token) {
-    auto waves = wave_planner::create(charts_.maintained_vm, {own_.maintenance_time});
+    auto waves = wave_planner::create(charts_.vm_order, {own_.maintenance_time});
     if (!waves.ok()) {
         log_event(log_level::error, "wave_planner_failed",
                   {{"reason", message_of(waves.status())}});
         return;
     }
+    auto capacity = capacity_planner::create(charts_.vm_order, {own_.move_time});
+    if (!capacity.ok()) {
+        log_event(log_level::error, "capacity_planner_failed",
+                  {{"reason", message_of(capacity.status())}});
+        return;
+    }
     vms_ = std::make_unique<vm_driver>(
-        *std::move(waves), vm_order_origin{own_.node, token},
+        *std::move(waves), *std::move(capacity), vm_order_origin{own_.node, token},
         vm_links{links_.timers, table_, links_.vms, links_.rows},
         vm_driver::callbacks{[this] { return may_order_vms(); }, links_.unix_ms,
-                             [this] { return dispatch_->state().loads(); },
+                             [this]() -> const dispatcher& { return dispatch_->state(); },
+                             [this]() -> const queue_catalog& {
+                                 static const queue_catalog none;
+                                 return catalog_ ? *catalog_ : none;
+                             },
+                             [this]() -> const std::set<zone_id>& { return orders_.removed_zones; },
                              [this](const backends_closing& closing) {
                                  dispatch_->close(closing);
                              }});
--- a/src/node/fleet/fleet_node.h
+++ b/src/node/fleet/fleet_node.h
@@ -74,7 +74,7 @@
         chart workflow;
         chart task_run;
         chart backend_contact;
-        chart maintained_vm;
+        chart vm_order;
     };
 
     fleet_node(const fleet_settings& own, fleet_links links, fleet_process process,
--- a/src/node/fleet/vm_driver.cpp
+++ b/src/node/fleet/vm_driver.cpp
@@ -13,8 +13,9 @@
 
 constexpr duration tick_period = milliseconds(100);
 
-/// Between two lists of VMs while a wave is under way.
-constexpr duration list_period = milliseconds(500);
+/// Between two lists of VMs while a wave or a move is under way, and otherwise.
+constexpr duration busy_list_period = milliseconds(400);
+constexpr duration calm_list_period = milliseconds(2000);
 
 /// Before a read or write that failed is sent again.
 constexpr duration retry_pause = milliseconds(300);
@@ -24,8 +25,9 @@
 
 } // namespace
 
-vm_driver::vm_driver(wave_planner waves, vm_order_origin origin, vm_links links, callbacks on)
-    : waves_(std::move(waves)), origin_(std::move(origin)), links_(links), on_(std::move(on)) {}
+vm_driver::vm_driver(wave_planner waves, capacity_planner capacity, vm_order_origin origin,
+                     vm_links links, callbacks on)
+    : waves_(std::move(waves)), capacity_(std::move(capacity)), origin_(std::move(origin)), links_(links), on_(std::move(on)) {}
 
 void vm_driver::start() {
     read_records();
@@ -70,22 +72,52 @@
 }
 
 void vm_driver::tick(instant now) {
-    if (!records_read_ || !waves_.active()) {
+    if (!records_read_) {
         return;
     }
     list_vms(now);
     if (listed_at_ == instant::min()) {
         return;
     }
-    const std::vector<backend_load> loads = on_.loads();
-    const std::vector<wave_effect> effects =
-        waves_.plan({vms_, listed_at_, loads, on_.may_order()}, now);
-    on_.close(waves_.closing());
-    perform(effects);
+    const std::vector<backend_load> loads = on_.dispatching().loads();
+    if (waves_.active()) {
+        perform(waves_.plan({vms_, listed_at_, loads, on_.may_order()}, now));
+    }
+    plan_capacity(loads, now);
+    backends_closing closing = waves_.closing();
+    closing.now.insert(closing.now.end(), capacity_.closing().begin(), capacity_.closing().end());
+    on_.close(closing);
+}
+
+void vm_driver::plan_capacity(std::span<const backend_load> loads, instant now) {
+    const std::vector<pool_demand> demands = on_.dispatching().demands();
+    const std::vector<vm_id> taken = waves_.taken();
+    const capacity_view view{vms_,           listed_at_, loads,
+                             demands,        on_.catalog(), on_.removed_zones(),
+                             taken,          on_.may_order()};
+    for (const move_vm& order : capacity_.plan(view, now)) {
+        perform(order);
+    }
+}
+
+void vm_driver::perform(const move_vm& effect) {
+    links_.vms.move(effect.vm, effect.target, origin_,
+                    [this, effect, alive = std::weak_ptr(alive_)](vm_order_result result) {
+                        if (alive.expired()) {
+                            return;
+                        }
+                        log_event(log_level::info, "vm_move_ordered",
+                                  {{"vm", effect.vm.view()},
+                                   {"target", effect.target.view()},
+                                   {"result", name_of(result)}});
+                        capacity_.answer(effect.vm, result, links_.timers.now());
+                    });
 }
 
 void vm_driver::list_vms(instant now) {
-    if (listing_ || (list_asked_at_ != instant::min() && now < list_asked_at_ + list_period)) {
+    const bool busy = waves_.active() || capacity_.active();
+    const duration period = busy ? busy_list_period : calm_list_period;
+    if (listing_ || (list_asked_at_ != instant::min() && now < list_asked_at_ + period)) {
         return;
     }
     listing_ = true;
@@ -113,8 +145,6 @@
 }
 
 void vm_driver::perform(const maintain_vm& effect) {
-    static constexpr std::string_view names[] = {"carried_out", "busy", "rejected",
-                                          "fenced",      "not_sent", "in_doubt"};
     links_.vms.maintain(
         effect.vm, effect.wave, origin_,
         [this, effect, alive = std::weak_ptr(alive_)](vm_order_result result) {
@@ -124,8 +154,8 @@
             log_event(log_level::info, "vm_maintenance_ordered",
                       {{"vm", effect.vm.view()},
                        {"wave", effect.wave},
-                       {"result", names[static_cast<std::size_t>(result)]}});
-            perform(waves_.answer(effect.wave, effect.vm, result, links_.timers.now()));
+                       {"result", name_of(result)}});
+            waves_.answer(effect.wave, effect.vm, result, links_.timers.now());
         });
 }
 
--- a/src/node/fleet/vm_driver.h
+++ b/src/node/fleet/vm_driver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "citronford/capacity_planner.h"
 #include "citronford/dispatcher.h"
 #include "citronford/fleet_rows.h"
 #include "citronford/table_service.h"
@@ -9,6 +10,8 @@
 
 #include <functional>
 #include <memory>
+#include <set>
+#include <span>
 #include <vector>
 
 namespace citronford {
@@ -20,17 +23,20 @@
     const fleet_rows& rows;
 };
 
-/// Performs the effects of the wave planner during one ownership.
+/// Performs the effects of the wave planner and of the capacity planner during one ownership.
 class vm_driver {
   public:
     struct callbacks {
         std::function<bool()> may_order; ///< The owner holds its lease and may give orders to VMs.
         std::function<std::int64_t()> unix_ms; ///< Time of day.
-        std::function<std::vector<backend_load>()> loads;
+        std::function<const dispatcher&()> dispatching;
+        std::function<const queue_catalog&()> catalog;
+        std::function<const std::set<zone_id>&()> removed_zones;
         std::function<void(const backends_closing&)> close;
     };
 
-    vm_driver(wave_planner waves, vm_order_origin origin, vm_links links, callbacks on);
+    vm_driver(wave_planner waves, capacity_planner capacity, vm_order_origin origin, vm_links links,
+              callbacks on);
     vm_driver(const vm_driver&) = delete;
     vm_driver& operator=(const vm_driver&) = delete;
     vm_driver(vm_driver&&) = delete;
@@ -47,12 +53,15 @@
     void read_records();
     void list_vms(instant now);
     void perform(std::span<const wave_effect> effects);
+    void plan_capacity(std::span<const backend_load> loads, instant now);
+    void perform(const move_vm& effect);
     void perform(const maintain_vm& effect);
     void perform(const save_wave& effect);
     void perform(const show_wave& effect);
     void write(const table_write& row, int tries);
 
     wave_planner waves_;
+    capacity_planner capacity_;
     vm_order_origin origin_;
     vm_links links_;
     callbacks on_;
