--- a/include/citronford/capacity_planner.h
+++ b/include/citronford/capacity_planner.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <vector>
@@ -83,6 +84,7 @@
         std::int64_t hosts = 0; ///< Of long-running tasks.
         std::int64_t long_running_millicores = 0;
         std::int64_t capacity_millicores = 0;
+        std::int64_t used_millicores = 0; ///< By other tasks than long-running ones.
         bool standby = false;
 
         [[nodiscard]] std::int64_t surplus() const { return present + incoming - needed; }
@@ -100,7 +102,8 @@
     void store_surplus(const capacity_view& view, pool_counts& counts, instant now);
     [[nodiscard]] const fleet_vm* donor(const capacity_view& view, const pool_counts& counts,
                                         const pool_id& target) const;
-    [[nodiscard]] bool is_free(const fleet_vm& vm, const capacity_view& view) const;
+    [[nodiscard]] std::optional<std::size_t> runs_to_wait_for(const fleet_vm& vm,
+                                                              const capacity_view& view) const;
     void begin_move(const fleet_vm& vm, const pool_id& target, pool_counts& counts, instant now);
 
     vm_order_cycle cycle_;
--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -148,7 +148,7 @@
 struct pool_demand {
     pool_id pool;
     double arrived_core_s = 0; ///< By estimate, since the ownership began.
-    double waiting_core_s = 0; ///< Of tasks that could start and may still meet their objective.
+    double waiting_cores = 0;  ///< Of tasks that could start and may still meet their objective.
 };
 
 /// Numbers of a dispatcher, for figures and for the state page.
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -376,8 +376,11 @@
             }
             for (const auto& [number, occurrence] : entry->occurrences) {
                 for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-                    demand.waiting_core_s += core_seconds(
-                        entry->step(step), occurrence.steps[step].waiting());
+                    constexpr double millicores_per_core = 1000;
+                    demand.waiting_cores +=
+                        static_cast<double>(occurrence.steps[step].waiting()) *
+                        static_cast<double>(entry->step(step).size.millicores) /
+                        millicores_per_core;
                 }
             }
         }
--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -174,9 +174,7 @@
         return nullptr;
     }
     backend_entry* best = nullptr;
-    std::tuple<bool, bool, bool, std::int64_t> best_score;
-    // Long-running tasks share servers, so that the VMs of the others can go where work waits.
-    const std::int64_t direction = definition.long_running ? -1 : 1;
+    std::tuple<bool, bool, bool, bool, std::int64_t> best_score;
     for (backend_entry* server : servers) {
         const resources room = server->room();
         if (!room.holds(reserved) || held_back.contains(server) ||
@@ -186,8 +184,11 @@
         const bool near = definition.data_rack.empty() ||
                           server->listing.has_label(definition.data_rack);
         const bool stays = !definition.long_running || !server->closing_later;
-        const std::tuple score(server->listing.id != slot.failed_on, stays, near,
-                               direction * room.millicores);
+        // Tasks are packed, and long-running ones most of all, so that other VMs are empty and can
+        // go where work waits.
+        const bool shares = !definition.long_running || hosts_long_running(*server);
+        const std::tuple score(server->listing.id != slot.failed_on, stays, near, shares,
+                               -room.millicores);
         if (best == nullptr || score > best_score) {
             best = server;
             best_score = score;
@@ -196,6 +197,12 @@
     return best;
 }
 
+bool dispatcher::implementation::hosts_long_running(const backend_entry& server) {
+    return std::ranges::any_of(server.runs, [](const task_run* run) {
+        return run->workflow->step(run->step).long_running;
+    });
+}
+
 bool dispatcher::implementation::can_take(const backend_entry& server) const {
     return is(server, "current") && server.listed && !server.listing.leaving && !server.closing &&
            server.clock && !orders_.removed_zones.contains(server.listing.zone) &&
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -170,6 +170,7 @@
     backend_entry* choose(const candidate& item, const task_slot& slot,
                           std::span<backend_entry* const> servers,
                           const std::set<const backend_entry*>& held_back) const;
+    [[nodiscard]] static bool hosts_long_running(const backend_entry& server);
     [[nodiscard]] bool can_take(const backend_entry& server) const;
     [[nodiscard]] bool suits(const backend_entry& server, const workflow_entry& entry,
                              std::uint32_t occurrence, std::uint32_t step) const;
--- a/src/decide/maintenance/capacity_planner.cpp
+++ b/src/decide/maintenance/capacity_planner.cpp
@@ -2,25 +2,27 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace citronford {
 namespace {
 
 /// Over which the arrival rate is measured.
-constexpr duration rate_window = milliseconds(600);
+constexpr duration rate_window = milliseconds(900);
 
 /// Servers that were needed within this time are kept, since arrivals are uneven.
-constexpr duration hold_time = milliseconds(1500);
+constexpr duration hold_time = milliseconds(1000);
 
-/// Time in which waiting work should have been started.
-constexpr double clearing_time_s = 1.0;
+/// Share of the waiting tasks that new servers should be able to start at once; the rest starts when
+/// the running ones end.
+constexpr double waiting_share = 0.6;
 
 /// Room beside the expected work, since tasks do not fill servers exactly.
 constexpr double headroom = 1.15;
 
 /// A forecast is at most this multiple of the present rate.
-constexpr double most_growth = 3.0;
+constexpr double most_growth = 2.0;
 
 /// Servers that a pool keeps without any work.
 constexpr std::int64_t least_servers = 2;
@@ -36,7 +38,7 @@
 constexpr duration repeat_pause = milliseconds(700);
 
 /// A move that has not begun after this time is given up.
-constexpr duration closing_limit = milliseconds(1500);
+constexpr duration closing_limit = milliseconds(3000);
 
 const backend_load* find_load(std::span<const backend_load> loads, const backend_id& id) {
     const auto found = std::ranges::find(loads, id, &backend_load::backend);
@@ -150,6 +152,7 @@
         pool.capacity_millicores += load->capacity.millicores;
         pool.hosts += load->long_running > 0 ? 1 : 0;
         pool.long_running_millicores += load->long_running_millicores;
+        pool.used_millicores += load->used.millicores - load->long_running_millicores;
     }
     return counts;
 }
@@ -189,8 +192,10 @@
                 ? 1
                 : static_cast<double>(pool.capacity_millicores) /
                       static_cast<double>(pool.present) / millicores_per_core;
+        const double used = static_cast<double>(pool.used_millicores) / millicores_per_core;
         const double cores =
-            expected_cores(outlook, now) * headroom + demand.waiting_core_s / clearing_time_s +
+            std::max(expected_cores(outlook, now) * headroom, used) +
+            demand.waiting_cores * waiting_share +
             static_cast<double>(pool.long_running_millicores) / millicores_per_core;
         const auto servers = static_cast<std::int64_t>(std::ceil(cores / server_cores));
         outlook.needs.push_back({now, servers});
@@ -203,27 +208,32 @@
     }
 }
 
-bool capacity_planner::is_free(const fleet_vm& vm, const capacity_view& view) const {
+std::optional<std::size_t>
+capacity_planner::runs_to_wait_for(const fleet_vm& vm, const capacity_view& view) const {
     if (vm.state != fleet_vm::condition::up || moves_.contains(vm.id) ||
         view.removed_zones.contains(vm.zone) ||
         std::ranges::find(view.taken, vm.id) != view.taken.end()) {
-        return false;
+        return std::nullopt;
     }
     const catalog_pool* pool = view.catalog.pool(vm.pool);
     if (pool != nullptr && pool->standby) {
-        return true;
+        return 0;
     }
     const backend_load* load = find_load(view.loads, vm.backend);
-    return load != nullptr && load->runs == 0;
+    if (load == nullptr || load->long_running > 0) {
+        return std::nullopt;
+    }
+    return load->runs;
 }
 
 const fleet_vm* capacity_planner::donor(const capacity_view& view, const pool_counts& counts,
                                         const pool_id& target) const {
     const fleet_vm* best = nullptr;
-    std::pair<bool, std::int64_t> best_score;
+    std::tuple<bool, std::int64_t, std::int64_t> best_score;
     for (const fleet_vm& vm : view.vms) {
         const auto found = counts.find(vm.pool);
-        if (vm.pool == target || found == counts.end() || !is_free(vm, view)) {
+        const std::optional<std::size_t> runs = runs_to_wait_for(vm, view);
+        if (vm.pool == target || found == counts.end() || !runs) {
             continue;
         }
         const pool_count& pool = found->second;
@@ -231,8 +241,9 @@
         if (pool.surplus() <= kept || pool.present <= pool.hosts) {
             continue;
         }
-        // A VM that is paid for comes before one that must be switched on.
-        const std::pair score(!pool.standby, pool.surplus());
+        // A VM that is paid for comes before one that must be switched on, an empty one before one
+        // whose tasks must end first.
+        const std::tuple score(!pool.standby, -static_cast<std::int64_t>(*runs), pool.surplus());
         if (best == nullptr || score > best_score) {
             best = &vm;
             best_score = score;
@@ -294,7 +305,7 @@
         }
         for (const fleet_vm& vm : view.vms) {
             if (vm.pool == name && pool.surplus() > spare_servers &&
-                pool.present > pool.hosts && is_free(vm, view)) {
+                pool.present > pool.hosts && runs_to_wait_for(vm, view) == 0U) {
                 begin_move(vm, target, counts, now);
             }
         }
