--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -3,6 +3,8 @@
 #include <h2o.h>
 #include <h2o/http1client.h>
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <deque>
 #include <map>
@@ -207,6 +209,19 @@
 
 namespace {
 
+/// Makes the close of a connection discard what has not been delivered. Bytes that a broken path
+/// holds up would otherwise arrive long after their call has failed.
+void discard_unsent(const h2o_http1client_t& client) {
+    if (client.sock == nullptr) {
+        return;
+    }
+    const int descriptor = h2o_socket_get_fd(client.sock);
+    const linger at_once{1, 0};
+    if (descriptor >= 0) {
+        setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+    }
+}
+
 void fail_later(open_call* call) {
     call->timeout = call->owner->timers.after(
         duration::zero(), [call](instant) { finish(call, result_without_reply(*call, false)); });
@@ -317,6 +332,7 @@
     ++body_->open;
     call->timeout = body_->timers.after(request.timeout, [call](instant) {
         if (call->client != nullptr && !call->failed_at_start) {
+            discard_unsent(*call->client);
             h2o_http1client_cancel(call->client);
         }
         finish(call, result_without_reply(*call, false));
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -4,7 +4,12 @@
 #include "io/http_client.h"
 #include "io/http_server.h"
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
+#include <cerrno>
 #include <string>
 
 using namespace citronford;
@@ -45,8 +50,47 @@
     }
 };
 
+/// A listening socket whose connections are accepted by the kernel and never answered.
+struct silent_listener {
+    int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+
+    silent_listener() {
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        cr_assert(bind(socket, reinterpret_cast<sockaddr*>(&address), size) == 0);
+        cr_assert(listen(socket, 4) == 0);
+        getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
+    }
+    silent_listener(const silent_listener&) = delete;
+    silent_listener& operator=(const silent_listener&) = delete;
+    silent_listener(silent_listener&&) = delete;
+    silent_listener& operator=(silent_listener&&) = delete;
+    ~silent_listener() { close(socket); }
+};
+
 } // namespace
 
+// Guards against an order that a broken path holds up and delivers after its call has failed: an
+// ordinary close would still send it.
+Test(http_client, resets_the_connection_of_a_lost_call) {
+    client_fixture fixture(1);
+    const silent_listener listener;
+    fixture.client.call({"127.0.0.1", ntohs(listener.address.sin_port)},
+                        {"POST", "/", {}, "order", milliseconds(50)}, [](const http_result&) {});
+    fixture.run_for(milliseconds(200));
+    const int connection = accept(listener.socket, nullptr, nullptr);
+    cr_assert(connection >= 0);
+    char buffer[4096];
+    ssize_t size = 0;
+    do {
+        size = recv(connection, buffer, sizeof(buffer), 0);
+    } while (size > 0);
+    cr_assert(size < 0 && errno == ECONNRESET, "size %zd, error %d", size, errno);
+    close(connection);
+}
+
 // Guards against a connection for each call, which the backend servers count and charge.
 Test(http_client, shares_a_bounded_number_of_connections) {
     client_fixture fixture(2);
