--- a/daemons/citronford_fleetd.cpp
+++ b/daemons/citronford_fleetd.cpp
@@ -77,10 +77,10 @@
     backend_client backends(backend_calls);
     const platform_rows rows;
     std::unique_ptr<http_server> caller_server;
-    auto created = fleet_node::create(
-        own, {**loop, table, backends, vms, rows, unix_ms},
-        {[&] { return caller_server->open_requests(); }, [&] { caller_server->stop_accepting(); },
-         [&] { leave_process(own); }});
+    auto created =
+        fleet_node::create(own, {**loop, table, backends, vms, rows, unix_ms},
+                           {[&] { return caller_server->open_requests(); },
+                            [&] { caller_server->stop_accepting(); }, [&] { leave_process(own); }});
     if (!created.ok()) {
         return fail(created.status());
     }
--- a/include/citronford/backend_link.h
+++ b/include/citronford/backend_link.h
@@ -61,8 +61,8 @@
     task_key task;
     std::uint32_t run = 0;
     std::string checkpoint;
-    int percent = 100;       ///< Share at which it works; 100: at work.
-    std::int64_t load = 0;   ///< Tail in ms of a task that serves; millicores in use of any other.
+    int percent = 100;     ///< Share at which it works; 100: at work.
+    std::int64_t load = 0; ///< Tail in ms of a task that serves; millicores in use of any other.
 };
 
 enum class run_end { done, failed, stopped, lapsed, partner_ended, partners_missing };
@@ -77,7 +77,15 @@
 
 // Results of orders.
 
-enum class order_refusal { fenced, superseded_run, lease_over, no_room, no_ticket, unhealthy, malformed };
+enum class order_refusal {
+    fenced,
+    superseded_run,
+    lease_over,
+    no_room,
+    no_ticket,
+    unhealthy,
+    malformed
+};
 
 /// The order was carried out.
 struct order_done {
@@ -94,8 +102,8 @@
 /// The order may be carried out, also seconds later.
 struct order_in_doubt {};
 
-using order_result = std::variant<order_done, order_refused, backend_replaced, backend_unreachable,
-                                  order_in_doubt>;
+using order_result =
+    std::variant<order_done, order_refused, backend_replaced, backend_unreachable, order_in_doubt>;
 
 /// The lists of a server.
 struct backend_view {
@@ -106,8 +114,8 @@
     bool all_ends = true;          ///< Whether no further end waits to be listed.
 };
 
-using look_result = std::variant<backend_view, order_refused, backend_replaced,
-                                 backend_unreachable, order_in_doubt>;
+using look_result = std::variant<backend_view, order_refused, backend_replaced, backend_unreachable,
+                                 order_in_doubt>;
 
 /// Connections to the backend servers that run tasks. Each callback is called exactly once, within
 /// the timeout, and never from inside the call.
--- a/include/citronford/capacity_planner.h
+++ b/include/citronford/capacity_planner.h
@@ -36,7 +36,7 @@
     std::span<const pool_demand> demands;
     const queue_catalog& catalog;
     const std::set<zone_id>& removed_zones;
-    std::span<const vm_id> taken; ///< VMs that are being maintained.
+    std::span<const vm_id> taken; ///< VMs that are being maintained, or take no orders yet.
     bool may_order = false;       ///< Orders to VMs are allowed now.
 };
 
--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -125,10 +125,11 @@
 
 struct dispatch_options {
     fencing_token token = 0;
-    duration lease = milliseconds(5000);         ///< Of the runs on a server.
+    duration lease = milliseconds(4200); ///< Of the runs on a server.
     duration longest_lease = milliseconds(6000); ///< Servers shorten longer leases to this.
-    duration earlier_grace = milliseconds(3000); ///< An earlier owner may act so long after losing its lease.
-    duration stop_time = milliseconds(900);      ///< A server stops a run within this time.
+    duration earlier_grace =
+        milliseconds(3000); ///< An earlier owner may act so long after losing its lease.
+    duration stop_time = milliseconds(900); ///< A server stops a run within this time.
     /// How long registrations may be missing after the ownership began, when the store was away.
     duration listing_delay{};
 };
@@ -174,9 +175,8 @@
         const chart& backend_contact;
     };
 
-    static absl::StatusOr<std::unique_ptr<dispatcher>> create(const charts& life_cycles,
-                                                              dispatch_options options,
-                                                              instant now);
+    static absl::StatusOr<std::unique_ptr<dispatcher>>
+    create(const charts& life_cycles, dispatch_options options, instant now);
 
     dispatcher(const dispatcher&) = delete;
     dispatcher& operator=(const dispatcher&) = delete;
--- a/include/citronford/fleet_rows.h
+++ b/include/citronford/fleet_rows.h
@@ -58,8 +58,7 @@
     [[nodiscard]] virtual std::string_view backends_prefix() const = 0;
 
     /// The order of a row; a deleted row withdraws what it ordered.
-    [[nodiscard]] virtual absl::StatusOr<operator_order>
-    order_of(const table_row& row) const = 0;
+    [[nodiscard]] virtual absl::StatusOr<operator_order> order_of(const table_row& row) const = 0;
 
     [[nodiscard]] virtual backend_id backend_named(std::string_view key) const = 0;
 
--- a/include/citronford/fleet_settings.h
+++ b/include/citronford/fleet_settings.h
@@ -25,7 +25,7 @@
     endpoint figures{"127.0.0.1", 8345};
     endpoint table{"127.0.0.1", 8090};
     endpoint vms{"127.0.0.1", 8091};
-    endpoint advice; ///< Port 0: there is no advice service.
+    endpoint advice;                         ///< Port 0: there is no advice service.
     std::int64_t processors_permille = 1000; ///< Share of one processor that this VM has.
     std::size_t body_limit = 262144;
     milliseconds longest_backend_lease{6000}; ///< Backend servers shorten longer leases to this.
--- a/include/citronford/ownership.h
+++ b/include/citronford/ownership.h
@@ -93,12 +93,14 @@
     node_id node;
     std::string incarnation;
     /// Another node may claim the ownership this long after the last renewal that it saw.
-    duration lease = milliseconds(2400);
-    duration renewal_period = milliseconds(600);
-    /// How long an owner that cannot renew goes on with the work that it knows. A store outage stops
-    /// renewals and claims alike; a new owner waits this long for servers that it cannot reach.
-    duration grace = milliseconds(3000);
-    /// Wait before a claim; lower on VMs with more processors, so that one of them becomes the owner.
+    duration lease = milliseconds(1600);
+    duration renewal_period = milliseconds(350);
+    /// How long an owner that cannot renew goes on with the work that it knows. A store outage
+    /// stops renewals and claims alike; a new owner waits this long for servers that it cannot
+    /// reach.
+    duration grace = milliseconds(3400);
+    /// Wait before a claim; lower on VMs with more processors, so that one of them becomes the
+    /// owner.
     duration claim_delay{};
 };
 
@@ -114,12 +116,12 @@
     [[nodiscard]] bool owning() const;
 
     /// Until when an owner may take in new work. Later it goes on with the work that it knows.
-    [[nodiscard]] instant lease_until() const { return context_.renewed_at + context_.options.lease; }
+    [[nodiscard]] instant lease_until() const {
+        return context_.renewed_at + context_.options.lease;
+    }
 
     /// Until when an owner may give orders to backend servers.
-    [[nodiscard]] instant authority_until() const {
-        return lease_until() + context_.options.grace;
-    }
+    [[nodiscard]] instant authority_until() const { return lease_until() + context_.options.grace; }
 
     /// When the rows should be read next, by what is known of them.
     [[nodiscard]] duration read_period(instant now) const;
--- a/include/citronford/queue_catalog.h
+++ b/include/citronford/queue_catalog.h
@@ -25,14 +25,14 @@
 /// A queue for workflows as operators configure it.
 struct queue_definition {
     queue_id name;
-    std::string host;   ///< Of the requests of callers.
-    std::string prefix; ///< Of their paths; the longest that fits counts.
-    pool_id pool;       ///< Whose backend servers run the tasks.
-    int priority = 0;   ///< Zero comes first.
-    std::uint32_t attempts = 1;    ///< Runs of a task that may fail.
-    double stretch = 1;            ///< Factor on the longest chain in the latency objective.
-    milliseconds objective_slack{}; ///< Added to the stretched chain.
-    bool open = false;             ///< Open to callers without a key.
+    std::string host;                   ///< Of the requests of callers.
+    std::string prefix;                 ///< Of their paths; the longest that fits counts.
+    pool_id pool;                       ///< Whose backend servers run the tasks.
+    int priority = 0;                   ///< Zero comes first.
+    std::uint32_t attempts = 1;         ///< Runs of a task that may fail.
+    double stretch = 1;                 ///< Factor on the longest chain in the latency objective.
+    milliseconds objective_slack{};     ///< Added to the stretched chain.
+    bool open = false;                  ///< Open to callers without a key.
     std::optional<advice_terms> advice; ///< Only advised backend servers may run the tasks.
 };
 
--- a/include/citronford/wave_planner.h
+++ b/include/citronford/wave_planner.h
@@ -45,7 +45,7 @@
 using wave_effect = std::variant<maintain_vm, save_wave, show_wave>;
 
 struct wave_options {
-    duration maintenance_time{};  ///< Until a maintained VM is back.
+    duration maintenance_time{};                ///< Until a maintained VM is back.
     duration longest_task = milliseconds(2500); ///< Until a closing server is usually empty.
 };
 
@@ -54,7 +54,8 @@
     std::span<const fleet_vm> vms; ///< As listed last.
     instant listed_at{};           ///< When that list was asked for.
     std::span<const backend_load> loads;
-    bool may_order = false; ///< Orders to VMs are allowed now.
+    std::span<const vm_id> barred; ///< An earlier owner may have ordered these a moment ago.
+    bool may_order = false;        ///< Orders to VMs are allowed now.
 };
 
 /// Carries out the maintenance waves of the operators: chooses VMs whose pools need them least,
--- a/include/citronford/workflow.h
+++ b/include/citronford/workflow.h
@@ -17,21 +17,21 @@
 /// One step of a workflow: a number of equal tasks.
 struct workflow_step {
     std::uint32_t tasks = 0;
-    resources size;                        ///< Of each task.
-    milliseconds estimate{};               ///< Rough run time of a task; zero when not known.
-    std::vector<std::uint32_t> after;      ///< Steps whose tasks must all be done first.
-    std::string required_label;            ///< Label that a backend server must have.
-    std::string data_rack;                 ///< Tasks take longer on any other rack.
-    std::uint32_t most_per_server = 0;     ///< Most tasks on one backend server; zero: no limit.
-    std::uint32_t may_miss = 0;            ///< Tasks that planned work may take away at once.
-    std::string image;                     ///< What the tasks run; one image behaves alike.
-    milliseconds response_target{};        ///< Tail of the response times of tasks that serve.
+    resources size;                    ///< Of each task.
+    milliseconds estimate{};           ///< Rough run time of a task; zero when not known.
+    std::vector<std::uint32_t> after;  ///< Steps whose tasks must all be done first.
+    std::string required_label;        ///< Label that a backend server must have.
+    std::string data_rack;             ///< Tasks take longer on any other rack.
+    std::uint32_t most_per_server = 0; ///< Most tasks on one backend server; zero: no limit.
+    std::uint32_t may_miss = 0;        ///< Tasks that planned work may take away at once.
+    std::string image;                 ///< What the tasks run; one image behaves alike.
+    milliseconds response_target{};    ///< Tail of the response times of tasks that serve.
     bool checkpointing = false;
-    bool gang = false;                     ///< Tasks work only while all of one run are present.
-    bool same_rack = false;                ///< Tasks take longer on more than one rack.
-    bool speculative = false;              ///< Copies of a task may run in parallel.
-    bool long_running = false;             ///< Tasks run until the workflow is cancelled.
-    bool fills = false;                    ///< Processors of the tasks are not reserved.
+    bool gang = false;         ///< Tasks work only while all of one run are present.
+    bool same_rack = false;    ///< Tasks take longer on more than one rack.
+    bool speculative = false;  ///< Copies of a task may run in parallel.
+    bool long_running = false; ///< Tasks run until the workflow is cancelled.
+    bool fills = false;        ///< Processors of the tasks are not reserved.
 
     friend bool operator==(const workflow_step&, const workflow_step&) = default;
 };
@@ -40,9 +40,9 @@
 struct workflow_spec {
     std::string payload; ///< Passed to each task as it is.
     std::vector<workflow_step> steps;
-    std::uint32_t occurrences = 0;       ///< Times that the steps run; zero: once, at once.
-    std::int64_t first_due_unix_ms = 0;  ///< When the first occurrence is due.
-    std::int64_t interval_ms = 0;        ///< Between two occurrences.
+    std::uint32_t occurrences = 0;      ///< Times that the steps run; zero: once, at once.
+    std::int64_t first_due_unix_ms = 0; ///< When the first occurrence is due.
+    std::int64_t interval_ms = 0;       ///< Between two occurrences.
 
     /// Occurrences including the only one of a workflow without a schedule.
     [[nodiscard]] std::uint32_t runs() const { return occurrences == 0 ? 1 : occurrences; }
--- a/include/citronford/workflow_progress.h
+++ b/include/citronford/workflow_progress.h
@@ -32,7 +32,7 @@
 /// servers; only ends that were acknowledged to them must be found here.
 struct workflow_progress {
     workflow_state state = workflow_state::pending;
-    std::vector<step_progress> steps;     ///< Only steps with a task that is done.
+    std::vector<step_progress> steps; ///< Only steps with a task that is done.
     std::vector<task_failures> failures;
 
     friend bool operator==(const workflow_progress&, const workflow_progress&) = default;
--- a/src/decide/dispatch/backend_entry.h
+++ b/src/decide/dispatch/backend_entry.h
@@ -23,7 +23,7 @@
 /// What the dispatcher knows of one backend server.
 struct backend_entry {
     backend_listing listing;
-    bool listed = false; ///< Registered at present.
+    bool listed = false;        ///< Registered at present.
     bool closing = false;       ///< Its VM is about to be maintained or moved.
     bool closing_later = false; ///< Its VM will be maintained or moved before long.
     chart_position contact{};
@@ -45,7 +45,7 @@
     /// Lists of the first look, kept until the pool is settled.
     std::optional<backend_view> first_view;
 
-    instant refused_until{}; ///< It has refused a start for want of room or health.
+    instant refused_until{};  ///< It has refused a start for want of room or health.
     double failure_ratio = 0; ///< Moving share of failed ends.
     instant quarantined_until{};
 
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -89,13 +89,14 @@
     // A queue that operators have removed meanwhile leaves its workflows with a plain objective.
     constexpr double default_stretch = 2;
     constexpr duration default_slack = seconds(1);
-    entry.allowance =
-        std::chrono::duration_cast<duration>(
-            entry.chain * (queue == nullptr ? default_stretch : queue->stretch)) +
-        (queue == nullptr ? default_slack : duration(queue->objective_slack));
+    entry.allowance = std::chrono::duration_cast<duration>(
+                          entry.chain * (queue == nullptr ? default_stretch : queue->stretch)) +
+                      (queue == nullptr ? default_slack : duration(queue->objective_slack));
     constexpr std::int64_t oldest_ms = 600000;
     const std::int64_t age_ms =
-        unix_ms_ == 0 ? 0 : std::clamp<std::int64_t>(unix_ms_ - entry.row.accepted_unix_ms, 0, oldest_ms);
+        unix_ms_ == 0
+            ? 0
+            : std::clamp<std::int64_t>(unix_ms_ - entry.row.accepted_unix_ms, 0, oldest_ms);
     entry.accepted_at = now_ - milliseconds(age_ms);
     entry.surplus = !input.stored_before && !takes_from_owed(entry.row.team);
     entry.restore(input.progress, now_);
@@ -377,10 +378,9 @@
             for (const auto& [number, occurrence] : entry->occurrences) {
                 for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                     constexpr double millicores_per_core = 1000;
-                    demand.waiting_cores +=
-                        static_cast<double>(occurrence.steps[step].waiting()) *
-                        static_cast<double>(entry->step(step).size.millicores) /
-                        millicores_per_core;
+                    demand.waiting_cores += static_cast<double>(occurrence.steps[step].waiting()) *
+                                            static_cast<double>(entry->step(step).size.millicores) /
+                                            millicores_per_core;
                 }
             }
         }
--- a/src/decide/dispatch/dispatcher_looks.cpp
+++ b/src/decide/dispatch/dispatcher_looks.cpp
@@ -153,16 +153,14 @@
     }
 }
 
-dispatcher::implementation::task_place
-dispatcher::implementation::place_of(const task_key& key) {
+dispatcher::implementation::task_place dispatcher::implementation::place_of(const task_key& key) {
     const auto found = workflows_.find(key.job);
     if (found == workflows_.end()) {
         return {};
     }
     workflow_entry& entry = *found->second;
     const auto occurrence = entry.occurrences.find(key.occurrence);
-    if (occurrence == entry.occurrences.end() ||
-        key.step >= occurrence->second.steps.size() ||
+    if (occurrence == entry.occurrences.end() || key.step >= occurrence->second.steps.size() ||
         key.index >= occurrence->second.steps[key.step].tasks.size()) {
         return {};
     }
@@ -222,8 +220,8 @@
                             server->has_strays || ends_open;
         // While ends are being saved, a held look would return at once with the same ends.
         constexpr duration unsaved_pause = milliseconds(1000);
-        const bool repeats = server->confirmed && ends_open &&
-                             now_ < server->look_sent_at + unsaved_pause;
+        const bool repeats =
+            server->confirmed && ends_open && now_ < server->look_sent_at + unsaved_pause;
         if (needed && !repeats) {
             order_look(*server);
         }
@@ -231,7 +229,7 @@
 }
 
 void dispatcher::implementation::order_look(backend_entry& server) {
-    constexpr duration longest_wait = milliseconds(2000);
+    constexpr duration longest_wait = milliseconds(1200);
     const bool may_wait = server.confirmed && server.ends_saved >= server.ends_taken &&
                           pools_[server.listing.pool].settled &&
                           (!server.runs.empty() || server.has_strays);
--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -53,7 +53,8 @@
         if (occurrence.steps_done == occurrence.steps.size()) {
             continue;
         }
-        const instant begun = entry.row.spec.occurrences == 0 ? entry.accepted_at : occurrence.due_at;
+        const instant begun =
+            entry.row.spec.occurrences == 0 ? entry.accepted_at : occurrence.due_at;
         const duration chain = entry.remaining_chain(occurrence);
         const duration slack = begun + entry.allowance - now_ - chain;
         // Work that ends within three times its allowance still has some worth.
@@ -66,8 +67,8 @@
         }
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
             if (occurrence.steps[step].waiting() > 0) {
-                candidate item{&entry, &occurrence, step, rank,
-                               queue == nullptr ? 0 : queue->priority, slack};
+                candidate item{
+                    &entry, &occurrence, step, rank, queue == nullptr ? 0 : queue->priority, slack};
                 if (item.definition().long_running) {
                     item.rank = urgency::long_running;
                 }
@@ -132,7 +133,8 @@
             break;
         }
         begun.push_back(&add_run(*item.workflow, *item.occurrence, item.step, index,
-                                 definition.gang ? number : item.workflow->next_run(slot), *server));
+                                 definition.gang ? number : item.workflow->next_run(slot),
+                                 *server));
     }
     const bool partial_gang =
         definition.gang && (!complete || state.active != state.tasks.size() - state.done);
@@ -181,8 +183,8 @@
             !suits(*server, *item.workflow, item.occurrence->number, item.step)) {
             continue;
         }
-        const bool near = definition.data_rack.empty() ||
-                          server->listing.has_label(definition.data_rack);
+        const bool near =
+            definition.data_rack.empty() || server->listing.has_label(definition.data_rack);
         const bool stays = !definition.long_running || !server->closing_later;
         // Tasks are packed, and long-running ones most of all, so that other VMs are empty and can
         // go where work waits.
--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -41,6 +41,7 @@
         {"note_presence",
          [](run_context& context, const run_event& event) {
              context.run.present_at = context.board.now_;
+             context.run.known_since = std::min(context.run.known_since, context.board.now_);
              if (const auto* seen = std::get_if<seen_running>(&event)) {
                  context.run.percent = seen->shown->percent;
                  context.run.load = seen->shown->load;
@@ -66,8 +67,8 @@
              context.run.stopped_at = context.board.now_;
              context.run.server->next_look_at = context.board.now_;
          }},
-        {"take_back", [](run_context& context,
-                         const run_event&) { context.run.outcome = run_not_begun{}; }},
+        {"take_back",
+         [](run_context& context, const run_event&) { context.run.outcome = run_not_begun{}; }},
         {"apply_end",
          [](run_context& context, const run_event& event) {
              const ended_task& end = *std::get<end_listed>(event).end;
@@ -256,11 +257,15 @@
     ++counts_.starts;
     const task_slot& slot =
         run.workflow->occurrences.at(run.occurrence).steps[run.step].tasks[run.index];
-    effects_.emplace_back(send_start{
-        run.id,
-        {run.server->listing.id, run.server->listing.address},
-        {run.key(), run.number, run.workflow->row.spec.payload, renewed_lease(*run.server),
-         options_.token, slot.checkpoint, {}}});
+    effects_.emplace_back(send_start{run.id,
+                                     {run.server->listing.id, run.server->listing.address},
+                                     {run.key(),
+                                      run.number,
+                                      run.workflow->row.spec.payload,
+                                      renewed_lease(*run.server),
+                                      options_.token,
+                                      slot.checkpoint,
+                                      {}}});
 }
 
 void dispatcher::implementation::order_stop(const task_run& run) {
@@ -363,10 +368,13 @@
         return true;
     }
     constexpr int at_work = 100;
+    // A long-running task starts up within this time; servers do not tell when it has.
+    constexpr duration startup_time = milliseconds(2000);
     const step_state& state = run.workflow->occurrences.at(run.occurrence).steps[run.step];
     std::uint32_t others_away = 0;
     for (const task_slot& slot : state.tasks) {
         const bool works = slot.run != nullptr && slot.run->percent == at_work &&
+                           now_ - startup_time >= slot.run->known_since &&
                            run_machine_.name_of(slot.run->position) == "running" &&
                            is(*slot.run->server, "current");
         others_away += slot.run != &run && !works ? 1 : 0;
@@ -393,7 +401,8 @@
             if (run->workflow->step(run->step).long_running &&
                 run_machine_.name_of(run->position) == "running" && may_take_away(*run) &&
                 has_room_elsewhere(*run)) {
-                note("run_moved", run->workflow->row.id, id, server->closing ? "closing" : "leaving");
+                note("run_moved", run->workflow->row.id, id,
+                     server->closing ? "closing" : "leaving");
                 step_run(*run, stop_wanted{});
             }
         }
--- a/src/decide/dispatch/dispatcher_takeover.cpp
+++ b/src/decide/dispatch/dispatcher_takeover.cpp
@@ -16,9 +16,8 @@
         if (pool.settled) {
             continue;
         }
-        const bool all_read = std::ranges::all_of(pool.servers, [this](const backend_id& id) {
-            return !is(*servers_.at(id), "unread");
-        });
+        const bool all_read = std::ranges::all_of(
+            pool.servers, [this](const backend_id& id) { return !is(*servers_.at(id), "unread"); });
         if (all_read || now_ >= begun_at_ + patience) {
             settle(pool);
         }
@@ -112,9 +111,8 @@
     if (now_ < begun_at_ + options_.listing_delay) {
         return true;
     }
-    return std::ranges::any_of(pool.servers, [this](const backend_id& id) {
-        return is(*servers_.at(id), "unread");
-    });
+    return std::ranges::any_of(
+        pool.servers, [this](const backend_id& id) { return is(*servers_.at(id), "unread"); });
 }
 
 } // namespace citronford
--- a/src/decide/dispatch/task_run.h
+++ b/src/decide/dispatch/task_run.h
@@ -40,10 +40,11 @@
     chart_position position{};
     instant ordered_at{};
     instant doubtful_at{};
-    std::optional<instant> present_at; ///< Last time that it was known to exist.
-    std::optional<instant> stopped_at; ///< When the server had confirmed the stop.
+    std::optional<instant> present_at;    ///< Last time that it was known to exist.
+    instant known_since = instant::max(); ///< When it was first known to exist.
+    std::optional<instant> stopped_at;    ///< When the server had confirmed the stop.
     std::optional<instant> stop_again_at; ///< When an unanswered stop is sent again.
-    int percent = 0;                   ///< Share at which it works; zero until it was seen.
+    int percent = 0;                      ///< Share at which it works; zero until it was seen.
     std::int64_t load = 0;
     bool listed = false; ///< By the view that is being taken in.
     run_outcome outcome; ///< Set when its life cycle ends.
@@ -92,8 +93,8 @@
     static constexpr std::string_view event_name = "lease_over";
 };
 
-using run_event = std::variant<start_accepted, start_refused, start_unanswered, seen_running,
-                               not_listed, stop_wanted, stop_accepted, stop_unanswered, stop_due,
-                               end_listed, lease_over>;
+using run_event =
+    std::variant<start_accepted, start_refused, start_unanswered, seen_running, not_listed,
+                 stop_wanted, stop_accepted, stop_unanswered, stop_due, end_listed, lease_over>;
 
 } // namespace citronford::dispatch
--- a/src/decide/dispatch/workflow_entry.h
+++ b/src/decide/dispatch/workflow_entry.h
@@ -24,8 +24,8 @@
     std::uint32_t failures = 0;
     std::uint32_t last_run = 0;        ///< Highest number of a run that is known.
     std::uint32_t last_failed_run = 0; ///< The last run that counts among the failures.
-    task_run* run = nullptr;    ///< The run that may exist now.
-    backend_id failed_on;       ///< Where its last run failed.
+    task_run* run = nullptr;           ///< The run that may exist now.
+    backend_id failed_on;              ///< Where its last run failed.
     std::string checkpoint;
 
     [[nodiscard]] bool waits() const { return !done && run == nullptr; }
@@ -56,12 +56,13 @@
     bool changed = false; ///< Since its progress was saved last.
     bool surplus = false; ///< Beyond the rate that its team is owed.
     duration chain{};     ///< The longest chain of steps, by estimate.
-    duration allowance{}; ///< From its acceptance, or the due time of an occurrence, to its objective.
+    duration
+        allowance{}; ///< From its acceptance, or the due time of an occurrence, to its objective.
     instant accepted_at{};
     std::map<std::uint32_t, occurrence_state> occurrences; ///< Those that are due.
     std::uint32_t occurrences_done = 0;
     std::uint32_t next_occurrence = 0; ///< The first that is not due yet.
-    std::size_t runs = 0; ///< Runs that may exist.
+    std::size_t runs = 0;              ///< Runs that may exist.
 
     [[nodiscard]] const workflow_step& step(std::uint32_t number) const {
         return row.spec.steps[number];
--- a/src/decide/maintenance/capacity_planner.cpp
+++ b/src/decide/maintenance/capacity_planner.cpp
@@ -14,8 +14,8 @@
 /// Servers that were needed within this time are kept, since arrivals are uneven.
 constexpr duration hold_time = milliseconds(1000);
 
-/// Share of the waiting tasks that new servers should be able to start at once; the rest starts when
-/// the running ones end.
+/// Share of the waiting tasks that new servers should be able to start at once; the rest starts
+/// when the running ones end.
 constexpr double waiting_share = 0.6;
 
 /// Room beside the expected work, since tasks do not fill servers exactly.
@@ -30,8 +30,8 @@
 /// Servers beyond its need that a pool keeps before it gives one away.
 constexpr std::int64_t spare_servers = 1;
 
-/// A VM that no pool needs is moved to the standby pool after this time: by then keeping it has cost
-/// about as much as the two moves.
+/// A VM that no pool needs is moved to the standby pool after this time: by then keeping it has
+/// cost about as much as the two moves.
 constexpr duration idle_time = milliseconds(2500);
 
 /// Between a move that was not answered and its repetition.
@@ -95,8 +95,7 @@
             continue;
         }
         if (cycle_.is(item, "away")) {
-            const bool arrived = vm->pool == move.target &&
-                                 vm->state == fleet_vm::condition::up &&
+            const bool arrived = vm->pool == move.target && vm->state == fleet_vm::condition::up &&
                                  view.listed_at >= item.since + options_.move_time;
             if (arrived) {
                 cycle_.step(item, vm_back{}, now);
@@ -176,22 +175,20 @@
     return std::min(rate + growth, rate * most_growth);
 }
 
-void capacity_planner::estimate_needs(const capacity_view& view, pool_counts& counts,
-                                      instant now) {
+void capacity_planner::estimate_needs(const capacity_view& view, pool_counts& counts, instant now) {
     for (const pool_demand& demand : view.demands) {
         pool_outlook& outlook = outlooks_[demand.pool];
         outlook.samples.push_back({now, demand.arrived_core_s});
-        while (outlook.samples.size() > 2 &&
-               outlook.samples[1].at <= now - 2 * rate_window) {
+        while (outlook.samples.size() > 2 && outlook.samples[1].at <= now - 2 * rate_window) {
             outlook.samples.pop_front();
         }
         pool_count& pool = counts[demand.pool];
         constexpr double millicores_per_core = 1000;
-        const double server_cores =
-            pool.present == 0 || pool.capacity_millicores == 0
-                ? 1
-                : static_cast<double>(pool.capacity_millicores) /
-                      static_cast<double>(pool.present) / millicores_per_core;
+        const double server_cores = pool.present == 0 || pool.capacity_millicores == 0
+                                        ? 1
+                                        : static_cast<double>(pool.capacity_millicores) /
+                                              static_cast<double>(pool.present) /
+                                              millicores_per_core;
         const double used = static_cast<double>(pool.used_millicores) / millicores_per_core;
         const double cores =
             std::max(expected_cores(outlook, now) * headroom, used) +
@@ -208,8 +205,8 @@
     }
 }
 
-std::optional<std::size_t>
-capacity_planner::runs_to_wait_for(const fleet_vm& vm, const capacity_view& view) const {
+std::optional<std::size_t> capacity_planner::runs_to_wait_for(const fleet_vm& vm,
+                                                              const capacity_view& view) const {
     if (vm.state != fleet_vm::condition::up || moves_.contains(vm.id) ||
         view.removed_zones.contains(vm.zone) ||
         std::ranges::find(view.taken, vm.id) != view.taken.end()) {
@@ -304,8 +301,8 @@
             continue;
         }
         for (const fleet_vm& vm : view.vms) {
-            if (vm.pool == name && pool.surplus() > spare_servers &&
-                pool.present > pool.hosts && runs_to_wait_for(vm, view) == 0U) {
+            if (vm.pool == name && pool.surplus() > spare_servers && pool.present > pool.hosts &&
+                runs_to_wait_for(vm, view) == 0U) {
                 begin_move(vm, target, counts, now);
             }
         }
--- a/src/decide/maintenance/vm_order_cycle.cpp
+++ b/src/decide/maintenance/vm_order_cycle.cpp
@@ -6,8 +6,8 @@
 
 absl::StatusOr<vm_order_cycle> vm_order_cycle::create(const chart& life_cycle) {
     static constexpr machine::action actions[] = {
-        {"note_time", [](step_context& context,
-                         const vm_order_event&) { context.item.since = context.now; }},
+        {"note_time",
+         [](step_context& context, const vm_order_event&) { context.item.since = context.now; }},
         {"send_order",
          [](step_context& context, const vm_order_event&) {
              context.item.since = context.now;
--- a/src/decide/maintenance/wave_planner.cpp
+++ b/src/decide/maintenance/wave_planner.cpp
@@ -151,10 +151,11 @@
         const backend_load* load = find_load(view.loads, vm->backend);
         const bool empty = vm->backend.empty() || (load != nullptr && load->runs == 0);
         // Short tasks are worth less than the time of the wave; long-running ones are not.
-        const bool forced = hurry && now >= item.since + options_.longest_task &&
-                            load != nullptr && load->long_running == 0;
-        const auto down = std::ranges::count_if(
-            wave.members, [this](const vm_under_order& other) { return cycle_.may_be_away(other); });
+        const bool forced = hurry && now >= item.since + options_.longest_task && load != nullptr &&
+                            load->long_running == 0;
+        const auto down = std::ranges::count_if(wave.members, [this](const vm_under_order& other) {
+            return cycle_.may_be_away(other);
+        });
         if ((empty || forced) && vm->state == fleet_vm::condition::up &&
             down < static_cast<std::ptrdiff_t>(wave.order.most_at_once)) {
             step(wave, item, vm_clear{}, now, effects);
@@ -190,7 +191,8 @@
     std::vector<option> options;
     for (vm_under_order& item : wave.members) {
         const fleet_vm* vm = find_vm(view.vms, item.vm);
-        if (!cycle_.is(item, "waiting") || vm == nullptr || vm->state != fleet_vm::condition::up) {
+        const bool barred = std::ranges::find(view.barred, item.vm) != view.barred.end();
+        if (!cycle_.is(item, "waiting") || vm == nullptr || barred || vm->state != fleet_vm::condition::up) {
             continue;
         }
         const pool_use& use = pools[vm->pool];
@@ -200,19 +202,18 @@
                               : static_cast<double>(use.used) / static_cast<double>(use.capacity);
         options.push_back({&item, vm, share, load == nullptr ? 0 : load->runs});
     }
-    std::ranges::stable_sort(options, {}, [](const option& item) {
-        return std::pair(item.use, item.runs);
-    });
+    std::ranges::stable_sort(options, {},
+                             [](const option& item) { return std::pair(item.use, item.runs); });
     const bool hurry = short_of_time(wave, now);
     for (const option& item : options) {
         if (taken >= wave.order.most_at_once) {
             return;
         }
         pool_use& use = pools[item.vm->pool];
-        const double closed_share =
-            use.servers == 0
-                ? 0.0
-                : static_cast<double>(use.closed + 1) / static_cast<double>(use.servers + use.closed);
+        const double closed_share = use.servers == 0
+                                        ? 0.0
+                                        : static_cast<double>(use.closed + 1) /
+                                              static_cast<double>(use.servers + use.closed);
         const bool spared = item.use > busy_share || closed_share > most_closed;
         if (spared && !hurry && !item.vm->backend.empty()) {
             continue;
@@ -253,7 +254,8 @@
             if (vm == nullptr || vm->backend.empty()) {
                 continue;
             }
-            if (cycle_.is(item, "closing") || cycle_.is(item, "ordered") || cycle_.is(item, "doubtful")) {
+            if (cycle_.is(item, "closing") || cycle_.is(item, "ordered") ||
+                cycle_.is(item, "doubtful")) {
                 closing_.now.push_back(vm->backend);
             } else if (cycle_.is(item, "waiting")) {
                 closing_.later.push_back(vm->backend);
--- a/src/decide/ownership/ownership.cpp
+++ b/src/decide/ownership/ownership.cpp
@@ -109,7 +109,7 @@
 }
 
 duration ownership::read_period(instant now) const {
-    constexpr duration calm = milliseconds(500);
+    constexpr duration calm = milliseconds(300);
     constexpr duration alert = milliseconds(100);
     const bool vacant = !context_.owner || context_.owner->released;
     const bool silent =
--- a/src/decide/submission/submission_desk.cpp
+++ b/src/decide/submission/submission_desk.cpp
@@ -25,17 +25,16 @@
     };
     static constexpr auto answer = [](step_context& context, submission_result result) {
         const workflow_submitted& submission = context.item.submission;
-        context.effects.emplace_back(
-            answer_submission{submission.id, submission.row.id, result});
+        context.effects.emplace_back(answer_submission{submission.id, submission.row.id, result});
     };
     static constexpr machine::action actions[] = {
         {"count_try", [](step_context& context, const event&) { ++context.item.tries; }},
-        {"answer_accepted", [](step_context& context,
-                               const event&) { answer(context, submission_result::accepted); }},
-        {"answer_refused", [](step_context& context,
-                              const event&) { answer(context, submission_result::refused); }},
-        {"answer_unknown", [](step_context& context,
-                              const event&) { answer(context, submission_result::unknown); }},
+        {"answer_accepted",
+         [](step_context& context, const event&) { answer(context, submission_result::accepted); }},
+        {"answer_refused",
+         [](step_context& context, const event&) { answer(context, submission_result::refused); }},
+        {"answer_unknown",
+         [](step_context& context, const event&) { answer(context, submission_result::unknown); }},
     };
     auto bound = machine::create(life_cycle, guards, actions);
     if (!bound.ok()) {
--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -58,8 +58,8 @@
 }
 
 instant event_loop::now() const {
-    // Counts the time that a suspended machine spends, unlike the clock of the loop's timers: leases
-    // run out meanwhile.
+    // Counts the time that a suspended machine spends, unlike the clock of the loop's timers:
+    // leases run out meanwhile.
     timespec time{};
     clock_gettime(CLOCK_BOOTTIME, &time);
     constexpr long ns_per_us = 1000;
--- a/src/io/log.h
+++ b/src/io/log.h
@@ -25,7 +25,8 @@
 /// The level named `debug`, `info`, `warning` or `error`; false for any other name.
 bool parse_log_level(std::string_view name, log_level& level);
 
-/// Sends the lines to standard output instead of standard error. Called once, before the first line.
+/// Sends the lines to standard output instead of standard error. Called once, before the first
+/// line.
 void log_to_standard_output();
 
 /// Writes one line of key=value pairs to standard error: time, level, event, then the fields in
--- a/src/io/setting_rules.h
+++ b/src/io/setting_rules.h
@@ -122,8 +122,7 @@
     };
 }
 
-template <class Settings>
-setting_assignment<Settings> log_level_in(std::string Settings::*field) {
+template <class Settings> setting_assignment<Settings> log_level_in(std::string Settings::*field) {
     return [field](Settings& target, const std::string& text) -> std::string {
         constexpr std::string_view allowed[] = {"debug", "info", "warning", "error"};
         target.*field = text;
@@ -223,8 +222,7 @@
 }
 
 template <class Settings>
-std::vector<setting_description>
-descriptions_of(std::span<const setting_rule<Settings>> rules) {
+std::vector<setting_description> descriptions_of(std::span<const setting_rule<Settings>> rules) {
     std::vector<setting_description> all;
     for (const setting_rule<Settings>& rule : rules) {
         all.push_back(rule.description);
--- a/src/io/settings.cpp
+++ b/src/io/settings.cpp
@@ -31,9 +31,9 @@
         {{"listen", "body_limit", "bytes, 1024 to 16777216", "1048576", false,
           "Largest request body that is accepted."},
          number_within<settings>(1024, 16777216,
-                       [](settings& target, std::int64_t number) {
-                           target.body_limit = static_cast<std::size_t>(number);
-                       })},
+                                 [](settings& target, std::int64_t number) {
+                                     target.body_limit = static_cast<std::size_t>(number);
+                                 })},
         {{"platform", "address", "ADDRESS:PORT", "127.0.0.1:8090", false,
           "Table service, object store and VM list."},
          endpoint_in(&settings::platform)},
@@ -72,8 +72,7 @@
 } // namespace
 
 std::span<const setting_description> setting_descriptions() {
-    static const std::vector<setting_description> descriptions =
-        descriptions_of<settings>(rules());
+    static const std::vector<setting_description> descriptions = descriptions_of<settings>(rules());
     return descriptions;
 }
 
--- a/src/io/workflow_codec.cpp
+++ b/src/io/workflow_codec.cpp
@@ -117,7 +117,8 @@
 } // namespace
 
 std::string_view name_of(workflow_state state) {
-    const auto found = std::ranges::find(state_names, state, [](const auto& item) { return item.first; });
+    const auto found =
+        std::ranges::find(state_names, state, [](const auto& item) { return item.first; });
     return found == state_names.end() ? "unknown" : found->second;
 }
 
@@ -176,14 +177,14 @@
     return decoded<workflow_progress>(text, [](const json& document) {
         workflow_progress progress;
         const std::string state = document.at("state");
-        const auto found =
-            std::ranges::find(state_names, std::string_view(state), [](const auto& item) { return item.second; });
+        const auto found = std::ranges::find(state_names, std::string_view(state),
+                                             [](const auto& item) { return item.second; });
         if (found != state_names.end()) {
             progress.state = found->first;
         }
         for (const json& item : document.value("done", json::array())) {
-            progress.steps.push_back({item.at(0), item.at(1),
-                                      decode_bits(item.at(2).get_ref<const std::string&>())});
+            progress.steps.push_back(
+                {item.at(0), item.at(1), decode_bits(item.at(2).get_ref<const std::string&>())});
         }
         for (const json& item : document.value("failed", json::array())) {
             progress.failures.push_back(
@@ -194,9 +195,8 @@
 }
 
 std::string encode_owner(const owner_row& row) {
-    return json{{"node", row.node.view()},
-                {"incarnation", row.incarnation},
-                {"released", row.released}}
+    return json{
+        {"node", row.node.view()}, {"incarnation", row.incarnation}, {"released", row.released}}
         .dump();
 }
 
--- a/src/node/fleet/dispatch_driver.cpp
+++ b/src/node/fleet/dispatch_driver.cpp
@@ -55,12 +55,12 @@
                                  const dispatch_options& options, dispatch_links links,
                                  callbacks on)
     : decisions_(std::move(decisions)), options_(options), links_(links), on_(std::move(on)),
-      progress_(links.table, links.timers, options.token,
-                [this] { perform(fenced_out{}); }),
+      progress_(links.table, links.timers, options.token, [this] { perform(fenced_out{}); }),
       work_(
           links.table, links.timers, work_options(),
           [this](std::span<const table_row> rows) {
-              // Rows that are read again, after changes were missed, hold work of this ownership too.
+              // Rows that are read again, after changes were missed, hold work of this ownership
+              // too.
               take_work(rows, !std::exchange(loaded_, true));
               handle(workflows_loaded{});
               saved_.clear();
@@ -83,6 +83,12 @@
     ticks_ = links_.timers.every(tick_period, [this](instant now) { tick(now); });
 }
 
+void dispatch_driver::stop() {
+    over_ = true;
+    ticks_.cancel();
+    alive_.reset();
+}
+
 void dispatch_driver::load_progress() {
     links_.table.scan(
         progress_rows_prefix, 0,
@@ -323,19 +329,19 @@
             writes.push_back({work_row_key(job), std::string(ended_work_value)});
         }
     }
-    links_.table.commit({}, writes,
-                        [this, jobs, alive = std::weak_ptr(alive_)](
-                            const absl::StatusOr<table_commit>& result) {
-                            if (alive.expired()) {
-                                return;
-                            }
-                            releasing_rows_ = false;
-                            if (result.ok()) {
-                                std::erase_if(ended_rows_, [&](const job_id& job) {
-                                    return std::ranges::find(jobs, job) != jobs.end();
-                                });
-                            }
-                        });
+    links_.table.commit(
+        {}, writes,
+        [this, jobs, alive = std::weak_ptr(alive_)](const absl::StatusOr<table_commit>& result) {
+            if (alive.expired()) {
+                return;
+            }
+            releasing_rows_ = false;
+            if (result.ok()) {
+                std::erase_if(ended_rows_, [&](const job_id& job) {
+                    return std::ranges::find(jobs, job) != jobs.end();
+                });
+            }
+        });
 }
 
 } // namespace citronford
--- a/src/node/fleet/dispatch_driver.h
+++ b/src/node/fleet/dispatch_driver.h
@@ -52,6 +52,9 @@
 
     void start();
 
+    /// Ends all activity; the callbacks are not used any more.
+    void stop();
+
     void apply(std::shared_ptr<const queue_catalog> catalog);
     void apply(const operator_orders& orders);
     void close(const backends_closing& backends);
--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -30,7 +30,8 @@
     constexpr std::int64_t whole = 1000;
     const std::int64_t share = std::min(own.processors_permille, whole);
     // Nodes of one size are spread, so that they do not claim at the same moment.
-    const auto spread = static_cast<std::int64_t>(std::hash<std::string_view>{}(options.incarnation) % 100);
+    const auto spread =
+        static_cast<std::int64_t>(std::hash<std::string_view>{}(options.incarnation) % 100);
     options.claim_delay = longest_claim_delay * (whole - share) / whole + milliseconds(spread);
     return options;
 }
@@ -43,7 +44,7 @@
 
 absl::StatusOr<std::unique_ptr<fleet_node>>
 fleet_node::create(const fleet_settings& own, fleet_links links, fleet_process process) {
-    constexpr std::string_view names[] = {"workflow", "task_run",   "backend_contact", "drain",
+    constexpr std::string_view names[] = {"workflow",  "task_run",   "backend_contact", "drain",
                                           "ownership", "submission", "vm_order"};
     std::map<std::string_view, chart> charts;
     for (const std::string_view name : names) {
@@ -67,25 +68,27 @@
     if (!desk.ok()) {
         return desk.status();
     }
-    return std::unique_ptr<fleet_node>(new fleet_node(
-        own, std::move(links), std::move(process),
-        {charts.at("workflow"), charts.at("task_run"), charts.at("backend_contact"),
-         charts.at("vm_order")},
-        *std::move(stop), *std::move(owner), options, *std::move(desk)));
+    return std::unique_ptr<fleet_node>(
+        new fleet_node(own, std::move(links), std::move(process),
+                       {charts.at("workflow"), charts.at("task_run"), charts.at("backend_contact"),
+                        charts.at("vm_order")},
+                       *std::move(stop), *std::move(owner), options, *std::move(desk)));
 }
 
 fleet_node::fleet_node(const fleet_settings& own, fleet_links links, fleet_process process,
                        life_cycles charts, drain stop, ownership owner,
                        const ownership_options& options, submission_desk desk)
-    : own_(own), links_(std::move(links)), process_(std::move(process)),
-      charts_(std::move(charts)), table_(links_.table, links_.timers), stop_(std::move(stop)),
+    : own_(own), links_(std::move(links)), process_(std::move(process)), charts_(std::move(charts)),
+      table_(links_.table, links_.timers), stop_(std::move(stop)),
       owner_(std::move(owner), options, table_, links_.timers,
              {[this](fencing_token token) { begin_dispatching(token); },
               [this] { end_dispatching(); }, [this] { owner_left_ = true; }}),
       orders_follower_(
           table_, links_.timers,
-          {{std::string(links_.rows.orders_prefix())}, std::string(links_.rows.orders_prefix()),
-           milliseconds(2000), duration::zero()},
+          {{std::string(links_.rows.orders_prefix())},
+           std::string(links_.rows.orders_prefix()),
+           milliseconds(2000),
+           duration::zero()},
           [this](std::span<const table_row> rows) { take_orders(rows, true); },
           [this](std::span<const table_row> rows) { take_orders(rows, false); }),
       callers_(std::move(desk), table_, links_.timers) {}
@@ -105,6 +108,7 @@
 void fleet_node::begin_dispatching(fencing_token token) {
     dispatch_options options;
     options.token = token;
+    options.earlier_grace = ownership_options().grace;
     options.lease = std::min<duration>(options.lease, own_.longest_backend_lease);
     options.longest_lease = own_.longest_backend_lease;
     options.stop_time = own_.backend_stop_time;
@@ -153,16 +157,17 @@
     vms_ = std::make_unique<vm_driver>(
         *std::move(waves), *std::move(capacity), vm_order_origin{own_.node, token},
         vm_links{links_.timers, table_, links_.vms, links_.rows},
-        vm_driver::callbacks{[this] { return may_order_vms(); }, links_.unix_ms,
-                             [this]() -> const dispatcher& { return dispatch_->state(); },
-                             [this]() -> const queue_catalog& {
-                                 static const queue_catalog none;
-                                 return catalog_ ? *catalog_ : none;
-                             },
-                             [this]() -> const std::set<zone_id>& { return orders_.removed_zones; },
-                             [this](const backends_closing& closing) {
-                                 dispatch_->close(closing);
-                             }});
+        vm_order_timing{owner_since_, own_.vm_order_interval,
+                        std::min<duration>(own_.move_time, own_.maintenance_time)},
+        vm_driver::callbacks{
+            [this] { return may_order_vms(); }, links_.unix_ms,
+            [this]() -> const dispatcher& { return dispatch_->state(); },
+            [this]() -> const queue_catalog& {
+                static const queue_catalog none;
+                return catalog_ ? *catalog_ : none;
+            },
+            [this]() -> const std::set<zone_id>& { return orders_.removed_zones; },
+            [this](const backends_closing& closing) { dispatch_->close(closing); }});
     for (const auto& [number, wave] : waves_) {
         vms_->order(wave);
     }
@@ -173,14 +178,17 @@
     // An order that is under way must have arrived before the lease is over.
     constexpr duration margin = milliseconds(500);
     const instant now = links_.timers.now();
-    return now + margin < owner_.state().lease_until() &&
-           now >= owner_since_ + own_.vm_order_interval;
+    return now + margin < owner_.state().lease_until();
 }
 
 void fleet_node::end_dispatching() {
     if (!dispatch_) {
         return;
     }
+    dispatch_->stop();
+    if (vms_) {
+        vms_->stop();
+    }
     const std::shared_ptr<vm_driver> ended_vms(std::move(vms_));
     // The end may be found out within a call of the driver.
     const std::shared_ptr<dispatch_driver> ended(std::move(dispatch_));
--- a/src/node/fleet/progress_writer.h
+++ b/src/node/fleet/progress_writer.h
@@ -13,9 +13,9 @@
 
 namespace citronford {
 
-/// Writes the progress of workflows for one ownership. Each write changes the fence row and requires
-/// it as the writer left it, so that neither an earlier owner nor a delayed write of this one can
-/// overwrite newer progress.
+/// Writes the progress of workflows for one ownership. Each write changes the fence row and
+/// requires it as the writer left it, so that neither an earlier owner nor a delayed write of this
+/// one can overwrite newer progress.
 class progress_writer {
   public:
     /// Called once the fence is taken, or with an error when another owner holds it.
--- a/src/node/fleet/vm_driver.cpp
+++ b/src/node/fleet/vm_driver.cpp
@@ -26,14 +26,20 @@
 } // namespace
 
 vm_driver::vm_driver(wave_planner waves, capacity_planner capacity, vm_order_origin origin,
-                     vm_links links, callbacks on)
-    : waves_(std::move(waves)), capacity_(std::move(capacity)), origin_(std::move(origin)), links_(links), on_(std::move(on)) {}
+                     vm_links links, const vm_order_timing& timing, callbacks on)
+    : waves_(std::move(waves)), capacity_(std::move(capacity)), origin_(std::move(origin)),
+      links_(links), timing_(timing), on_(std::move(on)) {}
 
 void vm_driver::start() {
     read_records();
     ticks_ = links_.timers.every(tick_period, [this](instant now) { tick(now); });
 }
 
+void vm_driver::stop() {
+    ticks_.cancel();
+    alive_.reset();
+}
+
 void vm_driver::read_records() {
     links_.table.scan(
         wave_rows_prefix, 0,
@@ -80,21 +86,50 @@
         return;
     }
     const std::vector<backend_load> loads = on_.dispatching().loads();
+    note_early_backends(loads, now);
+    const std::vector<vm_id> closed_to_orders = barred(now);
     if (waves_.active()) {
-        perform(waves_.plan({vms_, listed_at_, loads, on_.may_order()}, now));
+        perform(waves_.plan({vms_, listed_at_, loads, closed_to_orders, on_.may_order()}, now));
     }
-    plan_capacity(loads, now);
+    plan_capacity(loads, closed_to_orders, now);
     backends_closing closing = waves_.closing();
     closing.now.insert(closing.now.end(), capacity_.closing().begin(), capacity_.closing().end());
     on_.close(closing);
 }
 
-void vm_driver::plan_capacity(std::span<const backend_load> loads, instant now) {
+void vm_driver::note_early_backends(std::span<const backend_load> loads, instant now) {
+    constexpr duration beginning = milliseconds(800);
+    if (now < timing_.owner_since + beginning) {
+        for (const backend_load& load : loads) {
+            early_backends_.insert(load.backend);
+        }
+    }
+}
+
+std::vector<vm_id> vm_driver::barred(instant now) const {
+    std::vector<vm_id> vms;
+    if (now >= timing_.owner_since + timing_.interval) {
+        return vms;
+    }
+    // An order ends the backend server of its VM: one that was in contact when the ownership began
+    // had had no order for at least the time that a VM is away.
+    const bool early_ones_too =
+        now < timing_.owner_since + timing_.interval - timing_.shortest_absence;
+    for (const fleet_vm& vm : vms_) {
+        if (early_ones_too || !early_backends_.contains(vm.backend)) {
+            vms.push_back(vm.id);
+        }
+    }
+    return vms;
+}
+
+void vm_driver::plan_capacity(std::span<const backend_load> loads, std::span<const vm_id> barred,
+                              instant now) {
     const std::vector<pool_demand> demands = on_.dispatching().demands();
-    const std::vector<vm_id> taken = waves_.taken();
-    const capacity_view view{vms_,           listed_at_, loads,
-                             demands,        on_.catalog(), on_.removed_zones(),
-                             taken,          on_.may_order()};
+    std::vector<vm_id> taken = waves_.taken();
+    taken.insert(taken.end(), barred.begin(), barred.end());
+    const capacity_view view{vms_,          listed_at_,          loads, demands,
+                             on_.catalog(), on_.removed_zones(), taken, on_.may_order()};
     for (const move_vm& order : capacity_.plan(view, now)) {
         perform(order);
     }
@@ -122,20 +157,20 @@
     }
     listing_ = true;
     list_asked_at_ = now;
-    links_.vms.list([this, now, alive = std::weak_ptr(alive_)](
-                        absl::StatusOr<std::vector<fleet_vm>> result) {
-        if (alive.expired()) {
-            return;
-        }
-        listing_ = false;
-        if (result.ok()) {
-            vms_ = *std::move(result);
-            listed_at_ = now;
-        } else {
-            log_event(log_level::warning, "vm_list_unavailable",
-                      {{"reason", message_of(result.status())}});
-        }
-    });
+    links_.vms.list(
+        [this, now, alive = std::weak_ptr(alive_)](absl::StatusOr<std::vector<fleet_vm>> result) {
+            if (alive.expired()) {
+                return;
+            }
+            listing_ = false;
+            if (result.ok()) {
+                vms_ = *std::move(result);
+                listed_at_ = now;
+            } else {
+                log_event(log_level::warning, "vm_list_unavailable",
+                          {{"reason", message_of(result.status())}});
+            }
+        });
 }
 
 void vm_driver::perform(std::span<const wave_effect> effects) {
@@ -145,18 +180,17 @@
 }
 
 void vm_driver::perform(const maintain_vm& effect) {
-    links_.vms.maintain(
-        effect.vm, effect.wave, origin_,
-        [this, effect, alive = std::weak_ptr(alive_)](vm_order_result result) {
-            if (alive.expired()) {
-                return;
-            }
-            log_event(log_level::info, "vm_maintenance_ordered",
-                      {{"vm", effect.vm.view()},
-                       {"wave", effect.wave},
-                       {"result", name_of(result)}});
-            waves_.answer(effect.wave, effect.vm, result, links_.timers.now());
-        });
+    links_.vms.maintain(effect.vm, effect.wave, origin_,
+                        [this, effect, alive = std::weak_ptr(alive_)](vm_order_result result) {
+                            if (alive.expired()) {
+                                return;
+                            }
+                            log_event(log_level::info, "vm_maintenance_ordered",
+                                      {{"vm", effect.vm.view()},
+                                       {"wave", effect.wave},
+                                       {"result", name_of(result)}});
+                            waves_.answer(effect.wave, effect.vm, result, links_.timers.now());
+                        });
 }
 
 void vm_driver::perform(const save_wave& effect) {
@@ -173,22 +207,22 @@
 
 void vm_driver::write(const table_write& row, int tries) {
     const std::array writes = {row};
-    links_.table.commit(
-        {}, writes,
-        [this, row, tries, alive = std::weak_ptr(alive_)](const absl::StatusOr<table_commit>& result) {
-            if (alive.expired() || result.ok()) {
-                return;
-            }
-            if (tries <= 1) {
-                log_event(log_level::error, "row_not_written", {{"key", row.key}});
-                return;
-            }
-            links_.timers.once(retry_pause, [this, row, tries, alive](instant) {
-                if (!alive.expired()) {
-                    write(row, tries - 1);
-                }
-            });
-        });
+    links_.table.commit({}, writes,
+                        [this, row, tries, alive = std::weak_ptr(alive_)](
+                            const absl::StatusOr<table_commit>& result) {
+                            if (alive.expired() || result.ok()) {
+                                return;
+                            }
+                            if (tries <= 1) {
+                                log_event(log_level::error, "row_not_written", {{"key", row.key}});
+                                return;
+                            }
+                            links_.timers.once(retry_pause, [this, row, tries, alive](instant) {
+                                if (!alive.expired()) {
+                                    write(row, tries - 1);
+                                }
+                            });
+                        });
 }
 
 } // namespace citronford
--- a/src/node/fleet/vm_driver.h
+++ b/src/node/fleet/vm_driver.h
@@ -23,6 +23,13 @@
     const fleet_rows& rows;
 };
 
+/// When orders may follow those of an earlier owner.
+struct vm_order_timing {
+    instant owner_since{};
+    duration interval{};         ///< Least time between orders of two owners to one VM.
+    duration shortest_absence{}; ///< A VM that was ordered is away at least this long.
+};
+
 /// Performs the effects of the wave planner and of the capacity planner during one ownership.
 class vm_driver {
   public:
@@ -36,7 +43,7 @@
     };
 
     vm_driver(wave_planner waves, capacity_planner capacity, vm_order_origin origin, vm_links links,
-              callbacks on);
+              const vm_order_timing& timing, callbacks on);
     vm_driver(const vm_driver&) = delete;
     vm_driver& operator=(const vm_driver&) = delete;
     vm_driver(vm_driver&&) = delete;
@@ -45,6 +52,9 @@
 
     void start();
 
+    /// Ends all activity; the callbacks are not used any more.
+    void stop();
+
     void order(const wave_order& wave);
     void withdraw(wave_number wave);
 
@@ -52,8 +62,11 @@
     void tick(instant now);
     void read_records();
     void list_vms(instant now);
+    void note_early_backends(std::span<const backend_load> loads, instant now);
+    [[nodiscard]] std::vector<vm_id> barred(instant now) const;
     void perform(std::span<const wave_effect> effects);
-    void plan_capacity(std::span<const backend_load> loads, instant now);
+    void plan_capacity(std::span<const backend_load> loads, std::span<const vm_id> barred,
+                       instant now);
     void perform(const move_vm& effect);
     void perform(const maintain_vm& effect);
     void perform(const save_wave& effect);
@@ -64,7 +77,9 @@
     capacity_planner capacity_;
     vm_order_origin origin_;
     vm_links links_;
+    vm_order_timing timing_;
     callbacks on_;
+    std::set<backend_id> early_backends_; ///< In contact when the ownership began.
     timer_subscription ticks_;
     bool records_read_ = false;
     bool listing_ = false;
--- a/src/node/fleet/workflow_service.cpp
+++ b/src/node/fleet/workflow_service.cpp
@@ -94,9 +94,9 @@
 
 void workflow_service::perform(const answer_submission& effect) {
     constexpr std::string_view names[] = {"accepted", "refused", "unknown"};
-    log_event(log_level::info, "submission_answered",
-              {{"job", effect.job.view()},
-               {"result", names[static_cast<std::size_t>(effect.result)]}});
+    log_event(
+        log_level::info, "submission_answered",
+        {{"job", effect.job.view()}, {"result", names[static_cast<std::size_t>(effect.result)]}});
     auto caller = callers_.extract(static_cast<std::uint64_t>(effect.id));
     --open_;
     switch (effect.result) {
@@ -231,28 +231,28 @@
 
 void workflow_service::show_queue(const queue_id& queue, workflow_reply reply) {
     ++open_;
-    table_.scan(waiting_row_key, 0,
-                [this, queue, reply = std::move(reply)](const absl::StatusOr<table_scan>& result) {
-                    --open_;
-                    if (!result.ok()) {
-                        reply(answer_unavailable{outage_retry});
-                        return;
-                    }
-                    queue_shown shown;
-                    if (!result->rows.empty() && result->rows.front().value) {
-                        const auto counts = decode_waiting(*result->rows.front().value);
-                        if (!counts.ok()) {
-                            log_event(log_level::error, "row_unreadable",
-                                      {{"key", waiting_row_key},
-                                       {"reason", message_of(counts.status())}});
-                            reply(answer_unavailable{outage_retry});
-                            return;
-                        }
-                        const auto found = counts->find(queue);
-                        shown.waiting = found == counts->end() ? 0 : found->second;
-                    }
-                    reply(shown);
-                });
+    table_.scan(
+        waiting_row_key, 0,
+        [this, queue, reply = std::move(reply)](const absl::StatusOr<table_scan>& result) {
+            --open_;
+            if (!result.ok()) {
+                reply(answer_unavailable{outage_retry});
+                return;
+            }
+            queue_shown shown;
+            if (!result->rows.empty() && result->rows.front().value) {
+                const auto counts = decode_waiting(*result->rows.front().value);
+                if (!counts.ok()) {
+                    log_event(log_level::error, "row_unreadable",
+                              {{"key", waiting_row_key}, {"reason", message_of(counts.status())}});
+                    reply(answer_unavailable{outage_retry});
+                    return;
+                }
+                const auto found = counts->find(queue);
+                shown.waiting = found == counts->end() ? 0 : found->second;
+            }
+            reply(shown);
+        });
 }
 
 } // namespace citronford
