--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -350,11 +350,13 @@
 std::vector<backend_load> dispatcher::implementation::loads() const {
     std::vector<backend_load> all;
     for (const auto& [id, server] : servers_) {
-        if (!is(*server, "current")) {
+        // Before a pool is settled, the runs of an earlier owner are not known.
+        const auto pool = pools_.find(server->listing.pool);
+        if (!is(*server, "current") || pool == pools_.end() || !pool->second.settled) {
             continue;
         }
         backend_load load{id, server->listing.pool, server->listing.capacity, server->used,
-                          server->runs.size()};
+                          server->runs.size() + (server->has_strays ? 1 : 0)};
         for (const task_run* run : server->runs) {
             if (run->workflow->step(run->step).long_running) {
                 ++load.long_running;
--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -87,6 +87,8 @@
         }
     }
     if (servers.empty()) {
+        // Refusals and quarantines end by time alone.
+        pool.due = !pool.open.empty();
         return;
     }
     std::vector<candidate> candidates;
