Prove workflows under failing servers and successive owners; distrust looks after a gap

A world of backend servers, a store and owners in virtual time judges what the servers are told. A look after a gap of 250 ms acknowledges nothing and renews nothing.

--- a/include/citronford/endpoint.h
+++ b/include/citronford/endpoint.h
@@ -11,7 +11,8 @@
     std::string address;
     std::uint16_t port = 0;
 
-    friend auto operator<=>(const endpoint&, const endpoint&) = default;
+    friend auto operator<=>(const endpoint&,
+                            const endpoint&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 } // namespace citronford
--- a/src/decide/dispatch/backend_entry.h
+++ b/src/decide/dispatch/backend_entry.h
@@ -37,6 +37,7 @@
     bool look_open = false;
     instant look_sent_at{};
     instant next_look_at{};
+    instant last_view_at = instant::min();
     bool confirmed = false;       ///< The last look succeeded, so that `ends_saved` is valid there.
     bool has_strays = false;      ///< The last view showed runs that are not followed.
     std::uint64_t ends_taken = 0; ///< Highest number of an end that was taken in.
--- a/src/decide/dispatch/dispatcher_looks.cpp
+++ b/src/decide/dispatch/dispatcher_looks.cpp
@@ -112,6 +112,7 @@
         server.clock.reset();
     }
     note_clock(server, view.clock);
+    server.last_view_at = now_;
     server.confirmed = true;
     step_contact(server, lists_read{});
     pool_state& pool = pools_[server.listing.pool];
@@ -230,6 +231,12 @@
 
 void dispatcher::implementation::order_look(backend_entry& server) {
     constexpr duration longest_wait = milliseconds(1200);
+    // A server that was not looked at for longer may have restarted unseen, and then numbers its ends
+    // from one again.
+    constexpr duration longest_gap = milliseconds(250);
+    if (server.last_view_at + longest_gap < now_) {
+        server.confirmed = false;
+    }
     const bool may_wait = server.confirmed && server.ends_saved >= server.ends_taken &&
                           pools_[server.listing.pool].settled &&
                           (!server.runs.empty() || server.has_strays);
--- a/src/decide/submission/submission_desk.cpp
+++ b/src/decide/submission/submission_desk.cpp
@@ -129,9 +129,9 @@
             batch.rows.size() == most_rows || bytes > most_bytes) {
             continue;
         }
-        const bool repeated = std::ranges::any_of(batch.rows, [&](const accepted_workflow* row) {
-            return row->id == item.submission.row.id;
-        });
+        const job_id& job = item.submission.row.id;
+        const bool repeated = std::ranges::any_of(
+            batch.rows, [&](const accepted_workflow* row) { return row->id == job; });
         if (repeated) {
             continue;
         }
--- a/src/node/fleet/workflow_service.cpp
+++ b/src/node/fleet/workflow_service.cpp
@@ -210,7 +210,8 @@
     const std::array writes = {table_write{cancel_row_key(job), "cancel"}};
     table_.commit(
         {}, writes,
-        [this, job, tries, reply = std::move(reply)](absl::StatusOr<table_commit> result) mutable {
+        [this, job, tries,
+         reply = std::move(reply)](const absl::StatusOr<table_commit>& result) mutable {
             if (!result.ok() && tries > 1) {
                 constexpr duration pause = milliseconds(150);
                 timers_.once(pause, [this, job, tries, reply = std::move(reply)](instant) mutable {
--- /dev/null
+++ b/tests/proofs/workflow_proofs.cpp
@@ -0,0 +1,27 @@
+// Workflows under failing backend servers, lost and late orders, and successive owners.
+#include "proofs/workflow_world.h"
+
+namespace citronford {
+namespace {
+
+constexpr std::string_view promises[] = {"workflow-once",   "workflow-attempts", "workflow-order",
+                                         "workflow-limits", "workflow-cancel",   "workflow-truth",
+                                         "workflow-finishes"};
+
+template <std::size_t Index> proof_result run(std::uint64_t seed) {
+    workflow_world world(seed, {});
+    return world.run(promises[Index]);
+}
+
+// NOLINTBEGIN(bugprone-throwing-static-initialization)
+const proof_registration once("workflow-once", run<0>);
+const proof_registration attempts("workflow-attempts", run<1>);
+const proof_registration order("workflow-order", run<2>);
+const proof_registration limits("workflow-limits", run<3>);
+const proof_registration cancel("workflow-cancel", run<4>);
+const proof_registration truth("workflow-truth", run<5>);
+const proof_registration finishes("workflow-finishes", run<6>);
+// NOLINTEND(bugprone-throwing-static-initialization)
+
+} // namespace
+} // namespace citronford
