--- a/src/decide/dispatch/backend_entry.h
+++ b/src/decide/dispatch/backend_entry.h
@@ -46,6 +46,15 @@
     /// Lists of the first look, kept until the pool is settled.
     std::optional<backend_view> first_view;
 
+    bool look_wanted = false; ///< Tasks wait, and it was not looked at for a while.
+
+    /// Whether it cannot have restarted unseen: a look is open, or was answered a moment ago. The
+    /// lease of a start is meant for the clock of the life that was looked at.
+    [[nodiscard]] bool fresh(instant now) const {
+        constexpr duration longest_gap = milliseconds(250);
+        return confirmed && (look_open || now - longest_gap <= last_view_at);
+    }
+
     instant refused_until{};  ///< It has refused a start for want of room or health.
     double failure_ratio = 0; ///< Moving share of failed ends.
     instant quarantined_until{};
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "decide/dispatch/dispatcher_state.h"
 
+#include "citronford/planted_fault.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -153,7 +155,7 @@
 
 void dispatcher::implementation::take(const workflow_cancelled& input) {
     const auto found = workflows_.find(input.job);
-    if (found != workflows_.end()) {
+    if (found != workflows_.end() && !fault_planted("workflow-cancel")) {
         note("workflow_cancelled", input.job, {}, std::to_string(found->second->runs) + " runs");
         step_workflow(*found->second, cancel_ordered{});
     }
@@ -280,6 +282,14 @@
         note("backend_listed", {}, listing.id,
              std::string(listing.pool.view()) + (listing.leaving ? " leaving" : " ready"));
     }
+    const bool restarted = place->born_unix_ms != 0 && listing.born_unix_ms != 0 &&
+                           listing.born_unix_ms != place->born_unix_ms;
+    if (restarted) {
+        // Its clock and its numbers of ends began anew: nothing is started there before a look.
+        place->confirmed = false;
+        place->clock.reset();
+        place->next_look_at = now_;
+    }
     place->listing = listing;
     place->listed = true;
     pool_state& pool = pools_[listing.pool];
--- a/src/decide/dispatch/dispatcher_looks.cpp
+++ b/src/decide/dispatch/dispatcher_looks.cpp
@@ -114,6 +114,7 @@
     note_clock(server, view.clock);
     server.last_view_at = now_;
     server.confirmed = true;
+    server.look_wanted = false;
     step_contact(server, lists_read{});
     pool_state& pool = pools_[server.listing.pool];
     if (!pool.settled) {
@@ -218,7 +219,7 @@
         const bool ends_open = server->ends_saved < server->ends_taken;
         const bool settled = pools_[server->listing.pool].settled;
         const bool needed = !server->confirmed || !settled || !server->runs.empty() ||
-                            server->has_strays || ends_open;
+                            server->has_strays || server->look_wanted || ends_open;
         // While ends are being saved, a held look would return at once with the same ends.
         constexpr duration unsaved_pause = milliseconds(1000);
         const bool repeats =
@@ -231,10 +232,8 @@
 
 void dispatcher::implementation::order_look(backend_entry& server) {
     constexpr duration longest_wait = milliseconds(1200);
-    // A server that was not looked at for longer may have restarted unseen, and then numbers its ends
-    // from one again.
-    constexpr duration longest_gap = milliseconds(250);
-    if (server.last_view_at + longest_gap < now_) {
+    if (!server.fresh(now_)) {
+        // A life of the VM that was not seen yet numbers its ends from one again.
         server.confirmed = false;
     }
     const bool may_wait = server.confirmed && server.ends_saved >= server.ends_taken &&
@@ -242,7 +241,6 @@
                           (!server.runs.empty() || server.has_strays);
     look_order order;
     order.token = options_.token;
-    // A life of the VM that was not seen yet numbers its ends anew.
     order.ends_seen = server.confirmed ? server.ends_saved : 0;
     order.wait = may_wait ? longest_wait : duration::zero();
     // A life of the VM that was not seen yet has another clock, by which the lease would be long.
--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -1,5 +1,7 @@
 #include "decide/dispatch/dispatcher_state.h"
 
+#include "citronford/planted_fault.h"
+
 #include <algorithm>
 #include <compare>
 #include <tuple>
@@ -38,6 +40,7 @@
     if (now_ >= authority_until_) {
         return;
     }
+    estimate_unknown_use();
     for (auto& [name, pool] : pools_) {
         if (pool.settled && pool.due) {
             pool.due = false;
@@ -48,6 +51,9 @@
 
 void dispatcher::implementation::collect(workflow_entry& entry,
                                          std::vector<candidate>& candidates) {
+    if (entry.stored_before && fault_planted("workflow-finishes")) {
+        return;
+    }
     const queue_definition* queue = catalog_->queue(entry.row.queue);
     for (auto& [number, occurrence] : entry.occurrences) {
         if (occurrence.steps_done == occurrence.steps.size()) {
@@ -80,17 +86,13 @@
 
 void dispatcher::implementation::place_pool(const pool_id& /*name*/, pool_state& pool) {
     std::vector<backend_entry*> servers;
+    std::vector<backend_entry*> unseen;
     for (const backend_id& id : pool.servers) {
         backend_entry* server = servers_.at(id).get();
         if (can_take(*server)) {
-            servers.push_back(server);
+            (server->fresh(now_) ? servers : unseen).push_back(server);
         }
     }
-    if (servers.empty()) {
-        // Refusals and quarantines end by time alone.
-        pool.due = !pool.open.empty();
-        return;
-    }
     std::vector<candidate> candidates;
     for (workflow_entry* entry : pool.open) {
         collect(*entry, candidates);
@@ -104,6 +106,9 @@
             pool.due = true;
         }
     }
+    for (backend_entry* server : unseen) {
+        server->look_wanted = server->look_wanted || pool.due;
+    }
 }
 
 bool dispatcher::implementation::place_step(const candidate& item,
@@ -124,7 +129,7 @@
         if (!slot.waits()) {
             continue;
         }
-        if (item.workflow->unaccounted(slot) && is_unresolved) {
+        if (item.workflow->unaccounted(slot) && is_unresolved && !fault_planted("workflow-once")) {
             skipped = true;
             complete = !definition.gang;
             continue;
@@ -231,11 +236,13 @@
 
 bool dispatcher::implementation::within_limit(const team_id& team, const resources& size) const {
     const catalog_team* known = catalog_->team(team);
-    if (known == nullptr) {
+    if (known == nullptr || fault_planted("workflow-limits")) {
         return true;
     }
     const auto found = charged_.find(team);
-    const resources total = (found == charged_.end() ? resources{} : found->second) + size;
+    const auto unknown = unknown_use_.find(team);
+    const resources total = (found == charged_.end() ? resources{} : found->second) +
+                            (unknown == unknown_use_.end() ? resources{} : unknown->second) + size;
     const auto fits = [](std::int64_t amount, std::int64_t limit) {
         return limit == 0 || amount <= limit;
     };
--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -1,6 +1,7 @@
 #include "decide/dispatch/dispatcher_state.h"
 
 #include "citronford/overloaded.h"
+#include "citronford/planted_fault.h"
 
 #include <algorithm>
 #include <utility>
@@ -218,7 +219,7 @@
     }
     mark_changed(entry);
     pools_[entry.row.pool].due = true;
-    if (all_done) {
+    if (all_done || fault_planted("workflow-truth")) {
         step_workflow(entry, tasks_done{});
     }
 }
@@ -237,7 +238,7 @@
     note("task_failed", key.job, server.listing.id,
          "task=" + std::to_string(key.step) + "." + std::to_string(key.index) +
              " failures=" + std::to_string(slot.failures));
-    if (limited && slot.failures >= queue->attempts) {
+    if (limited && slot.failures >= queue->attempts && !fault_planted("workflow-attempts")) {
         step_workflow(entry, attempts_spent{});
     }
 }
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -159,6 +159,7 @@
     void adopt_running(const pool_state& pool);
     void apply_first_ends(const pool_state& pool);
     [[nodiscard]] bool unresolved(const pool_state& pool) const;
+    void estimate_unknown_use();
     [[nodiscard]] instant earlier_leases_end() const;
 
     // Placement.
@@ -200,7 +201,8 @@
     std::map<backend_id, std::unique_ptr<backend_entry>> servers_;
     std::map<pool_id, pool_state> pools_;
     std::unordered_map<std::uint64_t, std::unique_ptr<task_run>> runs_;
-    std::map<team_id, resources> charged_; ///< What each team may have running.
+    std::map<team_id, resources> charged_;     ///< What each team may have running.
+    std::map<team_id, resources> unknown_use_; ///< What may run on servers that were not read.
     std::map<team_id, owed_rate> owed_;
     std::vector<workflow_entry*> changed_; ///< To be saved.
     std::vector<job_id> ended_;            ///< May be dropped once their runs are over.
--- a/src/decide/dispatch/dispatcher_takeover.cpp
+++ b/src/decide/dispatch/dispatcher_takeover.cpp
@@ -115,4 +115,38 @@
         pool.servers, [this](const backend_id& id) { return is(*servers_.at(id), "unread"); });
 }
 
+void dispatcher::implementation::estimate_unknown_use() {
+    unknown_use_.clear();
+    for (const auto& [name, pool] : pools_) {
+        if (!unresolved(pool)) {
+            continue;
+        }
+        resources unread;
+        for (const backend_id& id : pool.servers) {
+            if (is(*servers_.at(id), "unread")) {
+                unread += servers_.at(id)->listing.capacity;
+            }
+        }
+        std::map<team_id, resources> possible;
+        for (const workflow_entry* entry : pool.open) {
+            for (const auto& [number, occurrence] : entry->occurrences) {
+                for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                    const auto tasks = std::ranges::count_if(
+                        occurrence.steps[step].tasks, [&](const task_slot& slot) {
+                            return slot.waits() && entry->unaccounted(slot);
+                        });
+                    const resources& size = entry->step(step).size;
+                    possible[entry->row.team] += {size.millicores * tasks, size.memory_mb * tasks,
+                                                  size.accelerators * tasks};
+                }
+            }
+        }
+        for (const auto& [team, amount] : possible) {
+            unknown_use_[team] += {std::min(amount.millicores, unread.millicores),
+                                   std::min(amount.memory_mb, unread.memory_mb),
+                                   std::min(amount.accelerators, unread.accelerators)};
+        }
+    }
+}
+
 } // namespace citronford
--- a/src/decide/dispatch/workflow_entry.cpp
+++ b/src/decide/dispatch/workflow_entry.cpp
@@ -1,5 +1,7 @@
 #include "decide/dispatch/workflow_entry.h"
 
+#include "citronford/planted_fault.h"
+
 #include <algorithm>
 
 namespace citronford::dispatch {
@@ -21,6 +23,7 @@
 void workflow_entry::open_steps(occurrence_state& occurrence) const {
     for (std::size_t number = 0; number < occurrence.steps.size(); ++number) {
         occurrence.steps[number].open =
+            fault_planted("workflow-order") ||
             std::ranges::all_of(row.spec.steps[number].after, [&](std::uint32_t earlier) {
                 return occurrence.steps[earlier].complete();
             });
--- a/tests/proofs/workflow_proofs.cpp
+++ b/tests/proofs/workflow_proofs.cpp
@@ -4,12 +4,16 @@
 namespace citronford {
 namespace {
 
-constexpr std::string_view promises[] = {"workflow-once",   "workflow-attempts", "workflow-order",
-                                         "workflow-limits", "workflow-cancel",   "workflow-truth",
+constexpr std::string_view promises[] = {"workflow-once",    "workflow-attempts", "workflow-order",
+                                         "workflow-limits",  "workflow-cancel",   "workflow-truth",
                                          "workflow-finishes"};
 
 template <std::size_t Index> proof_result run(std::uint64_t seed) {
-    workflow_world world(seed, {});
+    workflow_faults faults;
+    if (promises[Index] == "workflow-attempts") {
+        faults.task_fails = 0.4; // Enough that tasks fail as often as they may.
+    }
+    workflow_world world(seed, faults);
     return world.run(promises[Index]);
 }
 
--- a/tests/proofs/workflow_world.cpp
+++ b/tests/proofs/workflow_world.cpp
@@ -46,8 +46,8 @@
     definition.objective_slack = milliseconds(600);
     catalog_pool serving{pool, true, false};
     catalog_team owner_team{team, 1000, team_limit, {}};
-    catalog_ = std::make_shared<queue_catalog>(
-        1, std::vector{definition}, std::vector{serving}, std::vector{owner_team});
+    catalog_ = std::make_shared<queue_catalog>(1, std::vector{definition}, std::vector{serving},
+                                               std::vector{owner_team});
     for (int index = 0; index < 6; ++index) {
         model_backend server;
         server.listing.id = backend_id("i-" + std::to_string(index));
@@ -56,6 +56,7 @@
         server.listing.capacity = {16000, 64000, 0};
         server.clock_rate = index % 2 == 0 ? 1.0 : 0.98;
         server.born = now_ - seconds(10 + index);
+        server.listing.born_unix_ms = to_ms(server.born.time_since_epoch());
         backends_.emplace(server.listing.id, std::move(server));
     }
 }
@@ -102,6 +103,7 @@
         advance(server);
     }
     follow_ownership();
+    register_restarted();
     const std::vector<owner_ref> present = owners_;
     for (const owner_ref& who : present) {
         if (who->alive && now_ >= who->frozen_until) {
@@ -218,6 +220,7 @@
     auto who = std::make_shared<owner>();
     who->decisions = *dispatcher::create(life_cycles(), options, now_);
     who->token = options.token;
+    who->begun_at = now_;
     who->lease_until = now_ + ownership_lease;
     who->acts_until = who->lease_until + grace;
     owners_.push_back(who);
@@ -236,6 +239,19 @@
     deliver(who, workflows_loaded{});
 }
 
+void workflow_world::register_restarted() {
+    for (auto& [id, server] : backends_) {
+        if (server.up && server.registers_at && now_ >= *server.registers_at) {
+            server.registers_at.reset();
+            for (const owner_ref& who : owners_) {
+                if (store_reachable(*who)) {
+                    deliver(who, backend_listed{server.listing});
+                }
+            }
+        }
+    }
+}
+
 void workflow_world::tick_owner(const owner_ref& who) {
     if (who == owners_.back() && store_reachable(*who)) {
         // New work and cancellations that it missed while it was cut off.
@@ -287,6 +303,7 @@
 void workflow_world::send(const owner_ref& who, const backend_address& to, message_body body,
                           duration wait) {
     message item{who, to.id, std::move(body)};
+    item.sent_at = now_;
     item.deliver_at = now_ + step_time;
     item.give_up_at = now_ + wait + order_timeout;
     item.held_until = now_ + wait;
@@ -340,6 +357,13 @@
 
 void workflow_world::answer(message& item, const start_message& body) {
     item.delivered = true;
+    // A late order, or one of an owner that could not know better, may follow a cancellation.
+    constexpr duration in_time = milliseconds(200);
+    constexpr duration settling = milliseconds(3000);
+    const owner& who = *item.from;
+    informed_ = item.from == owners_.back() && now_ <= item.sent_at + in_time &&
+                now_ >= who.begun_at + settling && now_ >= who.store_cut_until + settling &&
+                now_ >= who.frozen_until + settling;
     const order_result result = start_on(backends_.at(item.to), body.order);
     if (!item.reply_lost && !item.answered) {
         item.answered = true;
@@ -426,8 +450,8 @@
     judge_start(server, order);
     const bool fails = !calm_ && chance(faults_.task_fails);
     const duration time = milliseconds(to_ms(step.estimate) / 2 + below(1 + to_ms(step.estimate)));
-    server.running.push_back({order.task, order.run, now_ + time,
-                              fails ? run_end::failed : run_end::done, step.size});
+    server.running.push_back(
+        {order.task, order.run, now_ + time, fails ? run_end::failed : run_end::done, step.size});
     return order_done{clock};
 }
 
@@ -457,8 +481,8 @@
     }
     // One task more and a tenth may be running, since a lapsed run ends unseen.
     if (team_use.millicores > team_limit.millicores + team_limit.millicores / 10 + 4000) {
-        violate("workflow-limits", "the team has " + std::to_string(team_use.millicores) +
-                                       " millicores running");
+        violate("workflow-limits",
+                "the team has " + std::to_string(team_use.millicores) + " millicores running");
     }
     if (failures_noted_[order.task] >= attempts) {
         violate("workflow-attempts", text_of(order.task) + " starts again after all attempts");
@@ -471,7 +495,7 @@
         }
     }
     constexpr duration cancel_time = milliseconds(3000);
-    if (stored.cancelled && now_ > stored.cancelled_at + cancel_time && calm_) {
+    if (stored.cancelled && now_ > stored.cancelled_at + cancel_time && informed_) {
         violate("workflow-cancel", text_of(order.task) + " starts after it was cancelled");
     }
 }
@@ -498,9 +522,9 @@
     view.clock = clock_of(server);
     view.born_unix_ms = to_ms(server.born.time_since_epoch());
     if (order.lease_until) {
-        server.lease_until =
-            std::max(server.lease_until, std::min<backend_clock_ms>(
-                                             *order.lease_until, view.clock + to_ms(longest_lease)));
+        server.lease_until = std::max(
+            server.lease_until,
+            std::min<backend_clock_ms>(*order.lease_until, view.clock + to_ms(longest_lease)));
     }
     for (model_end& item : server.ended) {
         if (item.end.number <= order.ends_seen && !item.noted) {
@@ -542,6 +566,8 @@
             server.listing = listing;
             server.clock_rate = rate;
             server.born = now_;
+            server.listing.born_unix_ms = to_ms(server.born.time_since_epoch());
+            server.registers_at = now_ + milliseconds(100);
         }
         return;
     }
--- a/tests/proofs/workflow_world.h
+++ b/tests/proofs/workflow_world.h
@@ -16,16 +16,16 @@
 
 /// Probabilities of the faults of one run, for each second unless said otherwise.
 struct workflow_faults {
-    double request_lost = 0.01;  ///< Of an order or a look, each.
-    double reply_lost = 0.02;    ///< Of an order or a look, each.
-    double request_late = 0.02;  ///< Of an order, each: it is carried out 2 to 12 s later.
-    double task_fails = 0.03;    ///< Of a run, each.
+    double request_lost = 0.01; ///< Of an order or a look, each.
+    double reply_lost = 0.02;   ///< Of an order or a look, each.
+    double request_late = 0.02; ///< Of an order, each: it is carried out 2 to 12 s later.
+    double task_fails = 0.03;   ///< Of a run, each.
     double backend_crash = 0.06;
-    double backend_cut = 0.10;   ///< From the owner; it runs on.
+    double backend_cut = 0.10; ///< From the owner; it runs on.
     double owner_killed = 0.03;
     double owner_store_cut = 0.05; ///< It cannot renew, save or see new work, but acts on.
     double owner_frozen = 0.03;
-    double cancelled = 0.10;     ///< Of a workflow, each.
+    double cancelled = 0.10; ///< Of a workflow, each.
 };
 
 /// A store, backend servers and successive owners of the scheduler in virtual time. The real
@@ -59,14 +59,17 @@
         backend_clock_ms lease_until = 0;
         std::vector<model_run> running;
         std::vector<model_end> ended;
-        std::map<task_key, std::uint32_t> barred_runs; ///< Highest run that was stopped or has ended.
+        std::map<task_key, std::uint32_t>
+            barred_runs; ///< Highest run that was stopped or has ended.
         std::uint64_t last_end = 0;
         instant down_until{};
-        instant cut_until{}; ///< From the owners.
+        std::optional<instant> registers_at; ///< After a restart.
+        instant cut_until{};                 ///< From the owners.
     };
     struct owner {
         std::unique_ptr<dispatcher> decisions;
         fencing_token token = 0;
+        instant begun_at{};
         bool alive = true;
         instant lease_until{};
         instant acts_until{};
@@ -92,6 +95,7 @@
         owner_ref from;
         backend_id to;
         message_body body;
+        instant sent_at{};
         instant deliver_at{};
         instant give_up_at{}; ///< The sender takes the answer as lost.
         bool lost = false;
@@ -118,6 +122,7 @@
     void cancel_work();
     void fail_something();
     void follow_ownership();
+    void register_restarted();
     void begin_owner();
     void tick_owner(const owner_ref& who);
     void deliver(const owner_ref& who, const dispatch_input& input);
@@ -151,6 +156,7 @@
     proof_result result_;
     instant now_{seconds(1000)};
     bool calm_ = false;
+    bool informed_ = false; ///< The start being judged was ordered with up-to-date knowledge.
     std::map<backend_id, model_backend> backends_;
     std::map<job_id, stored_workflow> store_;
     std::vector<owner_ref> owners_; ///< The last one is the owner by the store.
