--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -228,6 +228,10 @@
                                                std::uint32_t number, backend_entry& server) {
     workflow_entry& entry = *place.workflow;
     task_slot& slot = *place.slot;
+    if (number <= slot.last_failed_run) {
+        // A server that left the list and came back shows its last ends once more.
+        return;
+    }
     ++slot.failures;
     slot.last_failed_run = number;
     slot.failed_on = server.listing.id;
--- a/src/decide/maintenance/capacity_planner.cpp
+++ b/src/decide/maintenance/capacity_planner.cpp
@@ -40,6 +40,9 @@
 /// A move that has not begun after this time is given up.
 constexpr duration closing_limit = milliseconds(3000);
 
+/// A VM that has not arrived after this time is not counted on any more.
+constexpr duration arrival_limit = seconds(8);
+
 const backend_load* find_load(std::span<const backend_load> loads, const backend_id& id) {
     const auto found = std::ranges::find(loads, id, &backend_load::backend);
     return found == loads.end() ? nullptr : &*found;
@@ -99,6 +102,8 @@
                                  view.listed_at >= item.since + options_.move_time;
             if (arrived) {
                 cycle_.step(item, vm_back{}, now);
+            } else if (now >= item.since + arrival_limit) {
+                cycle_.step(item, vm_absent{}, now);
             }
         } else if (cycle_.is(item, "doubtful") && now >= item.since + repeat_pause &&
                    view.may_order) {
--- a/src/decide/maintenance/wave_planner.cpp
+++ b/src/decide/maintenance/wave_planner.cpp
@@ -192,7 +192,8 @@
     for (vm_under_order& item : wave.members) {
         const fleet_vm* vm = find_vm(view.vms, item.vm);
         const bool barred = std::ranges::find(view.barred, item.vm) != view.barred.end();
-        if (!cycle_.is(item, "waiting") || vm == nullptr || barred || vm->state != fleet_vm::condition::up) {
+        if (!cycle_.is(item, "waiting") || vm == nullptr || barred ||
+            vm->state != fleet_vm::condition::up) {
             continue;
         }
         const pool_use& use = pools[vm->pool];
--- a/src/node/fleet/workflow_service.cpp
+++ b/src/node/fleet/workflow_service.cpp
@@ -208,26 +208,26 @@
 
 void workflow_service::store_cancel(const job_id& job, int tries, workflow_reply reply) {
     const std::array writes = {table_write{cancel_row_key(job), "cancel"}};
-    table_.commit(
-        {}, writes,
-        [this, job, tries,
-         reply = std::move(reply)](const absl::StatusOr<table_commit>& result) mutable {
-            if (!result.ok() && tries > 1) {
-                constexpr duration pause = milliseconds(150);
-                timers_.once(pause, [this, job, tries, reply = std::move(reply)](instant) mutable {
-                    store_cancel(job, tries - 1, std::move(reply));
-                });
-                return;
-            }
-            --open_;
-            log_event(log_level::info, "cancel_answered",
-                      {{"job", job.view()}, {"stored", result.ok() ? "yes" : "unknown"}});
-            if (result.ok()) {
-                reply(workflow_cancel_stored{});
-            } else {
-                reply(answer_unavailable{outage_retry});
-            }
-        });
+    table_.commit({}, writes,
+                  [this, job, tries,
+                   reply = std::move(reply)](const absl::StatusOr<table_commit>& result) mutable {
+                      if (!result.ok() && tries > 1) {
+                          constexpr duration pause = milliseconds(150);
+                          timers_.once(
+                              pause, [this, job, tries, reply = std::move(reply)](instant) mutable {
+                                  store_cancel(job, tries - 1, std::move(reply));
+                              });
+                          return;
+                      }
+                      --open_;
+                      log_event(log_level::info, "cancel_answered",
+                                {{"job", job.view()}, {"stored", result.ok() ? "yes" : "unknown"}});
+                      if (result.ok()) {
+                          reply(workflow_cancel_stored{});
+                      } else {
+                          reply(answer_unavailable{outage_retry});
+                      }
+                  });
 }
 
 void workflow_service::show_queue(const queue_id& queue, workflow_reply reply) {
--- /dev/null
+++ b/tests/submission_desk_test.cpp
@@ -0,0 +1,105 @@
+#include "test_support.h"
+
+#include "citronford/submission.h"
+
+using namespace citronford;
+
+namespace {
+
+constexpr instant start{seconds(100)};
+constexpr duration deadline = seconds(3);
+
+struct desk_fixture {
+    submission_desk desk = make();
+    std::vector<std::vector<std::string>> batches;
+    std::map<std::uint64_t, submission_result> answers;
+
+    static submission_desk make() {
+        auto created = submission_desk::create(installed_chart("submission"));
+        cr_assert(created.ok(), "%s", created.status().ToString().c_str());
+        return *std::move(created);
+    }
+
+    void handle(const submission_input& input, instant now = start) {
+        for (const submission_effect& effect : desk.handle(input, now)) {
+            if (const auto* batch = std::get_if<write_batch>(&effect)) {
+                std::vector<std::string> jobs;
+                for (const accepted_workflow* row : batch->rows) {
+                    jobs.push_back(row->id.str());
+                }
+                batches.push_back(jobs);
+            } else {
+                const auto& answer = std::get<answer_submission>(effect);
+                answers[static_cast<std::uint64_t>(answer.id)] = answer.result;
+            }
+        }
+    }
+
+    void submit(std::uint64_t number, const std::string& job, std::uint32_t part = 0) {
+        accepted_workflow row;
+        row.id = job_id(job);
+        handle(workflow_submitted{static_cast<submission_id>(number), row, part, start + deadline});
+    }
+};
+
+} // namespace
+
+// Guards against one transaction for each workflow, which a slow table cannot take.
+Test(submission_desk, writes_what_comes_meanwhile_together) {
+    desk_fixture fixture;
+    fixture.submit(1, "a");
+    fixture.submit(2, "b");
+    fixture.submit(3, "c");
+    cr_assert(fixture.batches.size() == 1);
+    fixture.handle(batch_stored{0});
+    cr_assert(fixture.answers.at(1) == submission_result::accepted);
+    cr_assert(fixture.batches.size() == 2 && fixture.batches[1].size() == 2);
+}
+
+// Guards against a repeated submission that is refused, or stored twice.
+Test(submission_desk, accepts_a_workflow_that_is_stored_already) {
+    desk_fixture fixture;
+    fixture.submit(1, "a");
+    fixture.submit(2, "b");
+    fixture.submit(3, "a");
+    fixture.handle(batch_stored{0});
+    cr_assert(fixture.batches[1].size() == 2, "an id is written once in a batch");
+    fixture.handle(batch_conflict{0, {job_id("a")}});
+    cr_assert(fixture.answers.at(3) == submission_result::accepted);
+    cr_assert(!fixture.answers.contains(2), "the other row is written again");
+    cr_assert(fixture.batches.back() == std::vector<std::string>{"b"});
+}
+
+// Guards against "never runs" for a workflow whose row may still be written.
+Test(submission_desk, never_refuses_after_a_write_in_doubt) {
+    desk_fixture fixture;
+    fixture.submit(1, "a");
+    fixture.handle(batch_in_doubt{0});
+    fixture.handle(submission_tick{}, start + milliseconds(200));
+    cr_assert(fixture.batches.size() == 2, "the row is written again");
+    fixture.handle(batch_refused{0}, start + milliseconds(300));
+    fixture.handle(submission_tick{}, start + milliseconds(500));
+    fixture.handle(batch_refused{0}, start + milliseconds(600));
+    cr_assert(fixture.answers.empty());
+    fixture.handle(submission_tick{}, start + deadline);
+    cr_assert(fixture.answers.at(1) == submission_result::unknown);
+}
+
+// Guards against a caller that is held while the table is out.
+Test(submission_desk, refuses_soon_when_nothing_was_written) {
+    desk_fixture fixture;
+    fixture.submit(1, "a");
+    fixture.handle(batch_refused{0});
+    fixture.handle(submission_tick{}, start + milliseconds(150));
+    fixture.handle(batch_refused{0}, start + milliseconds(160));
+    cr_assert(fixture.answers.at(1) == submission_result::refused);
+    cr_assert(fixture.desk.open() == 0);
+}
+
+// Guards against an answer after the caller has gone, and against a false one before.
+Test(submission_desk, answers_before_the_deadline) {
+    desk_fixture fixture;
+    fixture.submit(1, "a");
+    fixture.handle(submission_tick{}, start + deadline - milliseconds(200));
+    cr_assert(fixture.answers.at(1) == submission_result::unknown, "a write is under way");
+}
