--- a/daemons/citronford_fleetd.cpp
+++ b/daemons/citronford_fleetd.cpp
@@ -103,6 +103,15 @@
     if (!health_server.ok()) {
         return fail(health_server.status());
     }
+    auto figure_server = http_server::create(
+        (*loop)->handle(), own.figures, own.body_limit,
+        [&](const http_request& request, const http_responder& responder) {
+            const bool known = request.path == "/metrics";
+            responder.send({known ? 200 : 404, {}, known ? target.figures() : "", "text/plain"});
+        });
+    if (!figure_server.ok()) {
+        return fail(figure_server.status());
+    }
     (*loop)->on_signal(SIGTERM, [&] { target.request_stop(); });
     (*loop)->on_signal(SIGINT, [&] { target.request_stop(); });
     (*loop)->on_signal(SIGHUP, [&] { reload(path); });
--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -225,6 +225,16 @@
         !server.listing.has_label(definition.required_label)) {
         return false;
     }
+    // Tasks that fill slow down tasks that serve beside them, by amounts that nobody knows before.
+    const bool serves = definition.response_target > milliseconds::zero();
+    const bool disturbed = std::ranges::any_of(server.runs, [&](const task_run* run) {
+        const workflow_step& other = run->workflow->step(run->step);
+        return (definition.fills && other.response_target > milliseconds::zero()) ||
+               (serves && other.fills);
+    });
+    if (disturbed) {
+        return false;
+    }
     if (definition.most_per_server == 0) {
         return true;
     }
--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -79,7 +79,7 @@
                        life_cycles charts, drain stop, ownership owner,
                        const ownership_options& options, submission_desk desk)
     : own_(own), links_(std::move(links)), process_(std::move(process)), charts_(std::move(charts)),
-      table_(links_.table, links_.timers), stop_(std::move(stop)),
+      table_(links_.table, links_.timers, registry_), stop_(std::move(stop)),
       owner_(std::move(owner), options, table_, links_.timers,
              {[this](fencing_token token) { begin_dispatching(token); },
               [this] { end_dispatching(); }, [this] { owner_left_ = true; }}),
@@ -91,7 +91,7 @@
            duration::zero()},
           [this](std::span<const table_row> rows) { take_orders(rows, true); },
           [this](std::span<const table_row> rows) { take_orders(rows, false); }),
-      callers_(std::move(desk), table_, links_.timers) {}
+      callers_(std::move(desk), table_, links_.timers, registry_) {}
 
 void fleet_node::start() {
     owner_.start();
@@ -105,6 +105,31 @@
     return catalog_ != nullptr && stop_.ready() && table_.failures_in_row() < out_after;
 }
 
+std::string fleet_node::figures() {
+    const auto gauge = [this](std::string_view name, double value) {
+        registry_.set(name, {}, value);
+    };
+    gauge("citronford_ready", ready() ? 1 : 0);
+    gauge("citronford_owner", dispatch_ ? 1 : 0);
+    gauge("citronford_catalog_version",
+          catalog_ ? static_cast<double>(catalog_->version()) : 0.0);
+    gauge("citronford_table_failures_in_row", table_.failures_in_row());
+    const dispatch_counts counts = dispatch_ ? dispatch_->state().counts() : dispatch_counts{};
+    gauge("citronford_workflows", static_cast<double>(counts.workflows));
+    gauge("citronford_runs", static_cast<double>(counts.runs));
+    gauge("citronford_backends", static_cast<double>(counts.backends));
+    const std::pair<std::string_view, std::uint64_t> totals[] = {
+        {"citronford_starts_total", counts.starts},
+        {"citronford_tasks_done_total", counts.ends_done},
+        {"citronford_tasks_failed_total", counts.ends_failed},
+        {"citronford_runs_lost_total", counts.losses},
+        {"citronford_starts_refused_total", counts.refusals}};
+    for (const auto& [name, value] : totals) {
+        registry_.set_total(name, {}, static_cast<double>(value));
+    }
+    return registry_.text();
+}
+
 void fleet_node::begin_dispatching(fencing_token token) {
     dispatch_options options;
     options.token = token;
--- a/src/node/fleet/fleet_node.h
+++ b/src/node/fleet/fleet_node.h
@@ -63,6 +63,9 @@
     [[nodiscard]] const queue_catalog* catalog() const { return catalog_.get(); }
 
     [[nodiscard]] workflow_service& callers() { return callers_; }
+
+    /// The figures of this node in the Prometheus text format.
+    [[nodiscard]] std::string figures();
     [[nodiscard]] const observed_table& table() const { return table_; }
     [[nodiscard]] const ownership_driver& owner() const { return owner_; }
 
@@ -101,6 +104,7 @@
     fleet_links links_;
     fleet_process process_;
     life_cycles charts_;
+    metrics registry_;
     observed_table table_;
     drain stop_;
     timer_subscription stop_ticks_;
--- a/src/node/fleet/observed_table.cpp
+++ b/src/node/fleet/observed_table.cpp
@@ -2,11 +2,12 @@
 
 #include "citronford/result_code.h"
 
+#include <array>
 #include <utility>
 
 namespace citronford {
 
-void observed_table::note(const absl::Status& status) {
+void observed_table::note(const absl::Status& status, std::string_view call, instant sent_at) {
     const bool answered = status.ok() || code_of(status) == result_code::history_lost;
     if (answered) {
         last_answer_at_ = timers_.now();
@@ -15,11 +16,15 @@
         last_failure_at_ = timers_.now();
         ++failures_in_row_;
     }
+    const std::array labels = {metric_label{"call", call},
+                               metric_label{"answered", answered ? "yes" : "no"}};
+    registry_.observe("citronford_table_call_seconds", labels, timers_.now() - sent_at);
 }
 
-table_service::scan_callback observed_table::noted(scan_callback done) {
-    return [this, done = std::move(done)](absl::StatusOr<table_scan> result) {
-        note(result.status());
+table_service::scan_callback observed_table::noted(scan_callback done, std::string_view call) {
+    return [this, call, sent_at = timers_.now(),
+            done = std::move(done)](absl::StatusOr<table_scan> result) {
+        note(result.status(), call, sent_at);
         done(std::move(result));
     };
 }
@@ -27,19 +32,20 @@
 void observed_table::commit(std::span<const table_check> checks,
                             std::span<const table_write> writes, commit_callback done) {
     target_.commit(checks, writes,
-                   [this, done = std::move(done)](absl::StatusOr<table_commit> result) {
-                       note(result.status());
+                   [this, sent_at = timers_.now(),
+                    done = std::move(done)](absl::StatusOr<table_commit> result) {
+                       note(result.status(), "commit", sent_at);
                        done(std::move(result));
                    });
 }
 
 void observed_table::scan(std::string_view prefix, table_version since, scan_callback done) {
-    target_.scan(prefix, since, noted(std::move(done)));
+    target_.scan(prefix, since, noted(std::move(done), "scan"));
 }
 
 void observed_table::watch(std::string_view prefix, table_version since, duration wait,
                            scan_callback done) {
-    target_.watch(prefix, since, wait, noted(std::move(done)));
+    target_.watch(prefix, since, wait, noted(std::move(done), "watch"));
 }
 
 } // namespace citronford
--- a/src/node/fleet/observed_table.h
+++ b/src/node/fleet/observed_table.h
@@ -3,14 +3,16 @@
 #include "citronford/instant.h"
 #include "citronford/table_service.h"
 #include "citronford/timer_service.h"
+#include "io/metrics.h"
 
 namespace citronford {
 
-/// Passes calls on to a table and notes when it last answered and when it last did not.
+/// Passes calls on to a table, records how long they take, and notes when it last answered and when
+/// it last did not.
 class observed_table final : public table_service {
   public:
-    observed_table(table_service& target, const timer_service& timers)
-        : target_(target), timers_(timers) {}
+    observed_table(table_service& target, const timer_service& timers, metrics& registry)
+        : target_(target), timers_(timers), registry_(registry) {}
 
     void commit(std::span<const table_check> checks, std::span<const table_write> writes,
                 commit_callback done) override;
@@ -29,11 +31,12 @@
     [[nodiscard]] int failures_in_row() const { return failures_in_row_; }
 
   private:
-    void note(const absl::Status& status);
-    scan_callback noted(scan_callback done);
+    void note(const absl::Status& status, std::string_view call, instant sent_at);
+    scan_callback noted(scan_callback done, std::string_view call);
 
     table_service& target_;
     const timer_service& timers_;
+    metrics& registry_;
     instant last_answer_at_ = instant::min();
     instant last_failure_at_ = instant::min();
     int failures_in_row_ = 0;
--- a/src/node/fleet/workflow_service.cpp
+++ b/src/node/fleet/workflow_service.cpp
@@ -23,8 +23,8 @@
 } // namespace
 
 workflow_service::workflow_service(submission_desk decisions, observed_table& table,
-                                   timer_service& timers)
-    : decisions_(std::move(decisions)), table_(table), timers_(timers) {}
+                                   timer_service& timers, metrics& registry)
+    : decisions_(std::move(decisions)), table_(table), timers_(timers), registry_(registry) {}
 
 void workflow_service::start() {
     ticks_ = timers_.every(tick_period, [this](instant) {
@@ -48,7 +48,7 @@
     }
     const std::uint64_t number = ++last_submission_;
     ++open_;
-    callers_.emplace(number, std::move(reply));
+    callers_.emplace(number, waiting_caller{std::move(reply), timers_.now()});
     const std::uint32_t part = work_part(row.id);
     handle(workflow_submitted{static_cast<submission_id>(number), std::move(row), part,
                               timers_.now() + timeout});
@@ -97,17 +97,21 @@
     log_event(
         log_level::info, "submission_answered",
         {{"job", effect.job.view()}, {"result", names[static_cast<std::size_t>(effect.result)]}});
-    auto caller = callers_.extract(static_cast<std::uint64_t>(effect.id));
+    const auto node = callers_.extract(static_cast<std::uint64_t>(effect.id));
+    const waiting_caller& caller = node.mapped();
     --open_;
+    const std::array labels = {
+        metric_label{"result", names[static_cast<std::size_t>(effect.result)]}};
+    registry_.observe("citronford_submission_seconds", labels, timers_.now() - caller.since);
     switch (effect.result) {
     case submission_result::accepted:
-        caller.mapped()(workflow_accepted{effect.job});
+        caller.reply(workflow_accepted{effect.job});
         return;
     case submission_result::refused:
-        caller.mapped()(workflow_refused{result_code::table_unavailable, outage_retry});
+        caller.reply(workflow_refused{result_code::table_unavailable, outage_retry});
         return;
     case submission_result::unknown:
-        caller.mapped()(workflow_in_doubt{});
+        caller.reply(workflow_in_doubt{});
         return;
     }
 }
--- a/src/node/fleet/workflow_service.h
+++ b/src/node/fleet/workflow_service.h
@@ -4,6 +4,7 @@
 #include "citronford/submission.h"
 #include "citronford/timer_service.h"
 #include "citronford/workflow_caller.h"
+#include "io/metrics.h"
 #include "node/fleet/observed_table.h"
 
 #include <deque>
@@ -18,7 +19,8 @@
 /// cancel them, and shows states and queues. Any entry VM can answer for any workflow.
 class workflow_service {
   public:
-    workflow_service(submission_desk decisions, observed_table& table, timer_service& timers);
+    workflow_service(submission_desk decisions, observed_table& table, timer_service& timers,
+                     metrics& registry);
     workflow_service(const workflow_service&) = delete;
     workflow_service& operator=(const workflow_service&) = delete;
     workflow_service(workflow_service&&) = delete;
@@ -50,8 +52,13 @@
     submission_desk decisions_;
     observed_table& table_;
     timer_service& timers_;
+    metrics& registry_;
     timer_subscription ticks_;
-    std::map<std::uint64_t, workflow_reply> callers_;
+    struct waiting_caller {
+        workflow_reply reply;
+        instant since{};
+    };
+    std::map<std::uint64_t, waiting_caller> callers_;
     std::uint64_t last_submission_ = 0;
     std::size_t open_ = 0;
     /// States that do not change any more, so that they need not be read again.
