--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -125,7 +125,7 @@
 
 struct dispatch_options {
     fencing_token token = 0;
-    duration lease = milliseconds(4200); ///< Of the runs on a server.
+    duration lease = milliseconds(4200);         ///< Of the runs on a server.
     duration longest_lease = milliseconds(6000); ///< Servers shorten longer leases to this.
     duration earlier_grace =
         milliseconds(3000); ///< An earlier owner may act so long after losing its lease.
--- a/include/citronford/wave_planner.h
+++ b/include/citronford/wave_planner.h
@@ -47,6 +47,8 @@
 struct wave_options {
     duration maintenance_time{};                ///< Until a maintained VM is back.
     duration longest_task = milliseconds(2500); ///< Until a closing server is usually empty.
+    /// Until one long-running task serves elsewhere and the next of its step may follow.
+    duration task_move = milliseconds(3000);
 };
 
 /// What the planner knows of the fleet at one moment.
@@ -113,7 +115,8 @@
                 std::vector<wave_effect>& effects) const;
     void report(wave_state& wave, std::vector<wave_effect>& effects) const;
     void list_closing(const wave_view& view);
-    [[nodiscard]] bool short_of_time(const wave_state& wave, instant now) const;
+    [[nodiscard]] bool short_of_time(const wave_state& wave, const wave_view& view,
+                                     instant now) const;
 
     vm_order_cycle cycle_;
     wave_options options_;
--- a/src/decide/maintenance/capacity_planner.cpp
+++ b/src/decide/maintenance/capacity_planner.cpp
@@ -112,7 +112,9 @@
             }
         } else if (cycle_.is(item, "closing")) {
             const backend_load* load = find_load(view.loads, vm->backend);
-            const bool empty = vm->backend.empty() || (load != nullptr && load->runs == 0);
+            const catalog_pool* pool = view.catalog.pool(vm->pool);
+            const bool off = vm->backend.empty() || (pool != nullptr && pool->standby);
+            const bool empty = off || (load != nullptr && load->runs == 0);
             // The server takes no task since the plan in which it was closed.
             if (empty && now > item.since && view.may_order &&
                 vm->state == fleet_vm::condition::up) {
--- a/src/decide/maintenance/wave_planner.cpp
+++ b/src/decide/maintenance/wave_planner.cpp
@@ -1,6 +1,7 @@
 #include "citronford/wave_planner.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace citronford {
@@ -99,14 +100,25 @@
     }
 }
 
-bool wave_planner::short_of_time(const wave_state& wave, instant now) const {
-    const auto open = std::ranges::count_if(
-        wave.members, [&](const vm_under_order& item) { return !cycle_.closed(item); });
+bool wave_planner::short_of_time(const wave_state& wave, const wave_view& view, instant now) const {
+    std::ptrdiff_t open = 0;
+    std::size_t most_tasks = 0;
+    for (const vm_under_order& item : wave.members) {
+        if (cycle_.closed(item)) {
+            continue;
+        }
+        ++open;
+        const fleet_vm* vm = find_vm(view.vms, item.vm);
+        const backend_load* load = vm == nullptr ? nullptr : find_load(view.loads, vm->backend);
+        most_tasks = std::max(most_tasks, load == nullptr ? 0 : load->long_running);
+    }
     const auto at_once = static_cast<std::ptrdiff_t>(std::max(1U, wave.order.most_at_once));
     const std::ptrdiff_t rounds = (open + at_once - 1) / at_once;
     const duration round = options_.maintenance_time + options_.longest_task;
-    // A round more than it takes, since servers do not become empty all at once.
-    const duration needed = round * (rounds + 1);
+    // A round more than it takes, since servers do not become empty all at once. Long-running tasks
+    // of one step leave a server one after the other.
+    const duration needed =
+        round * (rounds + 1) + options_.task_move * static_cast<std::int64_t>(most_tasks);
     return now + needed >= wave.begun_at + wave.order.time;
 }
 
@@ -123,7 +135,7 @@
 
 void wave_planner::follow(wave_state& wave, const wave_view& view, instant now,
                           std::vector<wave_effect>& effects) const {
-    const bool hurry = short_of_time(wave, now);
+    const bool hurry = short_of_time(wave, view, now);
     for (vm_under_order& item : wave.members) {
         if (cycle_.closed(item)) {
             continue;
@@ -187,6 +199,13 @@
         const fleet_vm* vm = nullptr;
         double use = 0;
         std::size_t runs = 0;
+        std::size_t long_running = 0;
+
+        /// VMs that take long to become empty come first while their pools are not busy.
+        [[nodiscard]] auto key() const {
+            return std::tuple(use > busy_share, -static_cast<std::int64_t>(long_running), use,
+                              runs);
+        }
     };
     std::vector<option> options;
     for (vm_under_order& item : wave.members) {
@@ -201,11 +220,11 @@
         const double share =
             use.capacity == 0 ? 0.0
                               : static_cast<double>(use.used) / static_cast<double>(use.capacity);
-        options.push_back({&item, vm, share, load == nullptr ? 0 : load->runs});
+        options.push_back({&item, vm, share, load == nullptr ? 0 : load->runs,
+                           load == nullptr ? 0 : load->long_running});
     }
-    std::ranges::stable_sort(options, {},
-                             [](const option& item) { return std::pair(item.use, item.runs); });
-    const bool hurry = short_of_time(wave, now);
+    std::ranges::stable_sort(options, {}, &option::key);
+    const bool hurry = short_of_time(wave, view, now);
     for (const option& item : options) {
         if (taken >= wave.order.most_at_once) {
             return;
@@ -215,7 +234,9 @@
                                         ? 0.0
                                         : static_cast<double>(use.closed + 1) /
                                               static_cast<double>(use.servers + use.closed);
-        const bool spared = item.use > busy_share || closed_share > most_closed;
+        // Also a small pool lets one of its VMs be maintained at a time.
+        const bool crowded = use.closed > 0 && closed_share > most_closed;
+        const bool spared = item.use > busy_share || crowded;
         if (spared && !hurry && !item.vm->backend.empty()) {
             continue;
         }
--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -111,8 +111,7 @@
     };
     gauge("citronford_ready", ready() ? 1 : 0);
     gauge("citronford_owner", dispatch_ ? 1 : 0);
-    gauge("citronford_catalog_version",
-          catalog_ ? static_cast<double>(catalog_->version()) : 0.0);
+    gauge("citronford_catalog_version", catalog_ ? static_cast<double>(catalog_->version()) : 0.0);
     gauge("citronford_table_failures_in_row", table_.failures_in_row());
     const dispatch_counts counts = dispatch_ ? dispatch_->state().counts() : dispatch_counts{};
     gauge("citronford_workflows", static_cast<double>(counts.workflows));
--- /dev/null
+++ b/tests/capacity_planner_test.cpp
@@ -0,0 +1,122 @@
+#include "test_support.h"
+
+#include "citronford/capacity_planner.h"
+
+#include <algorithm>
+
+using namespace citronford;
+
+namespace {
+
+const pool_id busy("busy");
+const pool_id idle("idle");
+const pool_id standby("standby");
+
+/// Two pools of six VMs with ten cores each and a standby pool of two.
+struct capacity_fixture {
+    instant now{seconds(100)};
+    capacity_planner planner = make();
+    queue_catalog catalog{1,
+                          {},
+                          {catalog_pool{busy, true, false}, catalog_pool{idle, true, false},
+                           catalog_pool{standby, true, true}},
+                          {}};
+    std::vector<fleet_vm> vms;
+    std::vector<backend_load> loads;
+    std::vector<pool_demand> demands = {{busy}, {idle}};
+    std::set<zone_id> removed;
+    std::vector<vm_id> taken;
+    std::vector<move_vm> moves;
+
+    static capacity_planner make() {
+        auto created = capacity_planner::create(installed_chart("vm_order"), {});
+        cr_assert(created.ok(), "%s", created.status().ToString().c_str());
+        return *std::move(created);
+    }
+
+    capacity_fixture() {
+        add(busy, 6);
+        add(idle, 6);
+        add(standby, 2);
+    }
+
+    void add(const pool_id& pool, int count) {
+        for (int index = 0; index < count; ++index) {
+            fleet_vm vm;
+            vm.id = vm_id("m" + std::to_string(vms.size()));
+            vm.pool = pool;
+            vm.state = fleet_vm::condition::up;
+            vm.zone = zone_id(index % 2 == 0 ? "a" : "b");
+            vm.backend = backend_id("i" + std::to_string(vms.size()));
+            if (pool != standby) {
+                loads.push_back({vm.backend, pool, {10000, 1000, 0}, {}});
+            }
+            vms.push_back(vm);
+        }
+    }
+
+    /// Plans for `time`; `cores` of work arrive for the busy pool all the time.
+    void plan_for(duration time, double cores) {
+        constexpr duration period = milliseconds(100);
+        for (const instant end = now + time; now < end; now += period) {
+            demands[0].arrived_core_s += cores / 10;
+            const capacity_view view{vms, now, loads, demands, catalog, removed, taken, true};
+            for (const move_vm& move : planner.plan(view, now)) {
+                moves.push_back(move);
+                planner.answer(move.vm, vm_order_result::carried_out, now);
+            }
+        }
+    }
+
+    [[nodiscard]] std::ptrdiff_t moves_to(const pool_id& pool) const {
+        return std::ranges::count(moves, pool, &move_vm::target);
+    }
+};
+
+} // namespace
+
+// Guards against a burst that waits while VMs of other pools are idle: 100 cores of work a second
+// arrive at a pool of 60.
+Test(capacity_planner, moves_idle_vms_to_the_pool_where_work_arrives) {
+    capacity_fixture fixture;
+    fixture.plan_for(seconds(2), 100);
+    cr_assert(fixture.moves_to(busy) >= 4, "%td moves", fixture.moves_to(busy));
+    cr_assert(fixture.moves_to(idle) == 0);
+}
+
+// Guards against VMs that are taken away with long-running tasks on them, from a removed zone, or
+// during their maintenance.
+Test(capacity_planner, takes_only_vms_that_are_free) {
+    capacity_fixture fixture;
+    for (backend_load& load : fixture.loads) {
+        if (load.pool == idle) {
+            load.runs = 1;
+            load.long_running = 1;
+        }
+    }
+    fixture.taken = {vm_id("m12")};
+    fixture.plan_for(seconds(2), 200);
+    cr_assert(fixture.moves.size() == 1 && fixture.moves[0].vm == vm_id("m13"), "%zu moves",
+              fixture.moves.size());
+}
+
+// Guards against the cost of VMs that no pool needs.
+Test(capacity_planner, puts_idle_vms_into_the_standby_pool) {
+    capacity_fixture fixture;
+    fixture.plan_for(seconds(2), 0);
+    cr_assert(fixture.moves.empty(), "a short pause is no reason");
+    fixture.plan_for(seconds(3), 0);
+    cr_assert(fixture.moves_to(standby) == 6, "%td moves", fixture.moves_to(standby));
+}
+
+// Guards against orders while another node may be the owner.
+Test(capacity_planner, gives_no_order_without_leave) {
+    capacity_fixture fixture;
+    for (int round = 0; round < 50; ++round) {
+        fixture.now += milliseconds(100);
+        fixture.demands[0].arrived_core_s += 20;
+        const capacity_view view{fixture.vms,     fixture.now,     fixture.loads, fixture.demands,
+                                 fixture.catalog, fixture.removed, fixture.taken, false};
+        cr_assert(fixture.planner.plan(view, fixture.now).empty());
+    }
+}
