--- a/include/citronford/capacity_planner.h
+++ b/include/citronford/capacity_planner.h
@@ -33,7 +33,7 @@
     std::span<const fleet_vm> vms; ///< As listed last.
     instant listed_at{};           ///< When that list was asked for.
     std::span<const backend_load> loads;
-    std::span<const pool_demand> demands;
+    std::span<const pool_workload> demands;
     const queue_catalog& catalog;
     const std::set<zone_id>& removed_zones;
     std::span<const vm_id> taken; ///< VMs that are being maintained, or take no orders yet.
--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -146,7 +146,7 @@
 };
 
 /// The work that callers ask of one pool; long-running tasks are not counted.
-struct pool_demand {
+struct pool_workload {
     pool_id pool;
     double arrived_core_s = 0; ///< By estimate, since the ownership began.
     double waiting_cores = 0;  ///< Of tasks that could start and may still meet their objective.
@@ -192,7 +192,7 @@
     /// The servers that are in contact, and what runs there.
     [[nodiscard]] std::vector<backend_load> loads() const;
 
-    [[nodiscard]] std::vector<pool_demand> demands() const;
+    [[nodiscard]] std::vector<pool_workload> demands() const;
 
     [[nodiscard]] dispatch_counts counts() const;
 
--- a/include/citronford/fleet_rows.h
+++ b/include/citronford/fleet_rows.h
@@ -30,7 +30,7 @@
 struct wave_withdrawn {
     wave_number number = 0;
 };
-struct zone_removal {
+struct zone_order {
     zone_id zone;
     bool removed = true; ///< False: the zone is taken back.
 };
@@ -38,7 +38,7 @@
 struct order_ignored {};
 
 using operator_order = std::variant<order_ignored, std::shared_ptr<const queue_catalog>,
-                                    zone_removal, wave_order, wave_withdrawn>;
+                                    zone_order, wave_order, wave_withdrawn>;
 
 /// The rows of operators and backend servers in the platform's table. Keys are as in
 /// `table_service`. Errors carry `malformed_body` and the reason.
--- a/include/citronford/ownership.h
+++ b/include/citronford/ownership.h
@@ -38,8 +38,8 @@
     table_version version = 0;
 };
 /// Nothing was written.
-struct claim_refused {
-    static constexpr std::string_view event_name = "claim_refused";
+struct claim_rejected {
+    static constexpr std::string_view event_name = "claim_rejected";
 };
 struct claim_in_doubt {
     static constexpr std::string_view event_name = "claim_in_doubt";
@@ -63,7 +63,7 @@
 };
 
 using ownership_input =
-    std::variant<rows_observed, claim_committed, claim_refused, claim_in_doubt, renewal_committed,
+    std::variant<rows_observed, claim_committed, claim_rejected, claim_in_doubt, renewal_committed,
                  renewal_conflict, release_ended, ownership_stop, ownership_tick>;
 
 // Effects.
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -378,10 +378,10 @@
     return all;
 }
 
-std::vector<pool_demand> dispatcher::implementation::demands() const {
-    std::vector<pool_demand> all;
+std::vector<pool_workload> dispatcher::implementation::demands() const {
+    std::vector<pool_workload> all;
     for (const auto& [name, pool] : pools_) {
-        pool_demand demand{name, pool.arrived_core_s, 0};
+        pool_workload demand{name, pool.arrived_core_s, 0};
         for (const workflow_entry* entry : pool.open) {
             // What is late anyway is no reason for more VMs.
             if (entry->surplus || now_ >= entry->accepted_at + entry->allowance) {
@@ -430,7 +430,7 @@
     return body_->waiting();
 }
 
-std::vector<pool_demand> dispatcher::demands() const {
+std::vector<pool_workload> dispatcher::demands() const {
     return body_->demands();
 }
 
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -52,7 +52,7 @@
 
     [[nodiscard]] std::map<queue_id, std::uint64_t> waiting() const;
     [[nodiscard]] std::vector<backend_load> loads() const;
-    [[nodiscard]] std::vector<pool_demand> demands() const;
+    [[nodiscard]] std::vector<pool_workload> demands() const;
     [[nodiscard]] dispatch_counts counts() const;
 
   private:
--- a/src/decide/maintenance/capacity_planner.cpp
+++ b/src/decide/maintenance/capacity_planner.cpp
@@ -183,7 +183,7 @@
 }
 
 void capacity_planner::estimate_needs(const capacity_view& view, pool_counts& counts, instant now) {
-    for (const pool_demand& demand : view.demands) {
+    for (const pool_workload& demand : view.demands) {
         pool_outlook& outlook = outlooks_[demand.pool];
         outlook.samples.push_back({now, demand.arrived_core_s});
         while (outlook.samples.size() > 2 && outlook.samples[1].at <= now - 2 * rate_window) {
--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -256,7 +256,7 @@
     }
 }
 
-void fleet_node::apply(const zone_removal& order) {
+void fleet_node::apply(const zone_order& order) {
     log_event(log_level::info, order.removed ? "zone_removed" : "zone_taken_back",
               {{"zone", order.zone.view()}});
     if (order.removed) {
--- a/src/node/fleet/fleet_node.h
+++ b/src/node/fleet/fleet_node.h
@@ -91,7 +91,7 @@
     void take_orders(std::span<const table_row> rows, bool is_snapshot);
     void take_order(const table_row& row);
     void apply(const std::shared_ptr<const queue_catalog>& catalog);
-    void apply(const zone_removal& order);
+    void apply(const zone_order& order);
     void apply(const wave_order& order);
     void apply(const wave_withdrawn& order);
     void apply(const order_ignored& /*order*/) {}
--- a/src/node/fleet/ownership_driver.cpp
+++ b/src/node/fleet/ownership_driver.cpp
@@ -93,7 +93,7 @@
         } else if (!result.ok() && code_of(result.status()) == result_code::commit_in_doubt) {
             handle(claim_in_doubt{});
         } else {
-            handle(claim_refused{});
+            handle(claim_rejected{});
         }
     });
 }
--- a/src/node/fleet/vm_driver.cpp
+++ b/src/node/fleet/vm_driver.cpp
@@ -123,7 +123,7 @@
 
 void vm_driver::plan_capacity(std::span<const backend_load> loads, std::span<const vm_id> barred,
                               instant now) {
-    const std::vector<pool_demand> demands = on_.dispatching().demands();
+    const std::vector<pool_workload> demands = on_.dispatching().demands();
     std::vector<vm_id> taken = waves_.taken();
     taken.insert(taken.end(), barred.begin(), barred.end());
     const capacity_view view{vms_,          listed_at_,          loads, demands,
--- a/tests/capacity_planner_test.cpp
+++ b/tests/capacity_planner_test.cpp
@@ -23,7 +23,7 @@
                           {}};
     std::vector<fleet_vm> vms;
     std::vector<backend_load> loads;
-    std::vector<pool_demand> demands = {{busy}, {idle}};
+    std::vector<pool_workload> demands = {{busy}, {idle}};
     std::set<zone_id> removed;
     std::vector<vm_id> taken;
     std::vector<move_vm> moves;
--- a/tests/documentation_test.cpp
+++ b/tests/documentation_test.cpp
@@ -1,11 +1,13 @@
 #include "test_support.h"
 
+#include "citronford/fleet_settings.h"
 #include "citronford/result_code.h"
 #include "citronford/settings.h"
 
 #include <algorithm>
 #include <fstream>
 #include <set>
+#include <span>
 #include <sstream>
 
 using namespace citronford;
@@ -41,6 +43,18 @@
               differences.c_str());
 }
 
+std::vector<std::string> setting_rows(std::span<const setting_description> settings) {
+    std::vector<std::string> rows;
+    for (const setting_description& setting : settings) {
+        std::ostringstream row;
+        row << "| `" << setting.section << "` | `" << setting.key << "` | " << setting.type << " | "
+            << (setting.required ? "required" : "`" + setting.default_value + "`") << " | "
+            << setting.meaning << " |";
+        rows.push_back(row.str());
+    }
+    return rows;
+}
+
 } // namespace
 
 // Guards against a page of error codes that differs from the program.
@@ -69,13 +83,6 @@
 
 // Guards against a page of settings that differs from the program.
 Test(documentation, lists_every_setting) {
-    std::vector<std::string> expected;
-    for (const setting_description& setting : setting_descriptions()) {
-        std::ostringstream row;
-        row << "| `" << setting.section << "` | `" << setting.key << "` | " << setting.type << " | "
-            << (setting.required ? "required" : "`" + setting.default_value + "`") << " | "
-            << setting.meaning << " |";
-        expected.push_back(row.str());
-    }
-    expect_rows("settings.md", expected);
+    expect_rows("settings.md", setting_rows(setting_descriptions()));
+    expect_rows("fleet_settings.md", setting_rows(fleet_setting_descriptions()));
 }
--- /dev/null
+++ b/tests/fleet_drivers_test.cpp
@@ -0,0 +1,193 @@
+#include "mocks.h"
+
+#include "citronford/result_code.h"
+#include "citronford/workflow_rows.h"
+#include "io/metrics.h"
+#include "io/workflow_codec.h"
+#include "node/fleet/observed_table.h"
+#include "node/fleet/progress_writer.h"
+#include "node/fleet/table_follower.h"
+#include "node/fleet/workflow_service.h"
+
+#include <deque>
+#include <optional>
+
+using namespace citronford;
+using trompeloeil::_;
+
+namespace {
+
+constexpr fencing_token token = 5;
+
+/// A table whose answers a test gives one by one.
+struct table_fixture {
+    manual_timer_service timers;
+    mock_table_service table;
+    std::deque<table_service::commit_callback> commits;
+    std::deque<table_service::scan_callback> scans;
+    std::vector<std::vector<table_write>> written;
+    std::vector<table_version> scanned_since;
+    std::unique_ptr<trompeloeil::expectation> allow_commits =
+        NAMED_ALLOW_CALL(table, commit(_, _, _))
+            .LR_SIDE_EFFECT(written.emplace_back(_2.begin(), _2.end()))
+            .LR_SIDE_EFFECT(commits.push_back(_3));
+    std::unique_ptr<trompeloeil::expectation> allow_scans =
+        NAMED_ALLOW_CALL(table, scan(_, _, _))
+            .LR_SIDE_EFFECT(scanned_since.push_back(_2))
+            .LR_SIDE_EFFECT(scans.push_back(_3));
+
+    void answer_commit(const absl::StatusOr<table_commit>& result) {
+        cr_assert(!commits.empty(), "no transaction is under way");
+        const auto done = std::move(commits.front());
+        commits.pop_front();
+        done(result);
+    }
+
+    void answer_scan(const absl::StatusOr<table_scan>& result) {
+        cr_assert(!scans.empty(), "no read is under way");
+        const auto done = std::move(scans.front());
+        scans.pop_front();
+        done(result);
+    }
+};
+
+table_commit committed(table_version version) {
+    table_commit commit;
+    commit.committed = true;
+    commit.version = version;
+    return commit;
+}
+
+table_commit conflict(const std::string& value, table_version version) {
+    table_commit commit;
+    commit.conflicts = {{std::string(progress_fence_key), value, version}};
+    return commit;
+}
+
+absl::Status in_doubt() {
+    return make_status(result_code::commit_in_doubt, "lost");
+}
+
+/// A writer that has taken the fence.
+struct writer_fixture : table_fixture {
+    bool superseded = false;
+    bool done = false;
+    progress_writer writer{table, timers, token, [this] { superseded = true; }};
+
+    writer_fixture() {
+        writer.take_fence([] {});
+        answer_scan(table_scan{{{std::string(progress_fence_key), "4 17", 30}}, 31});
+        answer_commit(committed(32));
+        const std::vector<progress_row> rows = {{job_id("j"), {}}};
+        writer.write(rows, [this] { done = true; });
+    }
+};
+
+} // namespace
+
+// Guards against progress that is written twice, or an ownership that ends, because the answer to a
+// write was lost after its effect.
+Test(progress_writer, recognises_its_own_write_by_the_fence) {
+    writer_fixture fixture;
+    fixture.answer_commit(in_doubt());
+    cr_assert(!fixture.done);
+    fixture.timers.advance(milliseconds(200));
+    fixture.answer_commit(conflict("5 1", 40));
+    cr_assert(fixture.done && !fixture.superseded);
+}
+
+// Guards against an earlier owner that overwrites the progress of the present one.
+Test(progress_writer, gives_up_when_another_owner_has_the_fence) {
+    writer_fixture fixture;
+    fixture.answer_commit(conflict("6 0", 40));
+    cr_assert(fixture.superseded && !fixture.done);
+}
+
+// Guards against a write in doubt that lands late, after newer progress: each write must change the
+// row that it requires.
+Test(progress_writer, changes_the_fence_with_each_write) {
+    writer_fixture fixture;
+    cr_assert(fixture.written.back().back().key == std::string(progress_fence_key));
+    expect_equal(*fixture.written.back().back().value, "5 1");
+    fixture.answer_commit(committed(33));
+    fixture.writer.write(std::vector<progress_row>{{job_id("j"), {}}}, [] {});
+    expect_equal(*fixture.written.back().back().value, "5 2");
+}
+
+// Guards against changes that are missed after the table has dropped its history.
+Test(table_follower, reads_everything_again_when_history_is_lost) {
+    table_fixture fixture;
+    int snapshots = 0;
+    int changes = 0;
+    table_follower follower(
+        fixture.table, fixture.timers, {{"t/"}, "t/", milliseconds(2000), {}},
+        [&](std::span<const table_row> /*rows*/) { ++snapshots; },
+        [&](std::span<const table_row> rows) { changes += static_cast<int>(rows.size()); });
+    follower.start();
+    fixture.answer_scan(table_scan{{{"t//a", "1", 3}}, 7});
+    cr_assert(snapshots == 1 && fixture.scanned_since.back() == 7);
+    fixture.answer_scan(table_scan{{{"t//b", "1", 8}}, 8});
+    fixture.timers.advance(milliseconds(1));
+    cr_assert(changes == 1 && fixture.scanned_since.back() == 8);
+    fixture.answer_scan(make_status(result_code::history_lost, "dropped"));
+    fixture.timers.advance(milliseconds(1));
+    cr_assert(fixture.scanned_since.back() == 0, "all rows are read again");
+    fixture.answer_scan(table_scan{{}, 20});
+    cr_assert(snapshots == 2);
+}
+
+// Guards against a follower that gives up, or asks without a pause, while the table is out.
+Test(table_follower, goes_on_from_where_it_was_after_an_outage) {
+    table_fixture fixture;
+    table_follower follower(
+        fixture.table, fixture.timers, {{"t/"}, "t/", milliseconds(2000), {}},
+        [](std::span<const table_row>) {}, [](std::span<const table_row>) {});
+    follower.start();
+    fixture.answer_scan(table_scan{{}, 7});
+    fixture.answer_scan(make_status(result_code::table_unavailable, "out"));
+    cr_assert(fixture.scans.empty());
+    fixture.timers.advance(milliseconds(250));
+    cr_assert(fixture.scans.size() == 1 && fixture.scanned_since.back() == 7);
+}
+
+// Guards against "unknown" for a workflow that is stored and has not begun.
+Test(workflow_service, shows_a_workflow_without_progress_as_pending) {
+    table_fixture fixture;
+    metrics registry;
+    observed_table table(fixture.table, fixture.timers, registry);
+    workflow_service service(*submission_desk::create(installed_chart("submission")), table,
+                             fixture.timers, registry);
+    std::optional<workflow_answer> answer;
+    const auto keep = [&](const workflow_answer& content) { answer = content; };
+    service.show(job_id("j"), keep);
+    fixture.answer_scan(table_scan{});
+    fixture.answer_scan(table_scan{{{work_row_key(job_id("j")), "{}", 1}}, 2});
+    cr_assert(std::get<workflow_shown>(*answer).state == workflow_state::pending);
+    service.show(job_id("k"), keep);
+    fixture.answer_scan(table_scan{});
+    fixture.answer_scan(table_scan{});
+    cr_assert(std::holds_alternative<workflow_unknown>(*answer));
+    service.show(job_id("k"), keep);
+    fixture.answer_scan(make_status(result_code::table_unavailable, "out"));
+    cr_assert(std::holds_alternative<answer_unavailable>(*answer));
+}
+
+// Guards against reads of a state that cannot change any more, which are paid for.
+Test(workflow_service, remembers_how_a_workflow_ended) {
+    table_fixture fixture;
+    metrics registry;
+    observed_table table(fixture.table, fixture.timers, registry);
+    workflow_service service(*submission_desk::create(installed_chart("submission")), table,
+                             fixture.timers, registry);
+    int shown = 0;
+    const auto count = [&](const workflow_answer& content) {
+        shown += std::get<workflow_shown>(content).state == workflow_state::completed ? 1 : 0;
+    };
+    workflow_progress progress;
+    progress.state = workflow_state::completed;
+    service.show(job_id("j"), count);
+    fixture.answer_scan(
+        table_scan{{{progress_row_key(job_id("j")), encode_progress(progress), 1}}, 2});
+    service.show(job_id("j"), count);
+    cr_assert(shown == 2 && fixture.scans.empty());
+}
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -58,9 +58,9 @@
 Test(platform, reads_removals_and_waves) {
     const platform_rows rows;
     const auto removal = rows.order_of(row_of("op//evacuate/z1", "{}"));
-    cr_assert(std::get<zone_removal>(*removal).removed);
+    cr_assert(std::get<zone_order>(*removal).removed);
     const auto back = rows.order_of({"op//evacuate/z1", std::nullopt, 2});
-    cr_assert(!std::get<zone_removal>(*back).removed);
+    cr_assert(!std::get<zone_order>(*back).removed);
     const auto wave = rows.order_of(
         row_of("op//wave/4", R"({"Wave":4,"Machines":["m1","m2"],"DurationS":2.5,"Cap":3})"));
     const auto& order = std::get<wave_order>(*wave);
