Free retired connections by turns of the loop, not by the clock

A pool was freed one second after it was closed; a process that was overloaded, or suspended within a turn, freed it before the loop had closed its timer. The test blocks the loop for 1.1 s between the two.

--- a/include/citronford/fleet_rows.h
+++ b/include/citronford/fleet_rows.h
@@ -37,8 +37,8 @@
 /// A row of a kind that this version does not know.
 struct order_ignored {};
 
-using operator_order = std::variant<order_ignored, std::shared_ptr<const queue_catalog>,
-                                    zone_order, wave_order, wave_withdrawn>;
+using operator_order = std::variant<order_ignored, std::shared_ptr<const queue_catalog>, zone_order,
+                                    wave_order, wave_withdrawn>;
 
 /// The rows of operators and backend servers in the platform's table. Keys are as in
 /// `table_service`. Errors carry `malformed_body` and the reason.
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -41,15 +41,9 @@
     connection_pool& operator=(connection_pool&&) = delete;
     ~connection_pool() = default;
 
-    void close() {
-        h2o_socketpool_dispose(&sockets);
-        closed = true;
-    }
-
     h2o_socketpool_t sockets{};
     std::size_t active = 0; ///< Calls that use a connection of this pool.
-    instant last_use{};
-    bool closed = false;
+    bool retired = false;   ///< No further call uses it.
 };
 
 /// The shared connections to one endpoint and the calls that wait for one.
@@ -227,40 +221,55 @@
         duration::zero(), [call](instant) { finish(call, result_without_reply(*call, false)); });
 }
 
-/// Closes and later frees retired pools. h2o gives a connection back to its pool after the callback
-/// of the call, and the loop closes the timer of a pool after the pool, so that each step waits.
-void free_retired(http_client::implementation& owner, instant now) {
-    constexpr duration delay = seconds(1);
-    std::erase_if(owner.retired, [&](const auto& pool) {
-        if (pool->active > 0 || now - pool->last_use < delay) {
-            return false;
-        }
-        if (!pool->closed) {
-            pool->close();
-            pool->last_use = now;
-            return false;
-        }
-        return true;
+/// Calls `function` when the present turn of the loop has ended, whatever the clock says: a process
+/// can be suspended within a turn.
+void after_turn(uv_loop_t* loop, std::function<void()> function) {
+    struct marker {
+        uv_idle_t handle{};
+        std::function<void()> function;
+    };
+    auto* entry = new marker{{}, std::move(function)};
+    uv_idle_init(loop, &entry->handle);
+    entry->handle.data = entry;
+    uv_close(reinterpret_cast<uv_handle_t*>(&entry->handle), [](uv_handle_t* handle) {
+        const std::unique_ptr<marker> ended(static_cast<marker*>(handle->data));
+        ended->function();
+    });
+}
+
+/// Closes and frees a retired pool that no call uses. h2o gives a connection back to its pool after
+/// the callback of the call, and the loop closes the timer of a pool in a later turn.
+void close_retired(http_client::implementation& owner, connection_pool* pool) {
+    after_turn(owner.loop, [&owner, pool] {
+        h2o_socketpool_dispose(&pool->sockets);
+        after_turn(owner.loop, [&owner, pool] {
+            after_turn(owner.loop, [&owner, pool] {
+                std::erase_if(owner.retired,
+                              [pool](const auto& item) { return item.get() == pool; });
+            });
+        });
     });
 }
 
 void retire(http_client::implementation& owner, shared_endpoint& shared) {
+    connection_pool* pool = shared.pool.get();
+    pool->retired = true;
     owner.retired.push_back(std::move(shared.pool));
+    if (pool->active == 0) {
+        close_retired(owner, pool);
+    }
 }
 
 /// Connects a call that has its turn; h2o may take a pooled connection within the call.
 void connect_shared(const endpoint& to, open_call* call) {
     shared_endpoint& shared = *call->shared;
     http_client::implementation& owner = *call->owner;
-    const instant now = owner.timers.now();
-    free_retired(owner, now);
     if (!shared.pool) {
         shared.pool = std::make_unique<connection_pool>(owner.loop, to, owner.options.idle_timeout);
     }
     ++shared.active;
     call->pool = shared.pool.get();
     ++call->pool->active;
-    call->pool->last_use = now;
     call->starting = true;
     h2o_http1client_connect_with_pool(&call->client, call, &owner.context, &call->pool->sockets,
                                       on_connect);
@@ -293,8 +302,11 @@
     }
     --shared.active;
     --call.pool->active;
-    call.pool->last_use = owner.timers.now();
-    if (lost && call.pool == shared.pool.get()) {
+    if (call.pool->retired) {
+        if (call.pool->active == 0) {
+            close_retired(owner, call.pool);
+        }
+    } else if (lost) {
         retire(owner, shared);
     }
     if (!shared.waiting.empty()) {
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -146,3 +146,22 @@
     fixture.run_for(milliseconds(200));
     cr_assert(refused);
 }
+
+// Guards against a pool that is freed while the loop still closes its timer: by the clock its time
+// had come, since the process had been suspended within a turn (a process ended with an assertion
+// of the loop at 300 entry VMs).
+Test(http_client, frees_retired_connections_by_turns_of_the_loop) {
+    client_fixture fixture(2);
+    int lost = 0;
+    for (int round = 0; round < 3; ++round) {
+        fixture.get("/silent", milliseconds(5), [&](const http_result& result) {
+            lost += std::holds_alternative<http_lost>(result) ? 1 : 0;
+            // Stops the loop for longer than any delay in the client.
+            usleep(1100000);
+            fixture.get("/next", seconds(1), [](const http_result&) {});
+        });
+        fixture.run_for(milliseconds(1300));
+    }
+    cr_assert(lost == 3, "%d calls were lost", lost);
+    cr_assert(fixture.client.open_calls() == 0);
+}
