--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -145,11 +145,13 @@
     std::int64_t long_running_millicores = 0;
 };
 
-/// The work that callers ask of one pool; long-running tasks are not counted.
+/// The work that callers ask of one pool.
 struct pool_workload {
     pool_id pool;
-    double arrived_core_s = 0; ///< By estimate, since the ownership began.
-    double waiting_cores = 0;  ///< Of tasks that could start and may still meet their objective.
+    double arrived_core_s =
+        0; ///< By estimate, since the ownership began; without long-running tasks.
+    double waiting_cores = 0; ///< Of tasks that could start and may still meet their objective.
+    std::int64_t waiting_long_running = 0; ///< Tasks; each may need a server of its own.
 };
 
 /// Numbers of a dispatcher, for figures and for the state page.
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -381,18 +381,22 @@
 std::vector<pool_workload> dispatcher::implementation::demands() const {
     std::vector<pool_workload> all;
     for (const auto& [name, pool] : pools_) {
-        pool_workload demand{name, pool.arrived_core_s, 0};
+        pool_workload demand{name, pool.arrived_core_s};
         for (const workflow_entry* entry : pool.open) {
             // What is late anyway is no reason for more VMs.
-            if (entry->surplus || now_ >= entry->accepted_at + entry->allowance) {
-                continue;
-            }
+            const bool counts = !entry->surplus && now_ < entry->accepted_at + entry->allowance;
             for (const auto& [number, occurrence] : entry->occurrences) {
                 for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                     constexpr double millicores_per_core = 1000;
-                    demand.waiting_cores += static_cast<double>(occurrence.steps[step].waiting()) *
-                                            static_cast<double>(entry->step(step).size.millicores) /
-                                            millicores_per_core;
+                    const auto tasks = static_cast<std::int64_t>(occurrence.steps[step].waiting());
+                    const workflow_step& definition = entry->step(step);
+                    if (definition.long_running) {
+                        demand.waiting_long_running += tasks;
+                    } else if (counts) {
+                        demand.waiting_cores += static_cast<double>(tasks) *
+                                                static_cast<double>(definition.size.millicores) /
+                                                millicores_per_core;
+                    }
                 }
             }
         }
--- a/src/decide/maintenance/capacity_planner.cpp
+++ b/src/decide/maintenance/capacity_planner.cpp
@@ -208,7 +208,7 @@
         }
         const std::int64_t held =
             std::ranges::max_element(outlook.needs, {}, &need_sample::servers)->servers;
-        pool.needed = std::max({held, pool.hosts, least_servers});
+        pool.needed = std::max({held, pool.hosts + demand.waiting_long_running, least_servers});
     }
 }
 
--- a/tests/capacity_planner_test.cpp
+++ b/tests/capacity_planner_test.cpp
@@ -100,6 +100,21 @@
               fixture.moves.size());
 }
 
+// Guards against long-running tasks that stay away after a crash: each may need a server of its
+// own, and their pool had given its VMs away (kettunen-lavat trouble-2, LOST).
+Test(capacity_planner, brings_servers_for_long_running_tasks_that_wait) {
+    capacity_fixture fixture;
+    for (backend_load& load : fixture.loads) {
+        if (load.pool == busy) {
+            load.runs = 1;
+            load.long_running = 1;
+        }
+    }
+    fixture.demands[0].waiting_long_running = 3;
+    fixture.plan_for(seconds(1), 0);
+    cr_assert(fixture.moves_to(busy) == 3, "%td moves", fixture.moves_to(busy));
+}
+
 // Guards against the cost of VMs that no pool needs.
 Test(capacity_planner, puts_idle_vms_into_the_standby_pool) {
     capacity_fixture fixture;
