Share the command line of the daemons; take late servers as read-only until looked at

The two daemons repeated their command line. A server that registers long after the ownership began was noted as unread, silent and current within one tick; it now begins as silent, since no lease of an earlier owner can be left on it.

--- a/daemons/citronford_fleetd.cpp
+++ b/daemons/citronford_fleetd.cpp
@@ -1,6 +1,7 @@
 // The scheduler daemon of an entry VM on the users' platform.
 #include "citronford/fleet_settings.h"
 #include "citronford/invariant.h"
+#include "daemon_main.h"
 #include "io/event_loop.h"
 #include "io/http_client.h"
 #include "io/http_server.h"
@@ -12,16 +13,12 @@
 #include "platform/table_client.h"
 #include "platform/vm_client.h"
 
-#include <boost/program_options.hpp>
-
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
-#include <iostream>
 
 namespace {
 
-namespace po = boost::program_options;
 using namespace citronford;
 
 /// Connections to the platform: three watches are held, the others carry single calls.
@@ -30,13 +27,6 @@
 /// Connections to one backend server: one holds a look, the others carry orders.
 constexpr std::size_t backend_connections = 4;
 
-int fail(const absl::Status& status) {
-    log_event(
-        log_level::error, "start_failed",
-        {{"code", static_cast<std::int64_t>(code_of(status))}, {"reason", message_of(status)}});
-    return exit_code_of(code_of(status));
-}
-
 std::int64_t unix_ms() {
     return std::chrono::duration_cast<milliseconds>(
                std::chrono::system_clock::now().time_since_epoch())
@@ -68,7 +58,7 @@
 int run(const fleet_settings& own, const std::string& path) {
     auto loop = event_loop::create();
     if (!loop.ok()) {
-        return fail(loop.status());
+        return start_failure(loop.status());
     }
     http_client platform_calls((*loop)->handle(), **loop, {platform_connections});
     http_client backend_calls((*loop)->handle(), **loop, {backend_connections});
@@ -82,7 +72,7 @@
                            {[&] { return caller_server->open_requests(); },
                             [&] { caller_server->stop_accepting(); }, [&] { leave_process(own); }});
     if (!created.ok()) {
-        return fail(created.status());
+        return start_failure(created.status());
     }
     fleet_node& target = **created;
     job_front callers(target, unix_ms);
@@ -92,7 +82,7 @@
                                 callers.handle(request, responder);
                             });
     if (!listening.ok()) {
-        return fail(listening.status());
+        return start_failure(listening.status());
     }
     caller_server = *std::move(listening);
     auto health_server =
@@ -101,7 +91,7 @@
                                 answer_readiness(target, request, responder);
                             });
     if (!health_server.ok()) {
-        return fail(health_server.status());
+        return start_failure(health_server.status());
     }
     auto figure_server = http_server::create(
         (*loop)->handle(), own.figures, own.body_limit,
@@ -110,7 +100,7 @@
             responder.send({known ? 200 : 404, {}, known ? target.figures() : "", "text/plain"});
         });
     if (!figure_server.ok()) {
-        return fail(figure_server.status());
+        return start_failure(figure_server.status());
     }
     (*loop)->on_signal(SIGTERM, [&] { target.request_stop(); });
     (*loop)->on_signal(SIGINT, [&] { target.request_stop(); });
@@ -127,40 +117,7 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    std::string path;
-    po::options_description description("citronford_fleetd: the scheduler daemon of an entry VM");
-    auto add = description.add_options();
-    add("help", "show this text");
-    add("settings", po::value(&path), "settings file (INI)");
-    add("check-settings", po::value(&path), "check a settings file and exit");
-    po::variables_map values;
-    try {
-        po::store(po::parse_command_line(argc, argv, description), values);
-        po::notify(values);
-    } catch (const po::error& error) {
-        std::cerr << "citronford_fleetd: " << error.what() << '\n';
-        return 2;
-    }
-    if (values.count("help") != 0 || path.empty()) {
-        std::cout << description;
-        return values.count("help") != 0 ? EXIT_SUCCESS : 2;
-    }
-    const auto own = load_fleet_settings(path);
-    if (!own.ok()) {
-        std::cerr << "citronford_fleetd: code=" << static_cast<int>(code_of(own.status())) << '\n'
-                  << own.status().message() << '\n';
-        return exit_code_of(code_of(own.status()));
-    }
-    if (values.count("check-settings") != 0) {
-        std::cout << "settings are valid\n";
-        return EXIT_SUCCESS;
-    }
     log_to_standard_output();
-    log_level level = log_level::info;
-    parse_log_level(own->log_level, level);
-    set_log_level(level);
-    invariant_monitor::set_reporter([](std::string_view promise, std::string_view detail) {
-        log_event(log_level::error, "invariant_broken", {{"promise", promise}, {"detail", detail}});
-    });
-    return run(*own, path);
+    return daemon_main(argc, argv, "citronford_fleetd", "the scheduler daemon of an entry VM",
+                       load_fleet_settings, run);
 }
--- a/daemons/citronfordd.cpp
+++ b/daemons/citronfordd.cpp
@@ -1,6 +1,7 @@
 // The daemon of an entry VM: reads its settings, then runs one node on one loop.
 #include "citronford/invariant.h"
 #include "citronford/settings.h"
+#include "daemon_main.h"
 #include "io/caller_front.h"
 #include "io/counted_table.h"
 #include "io/event_loop.h"
@@ -19,24 +20,13 @@
 #include "node/node.h"
 #include "node/state_snapshot.h"
 
-#include <boost/program_options.hpp>
-
 #include <csignal>
 #include <cstdlib>
-#include <iostream>
 
 namespace {
 
-namespace po = boost::program_options;
 using namespace citronford;
 
-int fail(const absl::Status& status) {
-    log_event(
-        log_level::error, "start_failed",
-        {{"code", static_cast<std::int64_t>(code_of(status))}, {"reason", message_of(status)}});
-    return exit_code_of(code_of(status));
-}
-
 /// Logs the end of a planned stop and leaves. h2o keeps open connections in the loop, which a
 /// process that ends does not need to unwind.
 [[noreturn]] void leave_process(const settings& own) {
@@ -60,7 +50,7 @@
 int run(const settings& own) {
     auto loop = event_loop::create();
     if (!loop.ok()) {
-        return fail(loop.status());
+        return start_failure(loop.status());
     }
     http_client client((*loop)->handle(), **loop);
     http_platform platform(client, own.platform, own.platform_timeout);
@@ -77,12 +67,12 @@
         [&] { caller_server->stop_accepting(); },
         [&] { leave_when_answered(own, **loop, *caller_server); });
     if (!created.ok()) {
-        return fail(created.status());
+        return start_failure(created.status());
     }
     node& target = **created;
     const absl::Status peers_listening = peers.listen(own.peers);
     if (!peers_listening.ok()) {
-        return fail(peers_listening);
+        return start_failure(peers_listening);
     }
     target.levels().subscribe(
         [&](const answer_given& answer) { count_answer(target, answer, registry); });
@@ -94,7 +84,7 @@
                                 callers.handle(target, request, responder);
                             });
     if (!listening.ok()) {
-        return fail(listening.status());
+        return start_failure(listening.status());
     }
     caller_server = *std::move(listening);
     auto operator_server =
@@ -103,7 +93,7 @@
                                 operators.handle(request, responder);
                             });
     if (!operator_server.ok()) {
-        return fail(operator_server.status());
+        return start_failure(operator_server.status());
     }
     (*loop)->on_signal(SIGTERM, [&] { target.request_stop(); });
     (*loop)->on_signal(SIGINT, [&] { target.request_stop(); });
@@ -124,39 +114,6 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    std::string path;
-    po::options_description description("citronfordd: the daemon of an entry VM");
-    auto add = description.add_options();
-    add("help", "show this text");
-    add("settings", po::value(&path), "settings file (INI)");
-    add("check-settings", po::value(&path), "check a settings file and exit");
-    po::variables_map values;
-    try {
-        po::store(po::parse_command_line(argc, argv, description), values);
-        po::notify(values);
-    } catch (const po::error& error) {
-        std::cerr << "citronfordd: " << error.what() << '\n';
-        return 2;
-    }
-    if (values.count("help") != 0 || path.empty()) {
-        std::cout << description;
-        return values.count("help") != 0 ? EXIT_SUCCESS : 2;
-    }
-    const auto own = load_settings(path);
-    if (!own.ok()) {
-        std::cerr << "citronfordd: code=" << static_cast<int>(code_of(own.status())) << '\n'
-                  << own.status().message() << '\n';
-        return exit_code_of(code_of(own.status()));
-    }
-    if (values.count("check-settings") != 0) {
-        std::cout << "settings are valid\n";
-        return EXIT_SUCCESS;
-    }
-    log_level level = log_level::info;
-    parse_log_level(own->log_level, level);
-    set_log_level(level);
-    invariant_monitor::set_reporter([](std::string_view promise, std::string_view detail) {
-        log_event(log_level::error, "invariant_broken", {{"promise", promise}, {"detail", detail}});
-    });
-    return run(*own);
+    return daemon_main(argc, argv, "citronfordd", "the daemon of an entry VM", load_settings,
+                       [](const settings& own, const std::string& /*path*/) { return run(own); });
 }
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -275,7 +275,9 @@
     auto& place = servers_[listing.id];
     if (!place) {
         place = std::make_unique<backend_entry>();
-        place->contact = contact_machine_.initial();
+        // Long after the ownership began, no lease of an earlier owner can be left on it.
+        place->contact = now_ < earlier_leases_end() ? contact_machine_.initial()
+                                                     : contact_machine_.position_of("silent");
         place->next_look_at = now_;
     }
     if (place->listing.leaving != listing.leaving || !place->listed) {
