Resolve servers that no VM has any more by the list of VMs

Cause: a server of a moved VM stays registered for about 4.5 s and cannot be read. After each takeover it counted as unread, so tasks that no server showed waited 7.8 s for the leases of the earlier owner, and again at the next takeover.

Ruled out: missing capacity (servers were free), the order of the queue.

Change: the owner notes which servers the list of VMs names. A server missing from two lists in a row has its earlier leases taken as over. A new owner lists VMs every 400 ms for its first 10 s.

The new dispatcher test fails without the step of the contact chart.

--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -49,6 +49,11 @@
 struct backend_delisted {
     backend_id id;
 };
+/// The platform's list of VMs names these servers as the present ones. A server that has been
+/// replaced stays registered for some seconds, but is in no list any more.
+struct present_backends {
+    std::vector<backend_id> backends;
+};
 /// All backend servers that were registered when the ownership began have been listed.
 struct backends_loaded {};
 /// What the owner may do, by the time up to which it holds its lease.
@@ -81,9 +86,9 @@
 
 using dispatch_input =
     std::variant<catalog_applied, orders_applied, workflow_found, workflows_loaded,
-                 workflow_cancelled, backend_listed, backend_delisted, backends_loaded,
-                 authority_extended, start_answered, stop_answered, look_answered, progress_saved,
-                 backends_closing, dispatch_tick>;
+                 workflow_cancelled, backend_listed, backend_delisted, present_backends,
+                 backends_loaded, authority_extended, start_answered, stop_answered, look_answered,
+                 progress_saved, backends_closing, dispatch_tick>;
 
 // Effects. Views are valid until the next input.
 
--- a/src/decide/dispatch/backend_entry.h
+++ b/src/decide/dispatch/backend_entry.h
@@ -24,6 +24,7 @@
 struct backend_entry {
     backend_listing listing;
     bool listed = false;        ///< Registered at present.
+    int missing_lists = 0;      ///< Lists of VMs in a row that do not name it.
     bool closing = false;       ///< Its VM is about to be maintained or moved.
     bool closing_later = false; ///< Its VM will be maintained or moved before long.
     chart_position contact{};
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -93,6 +93,7 @@
     void take(const workflow_cancelled& input);
     void take(const backend_listed& input);
     void take(const backend_delisted& input);
+    void take(const present_backends& input);
     void take(const backends_loaded& input);
     void take(const authority_extended& input);
     void take(const start_answered& input);
--- a/src/node/fleet/dispatch_driver.cpp
+++ b/src/node/fleet/dispatch_driver.cpp
@@ -212,6 +212,10 @@
     handle(backends);
 }
 
+void dispatch_driver::note(const present_backends& backends) {
+    handle(backends);
+}
+
 void dispatch_driver::tick(instant now) {
     const owner_authority authority = on_.authority();
     handle(authority_extended{authority.takes_work_until, authority.acts_until});
--- a/src/node/fleet/vm_driver.cpp
+++ b/src/node/fleet/vm_driver.cpp
@@ -17,6 +17,9 @@
 constexpr duration busy_list_period = milliseconds(400);
 constexpr duration calm_list_period = milliseconds(2000);
 
+/// After the ownership began; longer than the leases that the previous owner gave to runs.
+constexpr duration new_owner_time = seconds(10);
+
 /// Before a read or write that failed is sent again.
 constexpr duration retry_pause = milliseconds(300);
 
@@ -148,7 +151,9 @@
 }
 
 void vm_driver::list_vms(instant now) {
-    const bool busy = waves_.active() || capacity_.active();
+    // A new owner learns from the lists which registered servers are gone.
+    const bool new_owner = now < timing_.owner_since + new_owner_time;
+    const bool busy = new_owner || waves_.active() || capacity_.active();
     const duration period = busy ? busy_list_period : calm_list_period;
     if (listing_ || (list_asked_at_ != instant::min() && now < list_asked_at_ + period)) {
         return;
@@ -162,8 +167,7 @@
             }
             listing_ = false;
             if (result.ok()) {
-                vms_ = *std::move(result);
-                listed_at_ = now;
+                take_list(*std::move(result), now);
             } else {
                 log_event(log_level::warning, "vm_list_unavailable",
                           {{"reason", message_of(result.status())}});
@@ -171,6 +175,18 @@
         });
 }
 
+void vm_driver::take_list(std::vector<fleet_vm> vms, instant asked_at) {
+    vms_ = std::move(vms);
+    listed_at_ = asked_at;
+    present_backends present;
+    for (const fleet_vm& vm : vms_) {
+        if (!vm.backend.view().empty()) {
+            present.backends.push_back(vm.backend);
+        }
+    }
+    on_.note_present(present);
+}
+
 void vm_driver::perform(std::span<const wave_effect> effects) {
     for (const wave_effect& effect : effects) {
         std::visit([this](const auto& item) { perform(item); }, effect);
--- a/src/node/fleet/vm_driver.h
+++ b/src/node/fleet/vm_driver.h
@@ -40,6 +40,7 @@
         std::function<const queue_catalog&()> catalog;
         std::function<const std::set<zone_id>&()> removed_zones;
         std::function<void(const backends_closing&)> close;
+        std::function<void(const present_backends&)> note_present;
     };
 
     vm_driver(wave_planner waves, capacity_planner capacity, vm_order_origin origin, vm_links links,
@@ -62,6 +63,7 @@
     void tick(instant now);
     void read_records();
     void list_vms(instant now);
+    void take_list(std::vector<fleet_vm> vms, instant asked_at);
     void note_early_backends(std::span<const backend_load> loads, instant now);
     [[nodiscard]] std::vector<vm_id> barred(instant now) const;
     void perform(std::span<const wave_effect> effects);
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -231,6 +231,28 @@
         fixture.starts, [](const send_start& start) { return start.order.task.job == job; }));
 }
 
+// Guards against tasks that wait for the leases of an earlier owner because a server that a moved
+// VM has left is still registered and cannot be read.
+Test(dispatcher, does_not_wait_for_servers_that_no_vm_has_any_more) {
+    dispatch_fixture fixture;
+    fixture.list(first);
+    fixture.list(second);
+    fixture.find(job, true);
+    fixture.loaded();
+    fixture.tick();
+    fixture.show(first, {}, {});
+    fixture.handle(look_answered{second, backend_unreachable{}});
+    fixture.tick(seconds(1));
+    fixture.handle(present_backends{{first}});
+    fixture.tick();
+    cr_assert(fixture.starts.empty(), "one list may be older than the server");
+    fixture.handle(present_backends{{first}});
+    fixture.show(first, {}, {});
+    fixture.tick();
+    cr_assert(fixture.starts.size() == 1);
+    cr_assert(fixture.starts[0].to.id == first);
+}
+
 // Guards against runs of a cancelled workflow that are adopted and never stopped.
 Test(dispatcher, stops_runs_of_a_workflow_that_was_cancelled_before_the_takeover) {
     dispatch_fixture fixture;
