Sample the peak of the slots in use, not the slots of an instant

Cause, from a trace of process_reports (each sample logged): all 217 samples of the four nodes were 0 while 200 bookings ran. A booking over a kept connection takes about 1 ms, so at 200 a second a reading at an instant finds one running in about 1 of 5; the five readings in that second found none.

Ruled out: the table rows, the pool controller and the clock, since the samples themselves were 0.

The router now counts open attempts per service and gives the most slots taken or waited for since the last reading.

--- a/include/citronford/buffer_control.h
+++ b/include/citronford/buffer_control.h
@@ -31,7 +31,7 @@
 
 // Inputs.
 
-/// What the queues of this node need now.
+/// The most that the queues of this node needed since the last sample.
 struct demand_sampled {
     std::vector<pool_load> pools;
 };
--- a/include/citronford/request_router.h
+++ b/include/citronford/request_router.h
@@ -167,8 +167,9 @@
     [[nodiscard]] std::size_t queued(const service_id& service, const team_id& team) const;
     /// Zeros for a service that was never configured.
     [[nodiscard]] service_activity activity(const service_id& service) const;
-    /// Slots that the requests of each service take or wait for.
-    [[nodiscard]] std::map<service_id, std::size_t> slots_wanted() const;
+    /// The most slots that the requests of each service took or waited for at one moment since the
+    /// last call. A single reading would miss requests that are shorter than the time between two.
+    [[nodiscard]] std::map<service_id, std::size_t> take_slots_wanted();
     [[nodiscard]] const router_counters& counters() const;
     /// Name of the state of an executor in the chart `connection`; empty for an unknown one.
     [[nodiscard]] std::string_view executor_state(const executor_id& executor) const;
--- a/src/decide/request_router.cpp
+++ b/src/decide/request_router.cpp
@@ -104,7 +104,9 @@
         to_dispatch_.insert(service);
     }
     to_dispatch_.insert(attempt.service);
-    services_[attempt.service].queue.note_free_slot(now);
+    service_state& service_of_attempt = services_[attempt.service];
+    --service_of_attempt.open_attempts;
+    service_of_attempt.queue.note_free_slot(now);
     const auto request = requests_.find(report.caller);
     const bool open =
         request != requests_.end() && std::erase(request->second.open_attempts, report.attempt) > 0;
@@ -261,6 +263,9 @@
     attempts_.emplace(request.last_attempt,
                       open_attempt{submission.caller, submission.request, request.executor,
                                    submission.team, submission.service, now});
+    service_state& service = services_[submission.service];
+    ++service.open_attempts;
+    service.note_slots();
     executors_.note_sent(request.executor);
     duration timeout = request.deadline - now;
     if (!request.service.idempotent) {
@@ -380,8 +385,8 @@
     return body_->activity(service);
 }
 
-std::map<service_id, std::size_t> request_router::slots_wanted() const {
-    return body_->slots_wanted();
+std::map<service_id, std::size_t> request_router::take_slots_wanted() {
+    return body_->take_slots_wanted();
 }
 
 const router_counters& request_router::counters() const {
--- a/src/decide/request_router_state.h
+++ b/src/decide/request_router_state.h
@@ -7,6 +7,8 @@
 #include "citronford/request_queue.h"
 #include "citronford/retry_budget.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <deque>
 #include <map>
 #include <optional>
@@ -93,6 +95,11 @@
         request_queue queue;
         retry_budget budget;
         router_counters counters;
+        std::size_t open_attempts = 0;
+        std::size_t peak_slots = 0; ///< Most of `slots` since the last reading.
+
+        [[nodiscard]] std::size_t slots() const { return queue.size() + open_attempts; }
+        void note_slots() { peak_slots = std::max(peak_slots, slots()); }
     };
 
     /// What the actions of one step work on.
@@ -133,13 +140,10 @@
         const service_state& state = found->second;
         return {state.queue.size(), state.budget.tokens(), state.counters};
     }
-    [[nodiscard]] std::map<service_id, std::size_t> slots_wanted() const {
+    [[nodiscard]] std::map<service_id, std::size_t> take_slots_wanted() {
         std::map<service_id, std::size_t> slots;
-        for (const auto& [name, service] : services_) {
-            slots[name] = service.queue.size();
-        }
-        for (const auto& [id, attempt] : attempts_) {
-            ++slots[attempt.service];
+        for (auto& [name, service] : services_) {
+            slots[name] = std::exchange(service.peak_slots, service.slots());
         }
         return slots;
     }
--- a/src/decide/request_router_steps.cpp
+++ b/src/decide/request_router_steps.cpp
@@ -48,8 +48,10 @@
         {"enqueue",
          [](step_context& context, const request_event&) {
              request_entry& request = context.request;
-             request.place = context.router.service_of(request).queue.push(
-                 request.submission.team, request.submission.caller, context.now);
+             service_state& service = context.router.service_of(request);
+             request.place = service.queue.push(request.submission.team, request.submission.caller,
+                                                context.now);
+             service.note_slots();
              context.router.to_dispatch_.insert(request.submission.service);
          }},
         {"dequeue",
--- a/src/node/buffer_driver.h
+++ b/src/node/buffer_driver.h
@@ -16,7 +16,7 @@
 /// Feeds the demand of the queues to the buffer planner, and its plans to the pools.
 class buffer_driver {
   public:
-    /// Reads what the queues of this node need now.
+    /// The most that the queues of this node needed since it was last called.
     using demand_reader = std::function<std::vector<pool_load>()>;
 
     /// All references outlive the driver.
--- a/src/node/request_driver.h
+++ b/src/node/request_driver.h
@@ -55,8 +55,8 @@
     [[nodiscard]] const request_router& router() const { return *router_; }
     /// Claim rows of this process that are kept for duplicates.
     [[nodiscard]] std::uint64_t claims_granted() const { return commits_.claims_granted(); }
-    [[nodiscard]] std::map<service_id, std::size_t> slots_wanted() const {
-        return router_->slots_wanted();
+    [[nodiscard]] std::map<service_id, std::size_t> take_slots_wanted() {
+        return router_->take_slots_wanted();
     }
 
   private:
--- a/tests/request_router_test.cpp
+++ b/tests/request_router_test.cpp
@@ -191,6 +191,34 @@
     cr_assert(effect_of<answer_caller>(refused)->code == result_code::team_limit_reached);
 }
 
+// Guards against demand that is not seen because the requests end between two readings.
+Test(request_router, counts_the_most_slots_since_the_last_reading) {
+    router_fixture fixture;
+    const service_id quote("quote");
+    fixture.limits.set_units(sales, 8);
+    const auto first = fixture.submit(1, "quote");
+    const auto second = fixture.submit(2, "quote");
+    fixture.answer(1, *effect_of<send_attempt>(first));
+    fixture.answer(2, *effect_of<send_attempt>(second));
+    cr_assert(fixture.router->open_requests() == 0);
+    cr_assert(fixture.router->take_slots_wanted().at(quote) == 2);
+    cr_assert(fixture.router->take_slots_wanted().at(quote) == 0);
+}
+
+// Guards against demand that is lost with a reading while requests run or wait.
+Test(request_router, counts_open_and_waiting_requests_at_every_reading) {
+    router_fixture fixture;
+    const service_id quote("quote");
+    fixture.limits.set_units(sales, 1);
+    const auto sent = fixture.submit(1, "quote");
+    fixture.submit(2, "quote");
+    cr_assert(fixture.router->take_slots_wanted().at(quote) == 2);
+    cr_assert(fixture.router->take_slots_wanted().at(quote) == 2);
+    fixture.answer(1, *effect_of<send_attempt>(sent));
+    fixture.router->take_slots_wanted();
+    cr_assert(fixture.router->take_slots_wanted().at(quote) == 1);
+}
+
 // Guards against new work for an executor that leaves.
 Test(request_router, sends_nothing_to_a_leaving_executor) {
     router_fixture fixture;
