Bring servers for the tasks of closed ones

The pool had given its other VMs away, and the capacity planner counted the closed servers as present, so it brought none: the tasks had no room elsewhere, and 2 of 24 VMs missed the end of the wave.

Ruled out: a pool that is spared as busy (no VM was), the limit of the wave (3 of 10 closed), the limit of tasks that may be away (all others of the steps were running).

A closed server, or one that leaves, does not count as present any more; its size still counts for the mean. Two new tests of the planner fail on the old code (0 moves for 2, and for 6).

--- a/include/citronford/capacity_planner.h
+++ b/include/citronford/capacity_planner.h
@@ -79,6 +79,7 @@
     /// Servers of a pool, in numbers.
     struct pool_count {
         std::int64_t present = 0;  ///< Can take work.
+        std::int64_t measured = 0; ///< Whose capacity is in `capacity_millicores`.
         std::int64_t incoming = 0; ///< Will be able to before long.
         std::int64_t needed = 0;
         std::int64_t hosts = 0; ///< Of long-running tasks.
--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -148,6 +148,7 @@
     std::size_t runs = 0;
     std::size_t long_running = 0; ///< Those of them that must not simply be ended.
     std::int64_t long_running_millicores = 0;
+    bool closed = false; ///< Takes no new task: its VM is about to be ordered away, or it leaves.
 };
 
 /// The work that callers ask of one pool.
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -382,6 +382,7 @@
         }
         backend_load load{id, server->listing.pool, server->listing.capacity, server->used,
                           server->runs.size() + (server->has_strays ? 1 : 0)};
+        load.closed = server->closing || server->listing.leaving;
         for (const task_run* run : server->runs) {
             if (run->workflow->step(run->step).long_running) {
                 ++load.long_running;
--- a/src/decide/maintenance/capacity_planner.cpp
+++ b/src/decide/maintenance/capacity_planner.cpp
@@ -154,7 +154,9 @@
             pool.present += pool.standby ? 1 : 0;
             continue;
         }
-        ++pool.present;
+        // The tasks of a closed server need room on others, or it never becomes empty.
+        pool.present += load->closed ? 0 : 1;
+        ++pool.measured;
         pool.capacity_millicores += load->capacity.millicores;
         pool.hosts += load->long_running > 0 ? 1 : 0;
         pool.long_running_millicores += load->long_running_millicores;
@@ -191,10 +193,10 @@
         }
         pool_count& pool = counts[demand.pool];
         constexpr double millicores_per_core = 1000;
-        const double server_cores = pool.present == 0 || pool.capacity_millicores == 0
+        const double server_cores = pool.measured == 0 || pool.capacity_millicores == 0
                                         ? 1
                                         : static_cast<double>(pool.capacity_millicores) /
-                                              static_cast<double>(pool.present) /
+                                              static_cast<double>(pool.measured) /
                                               millicores_per_core;
         const double used = static_cast<double>(pool.used_millicores) / millicores_per_core;
         const double cores =
--- a/tests/capacity_planner_test.cpp
+++ b/tests/capacity_planner_test.cpp
@@ -115,6 +115,46 @@
     cr_assert(fixture.moves_to(busy) == 3, "%td moves", fixture.moves_to(busy));
 }
 
+// Guards against a wave that waits for its end: the servers of a pool that gave its VMs away are
+// closed, and their long-running tasks have no other server to go to (pf-citron trouble-3).
+Test(capacity_planner, brings_servers_for_the_tasks_of_closed_ones) {
+    capacity_fixture fixture;
+    std::erase_if(fixture.vms, [](const fleet_vm& vm) { return vm.pool == idle; });
+    std::erase_if(fixture.loads, [](const backend_load& load) { return load.pool == idle; });
+    fixture.add(standby, 6);
+    for (backend_load& load : fixture.loads) {
+        load.runs = 3;
+        load.long_running = 3;
+        load.long_running_millicores = 3000;
+        load.used.millicores = 3000;
+    }
+    fixture.plan_for(seconds(1), 0);
+    cr_assert(fixture.moves_to(busy) == 0, "%td moves", fixture.moves_to(busy));
+    for (const std::size_t index : {0U, 1U}) {
+        fixture.loads[index].closed = true;
+        fixture.taken.push_back(fixture.vms[index].id);
+    }
+    fixture.plan_for(seconds(1), 0);
+    cr_assert(fixture.moves_to(busy) == 2, "%td moves", fixture.moves_to(busy));
+}
+
+// Guards against a need that is counted in servers of one core when all servers are closed.
+Test(capacity_planner, knows_the_size_of_closed_servers) {
+    capacity_fixture fixture;
+    fixture.add(standby, 30);
+    for (backend_load& load : fixture.loads) {
+        if (load.pool == busy) {
+            load.runs = 1;
+            load.long_running = 1;
+            load.long_running_millicores = 5000;
+            load.used.millicores = 5000;
+            load.closed = true;
+        }
+    }
+    fixture.plan_for(seconds(1), 0);
+    cr_assert(fixture.moves_to(busy) == 6, "%td moves", fixture.moves_to(busy));
+}
+
 // Guards against the cost of VMs that no pool needs.
 Test(capacity_planner, puts_idle_vms_into_the_standby_pool) {
     capacity_fixture fixture;
