Refuse late writes of an earlier owner to the row of waiting workflows

Nodes then told callers that nothing waited, until the next owner wrote again, up to 500 ms later.

Ruled out: a wrong count of the new owner (its own writes said 186 to 249), a reader that lags behind.

The row names the token of its owner, and each write requires the row as it was last seen. An owner that meets a row with a higher token leaves it. Three new tests of the writer; the old code wrote without a check.

--- a/include/citronford/workflow_rows.h
+++ b/include/citronford/workflow_rows.h
@@ -15,9 +15,9 @@
 //   work/{part}/{job}        a workflow as accepted; "ended" once its end is saved
 //   work/{part}/{job}!cancel order to cancel it
 //   progress/run/{job}       its state and the tasks that are done; written by the owner only
-//   progress/run/!fence      changed by each write of progress, so that no late write is carried
-//   out shown/queues/waiting     waiting workflows of each queue waves/run/{number}       which VMs
-//   of a wave have been maintained
+//   progress/run/!fence      changed by each write of progress, which bars late ones
+//   shown/queues/waiting     waiting workflows of each queue; names the owner that wrote it
+//   waves/run/{number}       which VMs of a wave have been maintained
 
 inline constexpr std::string_view owner_row_key = "control/owner/owner";
 inline constexpr std::string_view renewal_row_key = "control/owner/renewal";
--- a/src/io/workflow_codec.cpp
+++ b/src/io/workflow_codec.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <system_error>
 
 namespace citronford {
 namespace {
@@ -209,7 +211,21 @@
     });
 }
 
-std::string encode_waiting(const std::map<queue_id, std::uint64_t>& counts) {
+std::string encode_owned(const owned_value& value) {
+    return std::to_string(value.token) + ' ' + value.text;
+}
+
+absl::StatusOr<owned_value> decode_owned(std::string_view text) {
+    owned_value value;
+    const auto [rest, error] = std::from_chars(text.data(), text.data() + text.size(), value.token);
+    if (error != std::errc() || rest == text.data() + text.size() || *rest != ' ') {
+        return make_status(result_code::malformed_body, "no token before the text");
+    }
+    value.text = std::string(rest + 1, text.data() + text.size());
+    return value;
+}
+
+std::string encode_waiting(const waiting_counts& counts) {
     json document = json::object();
     for (const auto& [queue, count] : counts) {
         document[queue.str()] = count;
@@ -217,9 +233,9 @@
     return document.dump();
 }
 
-absl::StatusOr<std::map<queue_id, std::uint64_t>> decode_waiting(std::string_view text) {
-    return decoded<std::map<queue_id, std::uint64_t>>(text, [](const json& document) {
-        std::map<queue_id, std::uint64_t> counts;
+absl::StatusOr<waiting_counts> decode_waiting(std::string_view text) {
+    return decoded<waiting_counts>(text, [](const json& document) {
+        waiting_counts counts;
         for (const auto& [queue, count] : document.items()) {
             counts.emplace(queue_id(queue), count.get<std::uint64_t>());
         }
--- a/src/io/workflow_codec.h
+++ b/src/io/workflow_codec.h
@@ -26,8 +26,18 @@
 std::string encode_owner(const owner_row& row);
 absl::StatusOr<owner_row> decode_owner(std::string_view text);
 
-std::string encode_waiting(const std::map<queue_id, std::uint64_t>& counts);
-absl::StatusOr<std::map<queue_id, std::uint64_t>> decode_waiting(std::string_view text);
+/// Value of a row that only the owner writes.
+struct owned_value {
+    fencing_token token = 0; ///< Of the owner that wrote it.
+    std::string text;
+};
+std::string encode_owned(const owned_value& value);
+absl::StatusOr<owned_value> decode_owned(std::string_view text);
+
+/// Workflows of each queue that have not begun.
+using waiting_counts = std::map<queue_id, std::uint64_t>;
+std::string encode_waiting(const waiting_counts& counts);
+absl::StatusOr<waiting_counts> decode_waiting(std::string_view text);
 
 std::string encode_wave(const wave_record& record);
 absl::StatusOr<wave_record> decode_wave(std::string_view text);
--- a/src/node/fleet/dispatch_driver.cpp
+++ b/src/node/fleet/dispatch_driver.cpp
@@ -56,6 +56,7 @@
                                  callbacks on)
     : decisions_(std::move(decisions)), options_(options), links_(links), on_(std::move(on)),
       progress_(links.table, links.timers, options.token, [this] { perform(fenced_out{}); }),
+      waiting_(links.table, options.token, std::string(waiting_row_key)),
       work_(
           links.table, links.timers, work_options(),
           [this](std::span<const table_row> rows) {
@@ -294,26 +295,11 @@
 
 void dispatch_driver::show_waiting(instant now) {
     constexpr duration period = milliseconds(500);
-    if (!loaded_ || showing_ || now < shown_at_ + period) {
+    if (!loaded_ || now < shown_at_ + period) {
         return;
     }
-    const std::string text = encode_waiting(decisions_->waiting());
     shown_at_ = now;
-    if (text == shown_waiting_) {
-        return;
-    }
-    showing_ = true;
-    const std::array writes = {table_write{std::string(waiting_row_key), text}};
-    links_.table.commit(
-        {}, writes,
-        [this, text, alive = std::weak_ptr(alive_)](const absl::StatusOr<table_commit>& result) {
-            if (!alive.expired()) {
-                showing_ = false;
-                if (result.ok()) {
-                    shown_waiting_ = text;
-                }
-            }
-        });
+    waiting_.write(encode_waiting(decisions_->waiting()));
 }
 
 void dispatch_driver::release_ended_rows(instant now) {
--- a/src/node/fleet/dispatch_driver.h
+++ b/src/node/fleet/dispatch_driver.h
@@ -5,6 +5,7 @@
 #include "citronford/fleet_rows.h"
 #include "citronford/table_service.h"
 #include "citronford/timer_service.h"
+#include "node/fleet/owner_row_writer.h"
 #include "node/fleet/progress_writer.h"
 #include "node/fleet/table_follower.h"
 
@@ -89,6 +90,7 @@
     dispatch_links links_;
     callbacks on_;
     progress_writer progress_;
+    owner_row_writer waiting_;
     table_follower work_;
     table_follower backends_;
     timer_subscription ticks_;
@@ -98,9 +100,7 @@
     std::vector<job_id> ended_rows_; ///< Whose work rows are no longer needed.
     bool releasing_rows_ = false;
     instant released_at_{};
-    std::string shown_waiting_;
     instant shown_at_{};
-    bool showing_ = false;
     bool loaded_ = false; ///< The work that was stored before has been taken in.
     bool over_ = false;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
--- a/src/node/fleet/workflow_service.cpp
+++ b/src/node/fleet/workflow_service.cpp
@@ -246,7 +246,9 @@
             }
             queue_shown shown;
             if (!result->rows.empty() && result->rows.front().value) {
-                const auto counts = decode_waiting(*result->rows.front().value);
+                const auto row = decode_owned(*result->rows.front().value);
+                const auto counts = row.ok() ? decode_waiting(row->text)
+                                             : absl::StatusOr<waiting_counts>(row.status());
                 if (!counts.ok()) {
                     log_event(log_level::error, "row_unreadable",
                               {{"key", waiting_row_key}, {"reason", message_of(counts.status())}});
--- a/tests/fleet_drivers_test.cpp
+++ b/tests/fleet_drivers_test.cpp
@@ -5,6 +5,7 @@
 #include "io/metrics.h"
 #include "io/workflow_codec.h"
 #include "node/fleet/observed_table.h"
+#include "node/fleet/owner_row_writer.h"
 #include "node/fleet/progress_writer.h"
 #include "node/fleet/table_follower.h"
 #include "node/fleet/workflow_service.h"
@@ -26,9 +27,11 @@
     std::deque<table_service::commit_callback> commits;
     std::deque<table_service::scan_callback> scans;
     std::vector<std::vector<table_write>> written;
+    std::vector<std::vector<table_check>> checked;
     std::vector<table_version> scanned_since;
     std::unique_ptr<trompeloeil::expectation> allow_commits =
         NAMED_ALLOW_CALL(table, commit(_, _, _))
+            .LR_SIDE_EFFECT(checked.emplace_back(_1.begin(), _1.end()))
             .LR_SIDE_EFFECT(written.emplace_back(_2.begin(), _2.end()))
             .LR_SIDE_EFFECT(commits.push_back(_3));
     std::unique_ptr<trompeloeil::expectation> allow_scans =
@@ -114,6 +117,52 @@
     expect_equal(*fixture.written.back().back().value, "5 2");
 }
 
+// Guards against the write of an earlier owner that is carried out late: callers read that nothing
+// waits (kettunen-lavat trouble-3, MIXED, when a zone cut ends).
+Test(owner_row_writer, requires_the_row_as_it_was_last_seen) {
+    table_fixture fixture;
+    owner_row_writer writer(fixture.table, token, "shown/queues/waiting");
+    writer.write("1");
+    fixture.answer_scan(table_scan{{{"shown/queues/waiting", "4 0", 30}}, 31});
+    cr_assert(fixture.checked.back().size() == 1 && fixture.checked.back()[0].version == 30);
+    expect_equal(*fixture.written.back()[0].value, "5 1");
+    fixture.answer_commit(committed(32));
+    writer.write("2");
+    cr_assert(fixture.checked.back()[0].version == 32);
+    fixture.answer_commit(in_doubt());
+    writer.write("3");
+    fixture.answer_scan(table_scan{{{"shown/queues/waiting", "5 2", 40}}, 41});
+    cr_assert(fixture.checked.back()[0].version == 40);
+}
+
+// Guards against an owner that does not know yet that it is over and shows its numbers once more.
+Test(owner_row_writer, leaves_the_row_to_a_later_owner) {
+    table_fixture fixture;
+    owner_row_writer writer(fixture.table, token, "shown/queues/waiting");
+    writer.write("1");
+    fixture.answer_scan(table_scan{{}, 31});
+    cr_assert(fixture.checked.back()[0].version == absent_row);
+    fixture.answer_commit(conflict("6 7", 40));
+    writer.write("1");
+    fixture.answer_scan(table_scan{{{"shown/queues/waiting", "6 7", 40}}, 41});
+    writer.write("2");
+    cr_assert(fixture.written.size() == 1 && fixture.commits.empty() && fixture.scans.empty());
+}
+
+// Guards against a row that stays as it is because one read or write of it failed, and against
+// writes that change nothing.
+Test(owner_row_writer, goes_on_after_failures_and_writes_changes_only) {
+    table_fixture fixture;
+    owner_row_writer writer(fixture.table, token, "shown/queues/waiting");
+    writer.write("1");
+    fixture.answer_scan(in_doubt());
+    writer.write("1");
+    fixture.answer_scan(table_scan{{{"shown/queues/waiting", "unreadable", 30}}, 31});
+    fixture.answer_commit(committed(32));
+    writer.write("1");
+    cr_assert(fixture.written.size() == 1 && fixture.commits.empty());
+}
+
 // Guards against changes that are missed after the table has dropped its history.
 Test(table_follower, reads_everything_again_when_history_is_lost) {
     table_fixture fixture;
