Order VMs that were up when an ownership began by the list of VMs

VMs that had no order of the earlier owner for a while may be ordered after 1.5 s; they were recognised by the backend servers in contact within 0.8 s. While a server cannot be reached its pool is settled after just that time, so none was recognised, and VMs of the standby pool never were.

Ruled out: the lists of VMs (answered within 20 ms), the limit of orders a second.

VMs that a list asked for within 0.8 s shows as up are recognised instead: one that was ordered is away for at least 1.5 s. The new test of the driver fails on the old code (0 moves for 1).

--- a/src/node/fleet/vm_driver.cpp
+++ b/src/node/fleet/vm_driver.cpp
@@ -89,7 +89,6 @@
         return;
     }
     const std::vector<backend_load> loads = on_.dispatching().loads();
-    note_early_backends(loads, now);
     const std::vector<vm_id> closed_to_orders = barred(now);
     perform(waves_.plan({vms_, listed_at_, loads, closed_to_orders, on_.may_order()}, now));
     plan_capacity(loads, closed_to_orders, now);
@@ -98,11 +97,16 @@
     on_.close(closing);
 }
 
-void vm_driver::note_early_backends(std::span<const backend_load> loads, instant now) {
+/// A VM that an order took away is back at the earliest after `shortest_absence`. One that a list
+/// shows as up when the ownership begins had no order for at least that time.
+void vm_driver::note_early_vms(instant asked_at) {
     constexpr duration beginning = milliseconds(800);
-    if (now < timing_.owner_since + beginning) {
-        for (const backend_load& load : loads) {
-            early_backends_.insert(load.backend);
+    if (asked_at >= timing_.owner_since + beginning) {
+        return;
+    }
+    for (const fleet_vm& vm : vms_) {
+        if (vm.state == fleet_vm::condition::up) {
+            early_vms_.insert(vm.id);
         }
     }
 }
@@ -112,12 +116,10 @@
     if (now >= timing_.owner_since + timing_.interval) {
         return vms;
     }
-    // An order ends the backend server of its VM: one that was in contact when the ownership began
-    // had had no order for at least the time that a VM is away.
     const bool early_ones_too =
         now < timing_.owner_since + timing_.interval - timing_.shortest_absence;
     for (const fleet_vm& vm : vms_) {
-        if (early_ones_too || !early_backends_.contains(vm.backend)) {
+        if (early_ones_too || !early_vms_.contains(vm.id)) {
             vms.push_back(vm.id);
         }
     }
@@ -185,6 +187,7 @@
         }
     }
     on_.note_present(present);
+    note_early_vms(asked_at);
 }
 
 void vm_driver::perform(std::span<const wave_effect> effects) {
--- a/src/node/fleet/vm_driver.h
+++ b/src/node/fleet/vm_driver.h
@@ -64,7 +64,7 @@
     void read_records();
     void list_vms(instant now);
     void take_list(std::vector<fleet_vm> vms, instant asked_at);
-    void note_early_backends(std::span<const backend_load> loads, instant now);
+    void note_early_vms(instant asked_at);
     [[nodiscard]] std::vector<vm_id> barred(instant now) const;
     void perform(std::span<const wave_effect> effects);
     void plan_capacity(std::span<const backend_load> loads, std::span<const vm_id> barred,
@@ -81,7 +81,7 @@
     vm_links links_;
     vm_order_timing timing_;
     callbacks on_;
-    std::set<backend_id> early_backends_; ///< In contact when the ownership began.
+    std::set<vm_id> early_vms_; ///< Up when the ownership began.
     timer_subscription ticks_;
     bool records_read_ = false;
     bool listing_ = false;
--- a/tests/fleet_drivers_test.cpp
+++ b/tests/fleet_drivers_test.cpp
@@ -8,6 +8,7 @@
 #include "node/fleet/owner_row_writer.h"
 #include "node/fleet/progress_writer.h"
 #include "node/fleet/table_follower.h"
+#include "node/fleet/vm_driver.h"
 #include "node/fleet/workflow_service.h"
 
 #include <deque>
@@ -86,8 +87,89 @@
     }
 };
 
+/// The orders of a new owner for two VMs of a standby pool, while no backend server is in contact.
+struct vm_fixture : table_fixture {
+    static constexpr duration interval = seconds(3);
+    static constexpr duration absence = milliseconds(1500);
+
+    mock_vm_fleet fleet;
+    mock_fleet_rows rows;
+    std::vector<fleet_vm> vms;
+    std::vector<vm_id> moved;
+    queue_catalog catalog{
+        1,
+        {},
+        {catalog_pool{pool_id("busy"), true, false}, catalog_pool{pool_id("standby"), true, true}},
+        {}};
+    std::unique_ptr<dispatcher> decisions = make_dispatcher();
+    std::unique_ptr<trompeloeil::expectation> allow_lists =
+        NAMED_ALLOW_CALL(fleet, list(_)).LR_SIDE_EFFECT(_1(vms));
+    std::unique_ptr<trompeloeil::expectation> allow_moves =
+        NAMED_ALLOW_CALL(fleet, move(_, _, _, _))
+            .LR_SIDE_EFFECT(moved.push_back(_1))
+            .LR_SIDE_EFFECT(_4(vm_order_result::carried_out));
+    std::unique_ptr<vm_driver> driver = make_driver();
+
+    vm_fixture() {
+        for (const char* name : {"m0", "m1"}) {
+            fleet_vm vm;
+            vm.id = vm_id(name);
+            vm.pool = pool_id("standby");
+            vm.state = fleet_vm::condition::up;
+            vms.push_back(vm);
+        }
+        driver->start();
+        answer_scan(table_scan{});
+    }
+
+    std::unique_ptr<dispatcher> make_dispatcher() {
+        static const chart workflow = installed_chart("workflow");
+        static const chart run = installed_chart("task_run");
+        static const chart contact = installed_chart("backend_contact");
+        auto created = dispatcher::create({workflow, run, contact}, {}, timers.now());
+        cr_assert(created.ok(), "%s", created.status().ToString().c_str());
+        (*created)->handle(catalog_applied{std::make_shared<queue_catalog>(catalog)}, timers.now());
+        backend_listing unreachable;
+        unreachable.id = backend_id("i-1");
+        unreachable.pool = pool_id("busy");
+        (*created)->handle(backend_listed{unreachable}, timers.now());
+        return *std::move(created);
+    }
+
+    std::unique_ptr<vm_driver> make_driver() {
+        static const std::set<zone_id> none;
+        const chart order = installed_chart("vm_order");
+        return std::make_unique<vm_driver>(
+            *wave_planner::create(order, {seconds(2)}), *capacity_planner::create(order, {}),
+            vm_order_origin{node_id("self"), token}, vm_links{timers, table, fleet, rows},
+            vm_order_timing{timers.now(), interval, absence},
+            vm_driver::callbacks{[] { return true; }, [] { return std::int64_t{0}; },
+                                 [this]() -> const dispatcher& { return *decisions; },
+                                 [this]() -> const queue_catalog& { return catalog; },
+                                 []() -> const std::set<zone_id>& { return none; },
+                                 [](const backends_closing&) {}, [](const present_backends&) {}});
+    }
+};
+
 } // namespace
 
+// Guards against a burst that waits for VMs while a zone is cut (pf-citron trouble-3): a VM that is
+// up when the ownership begins was not ordered away just before, also if no server is in contact.
+Test(vm_driver, orders_vms_that_were_up_at_the_beginning_earlier) {
+    vm_fixture fixture;
+    fixture.vms[1].state = fleet_vm::condition::moving;
+    fixture.timers.advance(seconds(1));
+    fixture.vms[1].state = fleet_vm::condition::up;
+    fixture.timers.advance(milliseconds(400));
+    cr_assert(fixture.moved.empty(), "the earlier owner may have ordered it a moment ago");
+    fixture.timers.advance(milliseconds(500));
+    cr_assert(fixture.moved == std::vector{vm_id("m0")}, "%zu moves", fixture.moved.size());
+    fixture.timers.advance(milliseconds(1000));
+    cr_assert(fixture.moved.size() == 1, "it was away when the ownership began");
+    fixture.timers.advance(milliseconds(500));
+    cr_assert(fixture.moved.size() == 2, "%zu moves", fixture.moved.size());
+}
+
 // Guards against progress that is written twice, or an ownership that ends, because the answer to a
 // write was lost after its effect.
 Test(progress_writer, recognises_its_own_write_by_the_fence) {
--- a/tests/mocks.h
+++ b/tests/mocks.h
@@ -2,12 +2,14 @@
 
 #include "test_support.h"
 
+#include "citronford/fleet_rows.h"
 #include "citronford/manual_timer_service.h"
+#include "citronford/vm_fleet.h"
 #include "node/node_links.h"
 
 namespace citronford {
 
-// Mocks of the interfaces in node_links.h; a call without an expectation fails the test.
+// Mocks of the interfaces of nodes; a call without an expectation fails the test.
 
 struct mock_table_service final : table_service {
     MAKE_MOCK3(commit,
@@ -44,6 +46,23 @@
     MAKE_MOCK4(sync, void(const endpoint&, const sync_request&, duration, sync_callback), override);
 };
 
+struct mock_vm_fleet final : vm_fleet {
+    MAKE_MOCK1(list, void(list_callback), override);
+    MAKE_MOCK4(move, void(const vm_id&, const pool_id&, const vm_order_origin&, order_callback),
+               override);
+    MAKE_MOCK4(maintain, void(const vm_id&, wave_number, const vm_order_origin&, order_callback),
+               override);
+};
+
+struct mock_fleet_rows final : fleet_rows {
+    MAKE_CONST_MOCK0(orders_prefix, std::string_view(), override);
+    MAKE_CONST_MOCK0(backends_prefix, std::string_view(), override);
+    MAKE_CONST_MOCK1(order_of, absl::StatusOr<operator_order>(const table_row&), override);
+    MAKE_CONST_MOCK1(backend_named, backend_id(std::string_view), override);
+    MAKE_CONST_MOCK1(listing_of, absl::StatusOr<backend_listing>(const table_row&), override);
+    MAKE_CONST_MOCK2(wave_status, table_write(wave_number, bool), override);
+};
+
 struct mock_vm_control final : vm_control {
     MAKE_MOCK3(drain, void(const vm_id&, vm_order, order_callback), override);
     MAKE_MOCK3(reboot, void(const vm_id&, vm_order, order_callback), override);
