Count the silence of an owner from the end of an outage of the table

A new owner reads all work and waits for servers.

Ruled out: the owner's own authority (5 s, longer than the outage).

A read that fails makes a follower forget how old the rows are. The new test fails on the old code (a claim at the first answer).

--- a/include/citronford/ownership.h
+++ b/include/citronford/ownership.h
@@ -33,6 +33,10 @@
     table_version owner_version = absent_row;
     table_version renewal_version = absent_row;
 };
+/// The table did not answer a read, so the owner may have been unable to renew, too.
+struct rows_unavailable {
+    static constexpr std::string_view event_name = "rows_unavailable";
+};
 struct claim_committed {
     static constexpr std::string_view event_name = "claim_committed";
     table_version version = 0;
@@ -63,8 +67,9 @@
 };
 
 using ownership_input =
-    std::variant<rows_observed, claim_committed, claim_rejected, claim_in_doubt, renewal_committed,
-                 renewal_conflict, release_ended, ownership_stop, ownership_tick>;
+    std::variant<rows_observed, rows_unavailable, claim_committed, claim_rejected, claim_in_doubt,
+                 renewal_committed, renewal_conflict, release_ended, ownership_stop,
+                 ownership_tick>;
 
 // Effects.
 
--- a/src/decide/ownership/ownership.cpp
+++ b/src/decide/ownership/ownership.cpp
@@ -53,6 +53,8 @@
              context.renewal_version = rows.renewal_version;
              context.token = rows.owner_version;
          }},
+        {"forget_age_of_rows",
+         [](step_context& context, const ownership_input&) { context.changed_at.reset(); }},
         {"send_claim",
          [](step_context& context, const ownership_input&) {
              context.asked_at = context.now;
--- a/src/node/fleet/ownership_driver.cpp
+++ b/src/node/fleet/ownership_driver.cpp
@@ -65,8 +65,9 @@
     table_.scan(owner_rows_prefix, 0, [this](const absl::StatusOr<table_scan>& result) {
         reading_ = false;
         // While an own write is under way, its answer tells more than the rows before it.
-        if (result.ok() && !writing_) {
-            handle(observed(*result));
+        if (!writing_) {
+            handle(result.ok() ? ownership_input(observed(*result))
+                               : ownership_input(rows_unavailable{}));
         }
     });
 }
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -61,6 +61,25 @@
     cr_assert(find<write_claim>(node.handle(rows_of("n2", 1, 11), now)) != nullptr);
 }
 
+// Guards against an ownership that changes after each outage of the table, which the owner survives
+// (kettunen-lavat-grown trouble-3): all other nodes found its lease to be over before it could
+// renew.
+Test(ownership, does_not_count_an_outage_of_the_table_against_the_owner) {
+    ownership node = make_ownership();
+    instant now = start;
+    node.handle(rows_of("n2", 1, 2), now);
+    for (int second = 0; second < 4; ++second) {
+        now += seconds(1);
+        cr_assert(node.handle(rows_unavailable{}, now).empty());
+    }
+    cr_assert(node.handle(rows_of("n2", 1, 2), now).empty());
+    now += milliseconds(1500);
+    cr_assert(node.handle(rows_of("n2", 1, 2), now).empty());
+    now += milliseconds(200);
+    cr_assert(find<write_claim>(node.handle(rows_of("n2", 1, 2), now)) != nullptr,
+              "the owner did not survive");
+}
+
 // Guards against waiting for the lease of an owner that has left or whose process is gone.
 Test(ownership, takes_over_at_once_after_a_release_and_from_its_own_predecessor) {
     ownership node = make_ownership();
