Start no last attempt while a server may hold a failure that nobody has seen

Ruled out: a failure that is counted twice or not at all (each is counted once, when it is read).

A task with one attempt left, stored before the ownership, waits while a registered server of its pool was never read.

--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -98,10 +98,10 @@
         collect(*entry, candidates);
     }
     std::ranges::stable_sort(candidates, {}, &candidate::key);
-    const bool is_unresolved = unresolved(pool);
+    const unread_state unread{unresolved(pool), hides_ends(pool)};
     std::set<const backend_entry*> held_back;
     for (const candidate& item : candidates) {
-        if (!place_step(item, held_back, servers, is_unresolved)) {
+        if (!place_step(item, held_back, servers, unread)) {
             // Something waits for room, a limit or a server: look again at the next tick.
             pool.due = true;
         }
@@ -114,7 +114,7 @@
 bool dispatcher::implementation::place_step(const candidate& item,
                                             std::set<const backend_entry*>& held_back,
                                             std::span<backend_entry* const> servers,
-                                            bool is_unresolved) {
+                                            unread_state unread) {
     const workflow_step& definition = item.definition();
     step_state& state = item.occurrence->steps[item.step];
     std::vector<task_run*> begun;
@@ -129,7 +129,9 @@
         if (!slot.waits()) {
             continue;
         }
-        if (item.workflow->unaccounted(slot) && is_unresolved && !fault_planted("workflow-once")) {
+        const bool may_run_elsewhere = unread.runs && !fault_planted("workflow-once");
+        const bool may_be_spent = unread.ends && has_last_attempt(*item.workflow, definition, slot);
+        if (item.workflow->unaccounted(slot) && (may_run_elsewhere || may_be_spent)) {
             skipped = true;
             complete = !definition.gang;
             continue;
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -71,6 +71,11 @@
         task_slot* slot = nullptr;
     };
     struct candidate;
+    /// What servers that were not read may hold of an earlier owner.
+    struct unread_state {
+        bool runs = false;
+        bool ends = false;
+    };
     /// What a team is owed: `weight` workflows a second.
     struct owed_rate {
         double saved = 0;
@@ -160,6 +165,9 @@
     void adopt_running(const pool_state& pool);
     void apply_first_ends(const pool_state& pool);
     [[nodiscard]] bool unresolved(const pool_state& pool) const;
+    [[nodiscard]] bool hides_ends(const pool_state& pool) const;
+    [[nodiscard]] bool has_last_attempt(const workflow_entry& entry, const workflow_step& step,
+                                        const task_slot& slot) const;
     void estimate_unknown_use();
     [[nodiscard]] instant earlier_leases_end() const;
 
@@ -168,7 +176,7 @@
     void place_pool(const pool_id& name, pool_state& pool);
     void collect(workflow_entry& entry, std::vector<candidate>& candidates);
     bool place_step(const candidate& item, std::set<const backend_entry*>& held_back,
-                    std::span<backend_entry* const> servers, bool is_unresolved);
+                    std::span<backend_entry* const> servers, unread_state unread);
     backend_entry* choose(const candidate& item, const task_slot& slot,
                           std::span<backend_entry* const> servers,
                           const std::set<const backend_entry*>& held_back) const;
--- a/src/decide/dispatch/dispatcher_takeover.cpp
+++ b/src/decide/dispatch/dispatcher_takeover.cpp
@@ -115,6 +115,23 @@
         pool.servers, [this](const backend_id& id) { return is(*servers_.at(id), "unread"); });
 }
 
+/// Whether a registered server was never read under this ownership. Nothing runs there once the
+/// leases of the earlier owner are over, but ends that nobody has taken note of may wait there.
+bool dispatcher::implementation::hides_ends(const pool_state& pool) const {
+    return std::ranges::any_of(pool.servers, [this](const backend_id& id) {
+        const backend_entry& server = *servers_.at(id);
+        return server.listed && !is(server, "gone") && server.last_view_at == instant::min();
+    });
+}
+
+/// Whether the task would be over with one failure more. Long-running tasks have no limit.
+bool dispatcher::implementation::has_last_attempt(const workflow_entry& entry,
+                                                  const workflow_step& step,
+                                                  const task_slot& slot) const {
+    const queue_definition* queue = catalog_->queue(entry.row.queue);
+    return queue != nullptr && !step.long_running && slot.failed_runs.size() + 1 >= queue->attempts;
+}
+
 void dispatcher::implementation::estimate_unknown_use() {
     unknown_use_.clear();
     for (const auto& [name, pool] : pools_) {
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -251,6 +251,32 @@
         fixture.starts, [](const send_start& start) { return start.order.task.job == job; }));
 }
 
+// Guards against one attempt too many: a server that cannot be read may hold the failure of a run
+// that an earlier owner started (proof workflow-attempts, seed 167).
+Test(dispatcher, starts_no_last_attempt_while_a_server_may_hold_a_failure) {
+    dispatch_fixture fixture;
+    fixture.list(first);
+    fixture.list(second);
+    workflow_progress progress;
+    progress.state = workflow_state::running;
+    progress.failures = {{0, 0, 0, {1, 2}}};
+    fixture.find(job, true, 1, progress);
+    fixture.loaded();
+    fixture.tick();
+    fixture.show(first, {}, {});
+    fixture.handle(look_answered{second, backend_unreachable{}});
+    fixture.tick(seconds(20));
+    fixture.show(first, {}, {});
+    fixture.tick();
+    cr_assert(fixture.starts.empty(), "the leases are over, but not what is known of the ends");
+    fixture.show(second, {}, {end_of(1, 3, run_end::failed)});
+    fixture.tick();
+    fixture.save();
+    fixture.tick();
+    cr_assert(fixture.starts.empty());
+    cr_assert(fixture.saved.back().progress.state == workflow_state::failed);
+}
+
 // Guards against tasks that wait for the leases of an earlier owner because a server that a moved
 // VM has left is still registered and cannot be read.
 Test(dispatcher, does_not_wait_for_servers_that_no_vm_has_any_more) {
