Let a VM as strong as the last owner claim the ownership

The wait before a claim differed by at most 114 ms between the VMs, and nodes see a change of the rows up to 300 ms apart.

The owner row tells the strength of its VM (the least of its processors and its link); a weaker one waits up to 1 s longer, in proportion.

--- a/include/citronford/fleet_settings.h
+++ b/include/citronford/fleet_settings.h
@@ -27,6 +27,7 @@
     endpoint vms{"127.0.0.1", 8091};
     endpoint advice;                         ///< Port 0: there is no advice service.
     std::int64_t processors_permille = 1000; ///< Share of one processor that this VM has.
+    std::int64_t link_mbit = 1000;           ///< Of the link of this VM, in Mbit/s.
     std::size_t body_limit = 262144;
     milliseconds longest_backend_lease{6000}; ///< Backend servers shorten longer leases to this.
     milliseconds backend_stop_time{900};      ///< A backend server stops a task within this time.
--- a/include/citronford/ownership.h
+++ b/include/citronford/ownership.h
@@ -20,8 +20,9 @@
 /// The row that names the owner of the scheduler. Its version is the fencing token.
 struct owner_row {
     node_id node;
-    std::string incarnation; ///< Distinguishes the processes of one node.
-    bool released = false;   ///< The owner has left; nobody need wait for its lease.
+    std::string incarnation;            ///< Distinguishes the processes of one node.
+    bool released = false;              ///< The owner has left; nobody need wait for its lease.
+    std::int64_t strength_permille = 0; ///< Of its VM; 0 if unknown.
 };
 
 // Inputs.
@@ -104,9 +105,10 @@
     /// stops renewals and claims alike; a new owner waits this long for servers that it cannot
     /// reach.
     duration grace = milliseconds(3400);
-    /// Wait before a claim; lower on VMs with more processors, so that one of them becomes the
-    /// owner.
-    duration claim_delay{};
+    /// What the VM can carry as the owner, against one that carries everything.
+    std::int64_t strength_permille = 1000;
+    /// Added to the wait before a claim, so that nodes of one strength do not claim together.
+    duration claim_spread{};
 };
 
 /// Decides which entry VM owns the scheduler: one lease row in the table, renewed by its owner and
@@ -146,6 +148,7 @@
         instant asked_at{};   ///< When the last claim or renewal was sent.
         std::vector<ownership_effect> effects;
 
+        [[nodiscard]] duration claim_delay(const rows_observed& rows) const;
         [[nodiscard]] instant claimable_at(const rows_observed& rows) const;
     };
     using machine = chart_machine<step_context, ownership_input>;
--- a/src/decide/ownership/ownership.cpp
+++ b/src/decide/ownership/ownership.cpp
@@ -1,9 +1,21 @@
 #include "citronford/ownership.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace citronford {
 
+/// A VM that is weaker than the last owner leaves the others time to claim: on a small one the
+/// reads of a new owner take seconds. The nodes see a change of the rows up to 300 ms apart.
+duration ownership::step_context::claim_delay(const rows_observed& rows) const {
+    constexpr duration longest_delay = milliseconds(1000);
+    constexpr std::int64_t whole = 1000;
+    const std::int64_t wanted =
+        rows.owner && rows.owner->strength_permille > 0 ? rows.owner->strength_permille : whole;
+    const std::int64_t missing = std::max<std::int64_t>(0, wanted - options.strength_permille);
+    return longest_delay * missing / wanted + options.claim_spread;
+}
+
 instant ownership::step_context::claimable_at(const rows_observed& rows) const {
     const bool unchanged = changed_at && owner_version == rows.owner_version &&
                            renewal_version == rows.renewal_version;
@@ -12,9 +24,9 @@
     // An earlier process of this node has ended, or this one would not run.
     const bool predecessor = rows.owner && rows.owner->node == options.node;
     if (vacant || predecessor) {
-        return seen_at + options.claim_delay;
+        return seen_at + claim_delay(rows);
     }
-    return seen_at + options.lease + options.claim_delay;
+    return seen_at + options.lease + claim_delay(rows);
 }
 
 absl::StatusOr<ownership> ownership::create(const chart& life_cycle, ownership_options options) {
--- a/src/io/fleet_settings.cpp
+++ b/src/io/fleet_settings.cpp
@@ -31,6 +31,18 @@
     return {};
 }
 
+/// A speed as a decimal number, rounded down.
+std::string assign_link(fleet_settings& target, const std::string& text) {
+    double mbit = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), mbit);
+    constexpr double most = 1000000;
+    if (error != std::errc() || end != text.data() + text.size() || mbit < 1 || mbit > most) {
+        return "a number from 1 to 1000000";
+    }
+    target.link_mbit = static_cast<std::int64_t>(mbit);
+    return {};
+}
+
 std::vector<rule> make_rules() {
     constexpr double longest_s = 600;
     return {
@@ -46,6 +58,10 @@
         {{"node", "processors", "number", "1", false,
           "Share of one processor; a node with more is more likely to own the scheduler."},
          assign_processors},
+        {{"node", "link_mbit", "Mbit/s, 1 to 1000000", "1000", false,
+          "Speed of the link of this VM; a node with a slow one is less likely to own the "
+          "scheduler."},
+         assign_link},
         {{"listen", "callers", "ADDRESS:PORT", "127.0.0.1:8340", false, "Port for callers."},
          endpoint_in(&fleet_settings::callers)},
         {{"listen", "health", "ADDRESS:PORT", "127.0.0.1:8343", false, "Port for readiness."},
--- a/src/io/workflow_codec.cpp
+++ b/src/io/workflow_codec.cpp
@@ -196,8 +196,10 @@
 }
 
 std::string encode_owner(const owner_row& row) {
-    return json{
-        {"node", row.node.view()}, {"incarnation", row.incarnation}, {"released", row.released}}
+    return json{{"node", row.node.view()},
+                {"incarnation", row.incarnation},
+                {"released", row.released},
+                {"strength", row.strength_permille}}
         .dump();
 }
 
@@ -207,6 +209,7 @@
         row.node = node_id(document.at("node").get<std::string>());
         row.incarnation = document.at("incarnation");
         row.released = document.at("released");
+        row.strength_permille = document.value("strength", std::int64_t{0});
         return row;
     });
 }
--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -19,20 +19,23 @@
 /// Kept free between the last answer and the end of the process by force.
 constexpr duration stop_margin = milliseconds(700);
 
-/// The wait of a vacant owner's successor, for a VM with a whole processor and for the smallest.
-constexpr duration longest_claim_delay = milliseconds(300);
+/// What a VM can carry as the owner. Reading the work of 350 backend servers took a link of 10
+/// Mbit/s about as long as a tenth of a processor.
+std::int64_t strength_of(const fleet_settings& own) {
+    constexpr std::int64_t whole = 1000;
+    constexpr std::int64_t permille_per_mbit = 10;
+    return std::min({own.processors_permille, own.link_mbit * permille_per_mbit, whole});
+}
 
 ownership_options options_of(const fleet_settings& own) {
     ownership_options options;
     options.node = own.node;
     constexpr std::size_t incarnation_bytes = 8;
     options.incarnation = random_hex(incarnation_bytes);
-    constexpr std::int64_t whole = 1000;
-    const std::int64_t share = std::min(own.processors_permille, whole);
-    // Nodes of one size are spread, so that they do not claim at the same moment.
-    const auto spread =
+    options.strength_permille = strength_of(own);
+    const auto spread_ms =
         static_cast<std::int64_t>(std::hash<std::string_view>{}(options.incarnation) % 100);
-    options.claim_delay = longest_claim_delay * (whole - share) / whole + milliseconds(spread);
+    options.claim_spread = milliseconds(spread_ms);
     return options;
 }
 
--- a/src/node/fleet/ownership_driver.cpp
+++ b/src/node/fleet/ownership_driver.cpp
@@ -79,8 +79,8 @@
 }
 
 table_write ownership_driver::owner_write(bool released) const {
-    return {std::string(owner_row_key),
-            encode_owner({options_.node, options_.incarnation, released})};
+    return {std::string(owner_row_key), encode_owner({options_.node, options_.incarnation, released,
+                                                      options_.strength_permille})};
 }
 
 void ownership_driver::perform(const write_claim& effect) {
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -61,6 +61,28 @@
     cr_assert(find<write_claim>(node.handle(rows_of("n2", 1, 11), now)) != nullptr);
 }
 
+// Guards against an owner on one of the smallest VMs, which takes seconds to read the work, while
+// larger ones are alive (kettunen-lavat-grown trouble-3).
+Test(ownership, leaves_the_claim_to_vms_as_strong_as_the_last_owner) {
+    const auto claims_after = [](std::int64_t own_permille, std::int64_t last_permille) {
+        ownership_options options = options_of("n1");
+        options.strength_permille = own_permille;
+        auto node = ownership::create(installed_chart("ownership"), options);
+        rows_observed rows = rows_of("n2", 1, 2);
+        rows.owner->strength_permille = last_permille;
+        duration waited{};
+        while (find<write_claim>(node->handle(rows, start + waited)) == nullptr) {
+            waited += milliseconds(50);
+        }
+        return waited;
+    };
+    cr_assert(claims_after(250, 250) == milliseconds(1600), "no wait among equals");
+    cr_assert(claims_after(500, 250) == milliseconds(1600));
+    cr_assert(claims_after(100, 500) == milliseconds(2400));
+    cr_assert(claims_after(300, 500) == milliseconds(2000));
+    cr_assert(claims_after(250, 0) > milliseconds(2000), "the strength of the owner is unknown");
+}
+
 // Guards against an ownership that changes after each outage of the table, which the owner survives
 // (kettunen-lavat-grown trouble-3): all other nodes found its lease to be over before it could
 // renew.
