--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -19,8 +19,8 @@
 /// Kept free between the last answer and the end of the process by force.
 constexpr duration stop_margin = milliseconds(700);
 
-/// What a VM can carry as the owner. Reading the work of 350 backend servers took a link of 10
-/// Mbit/s about as long as a tenth of a processor.
+/// What a VM can carry as the owner. By estimate, not measured apart: a link of 10 Mbit/s delays
+/// the reads of a new owner about as much as a tenth of a processor does.
 std::int64_t strength_of(const fleet_settings& own) {
     constexpr std::int64_t whole = 1000;
     constexpr std::int64_t permille_per_mbit = 10;
