--- a/src/decide/pool_controller.cpp
+++ b/src/decide/pool_controller.cpp
@@ -29,7 +29,7 @@
         if (item.deleted) {
             erase_row(item.row.id, item.version);
         } else {
-            process_vm_row(item);
+            apply_vm_row(item);
         }
     }
     for (const auto& item : rows.pools) {
@@ -46,7 +46,7 @@
     rows_read_begun_ = std::max(rows_read_begun_, rows.begun_at);
 }
 
-void pool_controller::implementation::process_vm_row(const pool_rows_read::vm_row& item) {
+void pool_controller::implementation::apply_vm_row(const pool_rows_read::vm_row& item) {
     const vm_entry* known = vms_.find(item.row.id);
     // The epoch in the row of a moving VM is that of the lease of its previous pool.
     const bool comparable =
--- a/src/decide/pool_controller_state.h
+++ b/src/decide/pool_controller_state.h
@@ -113,7 +113,7 @@
 
     void process(const pool_rows_read& rows, instant now, effects_out /*effects*/);
 
-    void process_vm_row(const pool_rows_read::vm_row& item);
+    void apply_vm_row(const pool_rows_read::vm_row& item);
 
     void apply_row(const vm_record& row, table_version version);
 
