Find VMs and loads by an index in the planners of VM orders

Cause: on the large site (1,100 servers) the owner spends most of its processor in the planners: for each missing VM, choose_donor searched all VMs, and for each VM all loads, moves and excluded VMs linearly by string comparison.

Change: fleet_index maps identifiers to VMs and loads, once for each plan of both planners. The donors of each pool are collected once and sorted by runs; each missing VM then costs a comparison of the pools. The choice is the same except for ties between pools, which go to the pool that comes first by name.

--- a/include/citronford/capacity_planner.h
+++ b/include/citronford/capacity_planner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "citronford/dispatcher.h"
+#include "citronford/fleet_index.h"
 #include "citronford/instant.h"
 #include "citronford/queue_catalog.h"
 #include "citronford/vm_fleet.h"
@@ -30,9 +31,8 @@
 
 /// The state of the fleet as the planner sees it.
 struct capacity_view {
-    std::span<const fleet_vm> vms; ///< Most recent list.
-    instant listed_at{};           ///< When that list was requested.
-    std::span<const backend_load> loads;
+    const fleet_index& fleet; ///< Most recent list of VMs, and the loads of their servers.
+    instant listed_at{};      ///< When that list was requested.
     std::span<const pool_workload> demands;
     const queue_catalog& catalog;
     const std::set<zone_id>& removed_zones;
@@ -93,6 +93,12 @@
         [[nodiscard]] std::int64_t surplus() const { return present + incoming - needed; }
     };
     using pool_counts = std::map<pool_id, pool_count>;
+    struct donor {
+        const fleet_vm* vm = nullptr;
+        std::size_t runs = 0; ///< Runs that must end before the VM can be moved.
+    };
+    /// Ordered by the number of runs.
+    using donor_pools = std::map<pool_id, std::deque<donor>>;
 
     capacity_planner(vm_order_cycle cycle, capacity_options options)
         : cycle_(std::move(cycle)), options_(options) {}
@@ -101,11 +107,14 @@
     [[nodiscard]] pool_counts count_servers(const capacity_view& view) const;
     void estimate_needs(const capacity_view& view, pool_counts& counts, instant now);
     [[nodiscard]] double expected_cores(const pool_history& history, instant now) const;
-    void fill_deficits(const capacity_view& view, pool_counts& counts, instant now);
-    void move_surplus_to_standby(const capacity_view& view, pool_counts& counts, instant now);
-    /// The best VM to move to `target`; null when no other pool can give one.
-    [[nodiscard]] const fleet_vm* choose_donor(const capacity_view& view, const pool_counts& counts,
-                                               const pool_id& target) const;
+    /// The VMs of each pool that may be moved.
+    [[nodiscard]] donor_pools find_donors(const capacity_view& view) const;
+    void fill_deficits(pool_counts& counts, donor_pools& donors, instant now);
+    void move_surplus_to_standby(pool_counts& counts, donor_pools& donors, instant now);
+    /// The pool whose first donor is the best one for `target`; null when no other pool can give
+    /// a VM.
+    [[nodiscard]] static const pool_id*
+    choose_donor_pool(const pool_counts& counts, const donor_pools& donors, const pool_id& target);
     /// Runs that must end before the VM can be moved; empty when it must not be moved.
     [[nodiscard]] std::optional<std::size_t> runs_to_wait_for(const fleet_vm& vm,
                                                               const capacity_view& view) const;
--- a/include/citronford/vm_order_cycle.h
+++ b/include/citronford/vm_order_cycle.h
@@ -8,7 +8,6 @@
 #include <absl/status/statusor.h>
 
 #include <optional>
-#include <span>
 #include <string_view>
 #include <variant>
 
@@ -108,7 +107,4 @@
     machine machine_;
 };
 
-/// The VM `id`; null when it is not in the list.
-const fleet_vm* find_vm(std::span<const fleet_vm> vms, const vm_id& id);
-
 } // namespace citronford
--- a/include/citronford/wave_planner.h
+++ b/include/citronford/wave_planner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "citronford/dispatcher.h"
+#include "citronford/fleet_index.h"
 #include "citronford/fleet_rows.h"
 #include "citronford/instant.h"
 #include "citronford/vm_fleet.h"
@@ -55,9 +56,8 @@
 
 /// The state of the fleet as the planner sees it.
 struct wave_view {
-    std::span<const fleet_vm> vms; ///< Most recent list.
-    instant listed_at{};           ///< When that list was requested.
-    std::span<const backend_load> loads;
+    const fleet_index& fleet;       ///< Most recent list of VMs, and the loads of their servers.
+    instant listed_at{};            ///< When that list was requested.
     std::span<const vm_id> blocked; ///< An earlier owner may have ordered these VMs just before.
     bool may_order = false;         ///< Orders to VMs are allowed now.
 };
@@ -114,6 +114,8 @@
               instant now, std::vector<wave_effect>& effects) const;
     void advance_orders(wave_state& wave, const wave_view& view, instant now,
                         std::vector<wave_effect>& effects) const;
+    /// VMs that may be down for an order of the wave.
+    [[nodiscard]] std::ptrdiff_t count_unavailable(const wave_state& wave) const;
     void choose_vms(wave_state& wave, const wave_view& view, instant now,
                     std::vector<wave_effect>& effects) const;
     void publish_and_save(wave_state& wave, std::vector<wave_effect>& effects) const;
--- a/src/decide/maintenance/capacity_planner.cpp
+++ b/src/decide/maintenance/capacity_planner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <tuple>
+#include <unordered_set>
 #include <utility>
 
 namespace citronford {
@@ -43,11 +44,6 @@
 /// A VM that has not arrived after this time is no longer counted for its new pool.
 constexpr duration arrival_timeout = seconds(8);
 
-const backend_load* find_load(std::span<const backend_load> loads, const backend_id& id) {
-    const auto found = std::ranges::find(loads, id, &backend_load::backend);
-    return found == loads.end() ? nullptr : &*found;
-}
-
 } // namespace
 
 absl::StatusOr<capacity_planner> capacity_planner::create(const chart& life_cycle,
@@ -65,12 +61,13 @@
     pool_counts counts = count_servers(view);
     estimate_needs(view, counts, now);
     if (view.may_order) {
-        fill_deficits(view, counts, now);
-        move_surplus_to_standby(view, counts, now);
+        donor_pools donors = find_donors(view);
+        fill_deficits(counts, donors, now);
+        move_surplus_to_standby(counts, donors, now);
     }
     servers_to_drain_.clear();
     for (const auto& [id, move] : moves_) {
-        const fleet_vm* vm = find_vm(view.vms, id);
+        const fleet_vm* vm = view.fleet.vm(id);
         if (vm != nullptr && !vm->backend.empty() && !cycle_.in_state(move.entry, "executing")) {
             servers_to_drain_.push_back(vm->backend);
         }
@@ -89,7 +86,7 @@
                                      std::vector<move_vm>& orders) {
     for (auto& [id, move] : moves_) {
         vm_order_entry& entry = move.entry;
-        const fleet_vm* vm = find_vm(view.vms, id);
+        const fleet_vm* vm = view.fleet.vm(id);
         const bool newer_list = view.listed_at > entry.recorded_at;
         if (vm == nullptr) {
             if (newer_list) {
@@ -111,7 +108,7 @@
                 orders.push_back({id, move.target});
             }
         } else if (cycle_.in_state(entry, "closing")) {
-            const backend_load* load = find_load(view.loads, vm->backend);
+            const backend_load* load = view.fleet.load(vm->backend);
             const catalog_pool* pool = view.catalog.pool(vm->pool);
             const bool off = vm->backend.empty() || (pool != nullptr && pool->standby);
             const bool empty = off || (load != nullptr && load->runs == 0);
@@ -137,7 +134,7 @@
     for (const auto& [name, pool] : view.catalog.pools()) {
         counts[name].standby = pool.standby;
     }
-    for (const fleet_vm& vm : view.vms) {
+    for (const fleet_vm& vm : view.fleet.vms()) {
         const auto move = moves_.find(vm.id);
         const bool leaves = move != moves_.end() && vm.pool != move->second.target;
         if (leaves) {
@@ -148,7 +145,7 @@
             continue;
         }
         pool_count& pool = counts[vm.pool];
-        const backend_load* load = find_load(view.loads, vm.backend);
+        const backend_load* load = view.fleet.load(vm.backend);
         if (load == nullptr) {
             // The VM is moving, in maintenance or just back, so it will serve soon.
             pool.incoming += pool.standby ? 0 : 1;
@@ -219,29 +216,43 @@
 std::optional<std::size_t> capacity_planner::runs_to_wait_for(const fleet_vm& vm,
                                                               const capacity_view& view) const {
     if (vm.state != fleet_vm::condition::up || moves_.contains(vm.id) ||
-        view.removed_zones.contains(vm.zone) ||
-        std::ranges::find(view.excluded, vm.id) != view.excluded.end()) {
+        view.removed_zones.contains(vm.zone)) {
         return std::nullopt;
     }
     const catalog_pool* pool = view.catalog.pool(vm.pool);
     if (pool != nullptr && pool->standby) {
         return 0;
     }
-    const backend_load* load = find_load(view.loads, vm.backend);
+    const backend_load* load = view.fleet.load(vm.backend);
     if (load == nullptr || load->long_running > 0) {
         return std::nullopt;
     }
     return load->runs;
 }
 
-const fleet_vm* capacity_planner::choose_donor(const capacity_view& view, const pool_counts& counts,
-                                               const pool_id& target) const {
-    const fleet_vm* best = nullptr;
-    std::tuple<bool, std::int64_t, std::int64_t> best_score;
-    for (const fleet_vm& vm : view.vms) {
-        const auto found = counts.find(vm.pool);
+capacity_planner::donor_pools capacity_planner::find_donors(const capacity_view& view) const {
+    const std::unordered_set<vm_id> excluded(view.excluded.begin(), view.excluded.end());
+    donor_pools donors;
+    for (const fleet_vm& vm : view.fleet.vms()) {
         const std::optional<std::size_t> runs = runs_to_wait_for(vm, view);
-        if (vm.pool == target || found == counts.end() || !runs) {
+        if (runs && !excluded.contains(vm.id)) {
+            donors[vm.pool].push_back({&vm, *runs});
+        }
+    }
+    for (auto& [name, vms] : donors) {
+        std::ranges::stable_sort(vms, {}, &donor::runs);
+    }
+    return donors;
+}
+
+const pool_id* capacity_planner::choose_donor_pool(const pool_counts& counts,
+                                                   const donor_pools& donors,
+                                                   const pool_id& target) {
+    const pool_id* best = nullptr;
+    std::tuple<bool, std::int64_t, std::int64_t> best_score;
+    for (const auto& [name, vms] : donors) {
+        const auto found = counts.find(name);
+        if (vms.empty() || name == target || found == counts.end()) {
             continue;
         }
         const pool_count& pool = found->second;
@@ -251,9 +262,10 @@
         }
         // A VM that is already paid for is preferred to one that must be switched on, and an empty
         // one to one whose tasks must end first.
-        const std::tuple score(!pool.standby, -static_cast<std::int64_t>(*runs), pool.surplus());
+        const std::tuple score(!pool.standby, -static_cast<std::int64_t>(vms.front().runs),
+                               pool.surplus());
         if (best == nullptr || score > best_score) {
-            best = &vm;
+            best = &name;
             best_score = score;
         }
     }
@@ -269,7 +281,7 @@
     ++counts[target].incoming;
 }
 
-void capacity_planner::fill_deficits(const capacity_view& view, pool_counts& counts, instant now) {
+void capacity_planner::fill_deficits(pool_counts& counts, donor_pools& donors, instant now) {
     while (true) {
         const pool_id* worst = nullptr;
         std::int64_t worst_surplus = 0;
@@ -283,15 +295,17 @@
             return;
         }
         const pool_id target = *worst;
-        const fleet_vm* vm = choose_donor(view, counts, target);
-        if (vm == nullptr) {
+        const pool_id* from = choose_donor_pool(counts, donors, target);
+        if (from == nullptr) {
             return;
         }
-        begin_move(*vm, target, counts, now);
+        std::deque<donor>& vms = donors.at(*from);
+        begin_move(*vms.front().vm, target, counts, now);
+        vms.pop_front();
     }
 }
 
-void capacity_planner::move_surplus_to_standby(const capacity_view& view, pool_counts& counts,
+void capacity_planner::move_surplus_to_standby(pool_counts& counts, donor_pools& donors,
                                                instant now) {
     const auto standby =
         std::ranges::find_if(counts, [](const auto& item) { return item.second.standby; });
@@ -312,11 +326,11 @@
         if (now - since < surplus_time) {
             continue;
         }
-        for (const fleet_vm& vm : view.vms) {
-            if (vm.pool == name && pool.surplus() > spare_servers &&
-                pool.present > pool.long_running_hosts && runs_to_wait_for(vm, view) == 0U) {
-                begin_move(vm, target, counts, now);
-            }
+        std::deque<donor>& vms = donors[name];
+        while (!vms.empty() && vms.front().runs == 0 && pool.surplus() > spare_servers &&
+               pool.present > pool.long_running_hosts) {
+            begin_move(*vms.front().vm, target, counts, now);
+            vms.pop_front();
         }
     }
 }
--- a/src/decide/maintenance/vm_order_cycle.cpp
+++ b/src/decide/maintenance/vm_order_cycle.cpp
@@ -1,7 +1,5 @@
 #include "citronford/vm_order_cycle.h"
 
-#include <algorithm>
-
 namespace citronford {
 
 absl::StatusOr<vm_order_cycle> vm_order_cycle::create(const chart& life_cycle) {
@@ -54,9 +52,4 @@
     return names[static_cast<std::size_t>(result)];
 }
 
-const fleet_vm* find_vm(std::span<const fleet_vm> vms, const vm_id& id) {
-    const auto found = std::ranges::find(vms, id, &fleet_vm::id);
-    return found == vms.end() ? nullptr : &*found;
-}
-
 } // namespace citronford
--- a/src/decide/maintenance/wave_planner.cpp
+++ b/src/decide/maintenance/wave_planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <unordered_set>
 #include <utility>
 
 namespace citronford {
@@ -16,11 +17,6 @@
 /// While a wave has time, it drains at most this share of the servers of a pool at once.
 constexpr double max_draining_share = 0.34;
 
-const backend_load* find_load(std::span<const backend_load> loads, const backend_id& id) {
-    const auto found = std::ranges::find(loads, id, &backend_load::backend);
-    return found == loads.end() ? nullptr : &*found;
-}
-
 } // namespace
 
 absl::StatusOr<wave_planner> wave_planner::create(const chart& life_cycle, wave_options options) {
@@ -111,8 +107,8 @@
             continue;
         }
         ++open;
-        const fleet_vm* vm = find_vm(view.vms, entry.vm);
-        const backend_load* load = vm == nullptr ? nullptr : find_load(view.loads, vm->backend);
+        const fleet_vm* vm = view.fleet.vm(entry.vm);
+        const backend_load* load = vm == nullptr ? nullptr : view.fleet.load(vm->backend);
         max_long_running = std::max(max_long_running, load == nullptr ? 0 : load->long_running);
     }
     const auto concurrent = static_cast<std::ptrdiff_t>(std::max(1U, wave.order.max_concurrent));
@@ -143,7 +139,7 @@
         if (cycle_.has_ended(entry)) {
             continue;
         }
-        const fleet_vm* vm = find_vm(view.vms, entry.vm);
+        const fleet_vm* vm = view.fleet.vm(entry.vm);
         if (vm == nullptr) {
             if (view.listed_at > entry.recorded_at) {
                 step(wave, entry, vm_absent{}, now, effects);
@@ -164,26 +160,29 @@
         if (!cycle_.in_state(entry, "closing") || !view.may_order) {
             continue;
         }
-        const backend_load* load = find_load(view.loads, vm->backend);
+        const backend_load* load = view.fleet.load(vm->backend);
         const bool empty = vm->backend.empty() || (load != nullptr && load->runs == 0);
         // Keeping the time limit of the wave is worth ending short tasks, but not long-running
         // ones.
         const bool forced = is_urgent && now >= entry.recorded_at + options_.drain_time &&
                             load != nullptr && load->long_running == 0;
-        const auto down = std::ranges::count_if(wave.members, [this](const vm_order_entry& other) {
-            return cycle_.may_be_unavailable(other);
-        });
         if ((empty || forced) && vm->state == fleet_vm::condition::up &&
-            down < static_cast<std::ptrdiff_t>(wave.order.max_concurrent)) {
+            count_unavailable(wave) < static_cast<std::ptrdiff_t>(wave.order.max_concurrent)) {
             step(wave, entry, vm_order_due{}, now, effects);
         }
     }
 }
 
+std::ptrdiff_t wave_planner::count_unavailable(const wave_state& wave) const {
+    return std::ranges::count_if(wave.members, [this](const vm_order_entry& entry) {
+        return cycle_.may_be_unavailable(entry);
+    });
+}
+
 void wave_planner::choose_vms(wave_state& wave, const wave_view& view, instant now,
                               std::vector<wave_effect>& effects) const {
     std::map<pool_id, pool_use> pools;
-    for (const backend_load& load : view.loads) {
+    for (const backend_load& load : view.fleet.loads()) {
         pool_use& use = pools[load.pool];
         use.capacity += load.capacity.millicores;
         use.used += load.used.millicores;
@@ -193,7 +192,7 @@
     for (const vm_order_entry& entry : wave.members) {
         if (cycle_.in_state(entry, "closing") || cycle_.may_be_unavailable(entry)) {
             ++in_progress;
-            const fleet_vm* vm = find_vm(view.vms, entry.vm);
+            const fleet_vm* vm = view.fleet.vm(entry.vm);
             if (vm != nullptr) {
                 ++pools[vm->pool].draining;
             }
@@ -213,16 +212,16 @@
                               runs);
         }
     };
+    const std::unordered_set<vm_id> blocked(view.blocked.begin(), view.blocked.end());
     std::vector<candidate> candidates;
     for (vm_order_entry& entry : wave.members) {
-        const fleet_vm* vm = find_vm(view.vms, entry.vm);
-        const bool blocked = std::ranges::find(view.blocked, entry.vm) != view.blocked.end();
-        if (!cycle_.in_state(entry, "waiting") || vm == nullptr || blocked ||
+        const fleet_vm* vm = view.fleet.vm(entry.vm);
+        if (!cycle_.in_state(entry, "waiting") || vm == nullptr || blocked.contains(entry.vm) ||
             vm->state != fleet_vm::condition::up) {
             continue;
         }
         const pool_use& use = pools[vm->pool];
-        const backend_load* load = find_load(view.loads, vm->backend);
+        const backend_load* load = view.fleet.load(vm->backend);
         const double share =
             use.capacity == 0 ? 0.0
                               : static_cast<double>(use.used) / static_cast<double>(use.capacity);
@@ -278,7 +277,7 @@
     servers_to_drain_ = {};
     for (const auto& [number, wave] : waves_) {
         for (const vm_order_entry& entry : wave.members) {
-            const fleet_vm* vm = find_vm(view.vms, entry.vm);
+            const fleet_vm* vm = view.fleet.vm(entry.vm);
             if (vm == nullptr || vm->backend.empty()) {
                 continue;
             }
--- a/src/node/fleet/vm_driver.cpp
+++ b/src/node/fleet/vm_driver.cpp
@@ -89,9 +89,10 @@
         return;
     }
     const std::vector<backend_load> backend_loads = on_.current_dispatcher().backend_loads();
+    const fleet_index fleet(vms_, backend_loads);
     const std::vector<vm_id> blocked_now = blocked_vms(now);
-    perform(waves_.plan({vms_, listed_at_, backend_loads, blocked_now, on_.may_order()}, now));
-    plan_capacity(backend_loads, blocked_now, now);
+    perform(waves_.plan({fleet, listed_at_, blocked_now, on_.may_order()}, now));
+    plan_capacity(fleet, blocked_now, now);
     backends_to_drain to_drain = waves_.servers_to_drain();
     to_drain.now.insert(to_drain.now.end(), capacity_.servers_to_drain().begin(),
                         capacity_.servers_to_drain().end());
@@ -127,13 +128,14 @@
     return vms;
 }
 
-void vm_driver::plan_capacity(std::span<const backend_load> loads, std::span<const vm_id> blocked,
+void vm_driver::plan_capacity(const fleet_index& fleet, std::span<const vm_id> blocked,
                               instant now) {
     const std::vector<pool_workload> pool_workloads = on_.current_dispatcher().pool_workloads();
     std::vector<vm_id> excluded = waves_.vms_in_progress();
     excluded.insert(excluded.end(), blocked.begin(), blocked.end());
-    const capacity_view view{vms_,          listed_at_,          loads,    pool_workloads,
-                             on_.catalog(), on_.removed_zones(), excluded, on_.may_order()};
+    const capacity_view view{fleet,          listed_at_,          pool_workloads,
+                             on_.catalog(),  on_.removed_zones(), excluded,
+                             on_.may_order()};
     for (const move_vm& order : capacity_.plan(view, now)) {
         perform(order);
     }
--- a/src/node/fleet/vm_driver.h
+++ b/src/node/fleet/vm_driver.h
@@ -68,8 +68,7 @@
     /// VMs that an earlier owner may have ordered less than `vm_order_timing::interval` ago.
     [[nodiscard]] std::vector<vm_id> blocked_vms(instant now) const;
     void perform(std::span<const wave_effect> effects);
-    void plan_capacity(std::span<const backend_load> loads, std::span<const vm_id> blocked,
-                       instant now);
+    void plan_capacity(const fleet_index& fleet, std::span<const vm_id> blocked, instant now);
     void perform(const move_vm& effect);
     void perform(const maintain_vm& effect);
     void perform(const save_wave& effect);
--- a/tests/capacity_planner_test.cpp
+++ b/tests/capacity_planner_test.cpp
@@ -60,7 +60,8 @@
         constexpr duration period = milliseconds(100);
         for (const instant end = now + time; now < end; now += period) {
             demands[0].arrived_core_s += cores / 10;
-            const capacity_view view{vms, now, loads, demands, catalog, removed, excluded, true};
+            const fleet_index fleet(vms, loads);
+            const capacity_view view{fleet, now, demands, catalog, removed, excluded, true};
             for (const move_vm& move : planner.plan(view, now)) {
                 moves.push_back(move);
                 planner.handle_result(move.vm, vm_order_result::carried_out, now);
@@ -170,9 +171,10 @@
     for (int round = 0; round < 50; ++round) {
         fixture.now += milliseconds(100);
         fixture.demands[0].arrived_core_s += 20;
+        const fleet_index fleet(fixture.vms, fixture.loads);
         const capacity_view view{
-            fixture.vms,     fixture.now,     fixture.loads,    fixture.demands,
-            fixture.catalog, fixture.removed, fixture.excluded, false};
+            fleet, fixture.now, fixture.demands, fixture.catalog, fixture.removed, fixture.excluded,
+            false};
         cr_assert(fixture.planner.plan(view, fixture.now).empty());
     }
 }
--- a/tests/wave_planner_test.cpp
+++ b/tests/wave_planner_test.cpp
@@ -49,7 +49,8 @@
 
     void plan(duration passed = milliseconds(100)) {
         now += passed;
-        for (const wave_effect& effect : waves.plan({vms, now, loads, blocked, may_order}, now)) {
+        const fleet_index fleet(vms, loads);
+        for (const wave_effect& effect : waves.plan({fleet, now, blocked, may_order}, now)) {
             if (const auto* maintain = std::get_if<maintain_vm>(&effect)) {
                 ordered.push_back(maintain->vm);
             } else if (const auto* show = std::get_if<publish_wave_status>(&effect)) {
