Find a server for a task by free capacity, and skip searches known to fail

Cause: in a burst, each tick of 20 ms tried every waiting task against every server of its pool, and meets_constraints walked the runs of each server.

Change: open_servers orders the servers of a pool by free CPU, so that the first one with room is the best fit; failed_searches remembers in one pass what found no server; a gang is tried only when the free capacity holds all of its tasks; runs of a server are counted by kind; the end of a run triggers passes of other pools only if a task there waits for the limit of its team; entries without waiting tasks are skipped before their critical path is computed; and a changed workflow is marked by a flag instead of a linear search.

--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -171,6 +171,8 @@
     std::uint64_t runs_failed = 0;
     std::uint64_t runs_lost = 0;      ///< Runs that ended without a reported completion.
     std::uint64_t starts_refused = 0; ///< Starts that were refused or not delivered.
+    /// Servers that were considered for a task. With `starts`, shows the cost of placement.
+    std::uint64_t servers_examined = 0;
 };
 
 /// Decides on which backend servers the tasks of all workflows run, on the one node that owns the
--- a/src/decide/dispatch/backend_entry.h
+++ b/src/decide/dispatch/backend_entry.h
@@ -30,6 +30,11 @@
     chart_position contact{};
     resources used; ///< Reserved by all runs that may exist on the server.
     std::vector<task_run*> runs;
+    // Numbers of runs by the kind of their steps.
+    int long_running_runs = 0;
+    int serving_runs = 0; ///< With a response target.
+    int best_effort_runs = 0;
+    std::int64_t long_running_millicores = 0; ///< Reserved by the long-running runs.
 
     std::optional<clock_reading> clock;
     instant leases_expire_by = instant::min(); ///< Bound for all leases given by this owner.
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -208,8 +208,8 @@
 }
 
 void dispatcher::implementation::mark_changed(workflow_entry& entry) {
-    entry.changed = true;
-    if (std::ranges::find(changed_, &entry) == changed_.end()) {
+    if (!entry.changed) {
+        entry.changed = true;
         changed_.push_back(&entry);
     }
 }
@@ -388,12 +388,8 @@
         backend_load load{id, server->registration.pool, server->registration.capacity,
                           server->used, server->runs.size() + (server->has_strays ? 1 : 0)};
         load.unschedulable = server->drain_requested || server->registration.leaving;
-        for (const task_run* run : server->runs) {
-            if (run->workflow->step(run->step).long_running) {
-                ++load.long_running;
-                load.long_running_millicores += run->reserved.millicores;
-            }
-        }
+        load.long_running = static_cast<std::size_t>(server->long_running_runs);
+        load.long_running_millicores = server->long_running_millicores;
         all.push_back(std::move(load));
     }
     return all;
--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -33,9 +33,26 @@
     duration slack{}; ///< Time left to the latest start that meets the objective.
 
     [[nodiscard]] const workflow_step& definition() const { return workflow->step(step); }
+    /// What each task takes from the free capacity of its server.
+    [[nodiscard]] resources reserved() const {
+        resources size = definition().size;
+        if (definition().best_effort_cpu) {
+            size.millicores = 0;
+        }
+        return size;
+    }
     [[nodiscard]] auto key() const { return std::tuple(rank, priority, slack); }
 };
 
+/// One pass over the waiting steps of a pool.
+struct dispatcher::implementation::placement_pass {
+    pool_state& pool;
+    open_servers servers;
+    unknown_state unread;
+    std::set<const backend_entry*> reserved_servers; ///< Kept clear for long-running tasks.
+    failed_searches failed;
+};
+
 void dispatcher::implementation::place_tasks() {
     if (now_ >= commands_until_) {
         return;
@@ -44,7 +61,7 @@
     for (auto& [name, pool] : pools_) {
         if (pool.recovered && pool.placement_due) {
             pool.placement_due = false;
-            place_pool(name, pool);
+            place_pool(pool);
         }
     }
 }
@@ -59,6 +76,13 @@
         if (occurrence.steps_done == occurrence.steps.size()) {
             continue;
         }
+        const bool waits =
+            std::ranges::any_of(occurrence.steps, [](const dispatch::step_state& step) {
+                return step.waiting_tasks() > 0;
+            });
+        if (!waits) {
+            continue;
+        }
         const instant objective_start =
             entry.row.spec.occurrences == 0 ? entry.accepted_at : occurrence.due_at;
         const duration critical_path = entry.remaining_critical_path(occurrence);
@@ -84,7 +108,16 @@
     }
 }
 
-void dispatcher::implementation::place_pool(const pool_id& /*name*/, pool_state& pool) {
+void dispatcher::implementation::place_pool(pool_state& pool) {
+    std::vector<candidate> candidates;
+    for (workflow_entry* entry : pool.active_workflows) {
+        collect_candidates(*entry, candidates);
+    }
+    pool.limit_reached = false;
+    if (candidates.empty()) {
+        return;
+    }
+    std::ranges::stable_sort(candidates, {}, &candidate::key);
     std::vector<backend_entry*> servers;
     std::vector<backend_entry*> stale;
     for (const backend_id& id : pool.servers) {
@@ -93,15 +126,11 @@
             (server->has_recent_contact(now_) ? servers : stale).push_back(server);
         }
     }
-    std::vector<candidate> candidates;
-    for (workflow_entry* entry : pool.active_workflows) {
-        collect_candidates(*entry, candidates);
-    }
-    std::ranges::stable_sort(candidates, {}, &candidate::key);
-    const unknown_state unread{may_have_unknown_runs(pool), may_have_unread_completions(pool)};
-    std::set<const backend_entry*> reserved_servers;
+    placement_pass pass{pool,
+                        open_servers(std::move(servers)),
+                        {may_have_unknown_runs(pool), may_have_unread_completions(pool)}};
     for (const candidate& item : candidates) {
-        if (!place_step(item, reserved_servers, servers, unread)) {
+        if (!place_step(item, pass)) {
             // Some task waits for capacity, the team limit or an unread server: retry next tick.
             pool.placement_due = true;
         }
@@ -111,12 +140,12 @@
     }
 }
 
-bool dispatcher::implementation::place_step(const candidate& item,
-                                            std::set<const backend_entry*>& reserved_servers,
-                                            std::span<backend_entry* const> servers,
-                                            unknown_state unread) {
+bool dispatcher::implementation::place_step(const candidate& item, placement_pass& pass) {
     const workflow_step& definition = item.definition();
     step_state& state = item.occurrence->steps[item.step];
+    if (definition.gang && !pass.servers.have_room(item.reserved(), state.waiting_tasks())) {
+        return false;
+    }
     std::vector<task_run*> started;
     bool complete = true;
     bool skipped = false;
@@ -129,16 +158,16 @@
         if (!record.is_waiting()) {
             continue;
         }
-        const bool may_run_elsewhere = unread.runs && !fault_planted("workflow-once");
+        const bool may_run_elsewhere = pass.unread.runs && !fault_planted("workflow-once");
         const bool attempts_may_be_exhausted =
-            unread.completions && on_last_attempt(*item.workflow, definition, record);
+            pass.unread.completions && on_last_attempt(*item.workflow, definition, record);
         if (item.workflow->may_have_unknown_run(record) &&
             (may_run_elsewhere || attempts_may_be_exhausted)) {
             skipped = true;
             complete = !definition.gang;
             continue;
         }
-        backend_entry* server = select_server(item, record, servers, reserved_servers);
+        backend_entry* server = select_server(item, record, pass);
         if (server == nullptr) {
             complete = false;
             break;
@@ -146,12 +175,15 @@
         started.push_back(
             &add_run(*item.workflow, *item.occurrence, item.step, index,
                      definition.gang ? number : item.workflow->next_run_number(record), *server));
+        pass.servers.reorder(*server);
     }
     const bool partial_gang =
         definition.gang && (!complete || state.active != state.tasks.size() - state.done);
     if (partial_gang) {
         for (task_run* run : started) {
+            backend_entry& server = *run->server;
             remove_run(*run);
+            pass.servers.reorder(server);
         }
         return false;
     }
@@ -161,7 +193,7 @@
     if (!complete && definition.long_running) {
         // Keeps the server with the most free CPU clear of other work until the task fits.
         const backend_entry* best = nullptr;
-        for (const backend_entry* server : servers) {
+        for (const backend_entry* server : pass.servers.with_cpu(0)) {
             if (meets_constraints(*server, *item.workflow, item.occurrence->number, item.step) &&
                 (best == nullptr ||
                  server->free_capacity().millicores > best->free_capacity().millicores)) {
@@ -169,28 +201,29 @@
             }
         }
         if (best != nullptr) {
-            reserved_servers.insert(best);
+            pass.reserved_servers.insert(best);
         }
     }
     return complete && !skipped;
 }
 
-dispatcher::implementation::backend_entry* dispatcher::implementation::select_server(
-    const candidate& item, const task_record& record, std::span<backend_entry* const> servers,
-    const std::set<const backend_entry*>& reserved_servers) const {
+dispatcher::implementation::backend_entry*
+dispatcher::implementation::select_server(const candidate& item, const task_record& record,
+                                          placement_pass& pass) {
     const workflow_step& definition = item.definition();
-    resources reserved = definition.size;
-    if (definition.best_effort_cpu) {
-        reserved.millicores = 0;
-    }
     if (!within_team_limit(item.workflow->row.team, definition.size)) {
+        pass.pool.limit_reached = true;
+        return nullptr;
+    }
+    const resources reserved = item.reserved();
+    if (pass.failed.rule_out(definition, reserved)) {
         return nullptr;
     }
     backend_entry* best = nullptr;
-    std::tuple<bool, bool, bool, bool, std::int64_t> best_score;
-    for (backend_entry* server : servers) {
-        const resources free_capacity = server->free_capacity();
-        if (!free_capacity.holds(reserved) || reserved_servers.contains(server) ||
+    std::tuple<bool, bool, bool, bool> best_score;
+    for (backend_entry* server : pass.servers.with_cpu(reserved.millicores)) {
+        ++counts_.servers_examined;
+        if (!server->free_capacity().holds(reserved) || pass.reserved_servers.contains(server) ||
             !meets_constraints(*server, *item.workflow, item.occurrence->number, item.step)) {
             continue;
         }
@@ -199,23 +232,24 @@
         const bool not_draining = !definition.long_running || !server->drain_planned;
         // Packs tasks, and above all long-running ones, on few servers, so that empty VMs can be
         // moved to pools with waiting work.
-        const bool joins_long_running = !definition.long_running || hosts_long_running(*server);
+        const bool joins_long_running = !definition.long_running || server->long_running_runs > 0;
         const std::tuple score(server->registration.id != record.failed_on, not_draining, near,
-                               joins_long_running, -free_capacity.millicores);
+                               joins_long_running);
+        // Servers come in the order of their free CPU, so the first of equal ones is the best fit.
         if (best == nullptr || score > best_score) {
             best = server;
             best_score = score;
         }
+        if (score == std::tuple(true, true, true, true)) {
+            break;
+        }
+    }
+    if (best == nullptr && !definition.gang) {
+        pass.failed.add(definition, reserved);
     }
     return best;
 }
 
-bool dispatcher::implementation::hosts_long_running(const backend_entry& server) {
-    return std::ranges::any_of(server.runs, [](const task_run* run) {
-        return run->workflow->step(run->step).long_running;
-    });
-}
-
 bool dispatcher::implementation::accepts_tasks(const backend_entry& server) const {
     return contact_is(server, "current") && server.registered && !server.registration.leaving &&
            !server.drain_requested && server.clock &&
@@ -234,12 +268,8 @@
     }
     // Best-effort tasks slow down serving tasks on the same server by an unpredictable amount.
     const bool serves = definition.response_target > milliseconds::zero();
-    const bool interferes = std::ranges::any_of(server.runs, [&](const task_run* run) {
-        const workflow_step& other = run->workflow->step(run->step);
-        return (definition.best_effort_cpu && other.response_target > milliseconds::zero()) ||
-               (serves && other.best_effort_cpu);
-    });
-    if (interferes) {
+    if ((definition.best_effort_cpu && server.serving_runs > 0) ||
+        (serves && server.best_effort_runs > 0)) {
         return false;
     }
     if (definition.max_per_server == 0) {
--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -107,6 +107,7 @@
     run.start_sent_at = now_;
     server.used += run.reserved;
     server.runs.push_back(&run);
+    count_run(run, 1);
     team_usage_[entry.row.team] += run.charged;
     step_state& state = occurrence.steps[step];
     task_record& record = state.tasks[index];
@@ -123,6 +124,17 @@
     return run;
 }
 
+void dispatcher::implementation::count_run(const task_run& run, int change) {
+    const workflow_step& definition = run.workflow->step(run.step);
+    backend_entry& server = *run.server;
+    if (definition.long_running) {
+        server.long_running_runs += change;
+        server.long_running_millicores += change * run.reserved.millicores;
+    }
+    server.serving_runs += definition.response_target > milliseconds::zero() ? change : 0;
+    server.best_effort_runs += definition.best_effort_cpu ? change : 0;
+}
+
 void dispatcher::implementation::remove_run(task_run& run) {
     workflow_entry& entry = *run.workflow;
     step_state& state = entry.occurrences.at(run.occurrence).steps[run.step];
@@ -133,12 +145,13 @@
     }
     --entry.runs;
     run.server->used -= run.reserved;
+    count_run(run, -1);
     std::erase(run.server->runs, &run);
     team_usage_[entry.row.team] -= run.charged;
     // Freeing part of a team's limit may let its tasks start in any pool.
     for (auto& [name, pool] : pools_) {
-        pool.placement_due =
-            pool.placement_due || name == run.server->registration.pool || !entry.row.team.empty();
+        pool.placement_due = pool.placement_due || name == run.server->registration.pool ||
+                             (pool.limit_reached && !entry.row.team.empty());
     }
     runs_.erase(static_cast<std::uint64_t>(run.id));
 }
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decide/dispatch/backend_entry.h"
+#include "decide/dispatch/open_servers.h"
 #include "decide/dispatch/task_run.h"
 #include "decide/dispatch/workflow_entry.h"
 
@@ -60,6 +61,7 @@
         std::set<backend_id> servers;
         bool recovered = false;     ///< The runs of the earlier owner have been adopted.
         bool placement_due = false; ///< Tasks may have become placeable since the last pass.
+        bool limit_reached = false; ///< In the last pass, a task waited for the limit of its team.
         std::set<workflow_entry*> active_workflows; ///< Workflows that have not ended.
         double arrived_core_s = 0; ///< Estimated work submitted under this ownership.
     };
@@ -70,6 +72,7 @@
         task_record* record = nullptr;
     };
     struct candidate;
+    struct placement_pass;
     /// What servers that have not answered yet may hold of an earlier owner.
     struct unknown_state {
         bool runs = false;
@@ -125,6 +128,8 @@
                       std::uint32_t index, std::uint32_t number, backend_entry& server);
     void process_run_event(task_run& run, const dispatch::run_event& event);
     void remove_run(task_run& run);
+    /// Adds `change` to the numbers of the server's runs by kind.
+    static void count_run(const task_run& run, int change);
     void apply_outcome(const task_location& place, const task_key& key, std::uint32_t number,
                        backend_entry& server, const dispatch::run_outcome& outcome);
     void apply_completion(const task_location& place, const task_key& key, std::uint32_t number,
@@ -173,14 +178,11 @@
 
     // Placement.
     void place_tasks();
-    void place_pool(const pool_id& name, pool_state& pool);
+    void place_pool(pool_state& pool);
     void collect_candidates(workflow_entry& entry, std::vector<candidate>& candidates);
-    bool place_step(const candidate& item, std::set<const backend_entry*>& reserved_servers,
-                    std::span<backend_entry* const> servers, unknown_state unread);
+    bool place_step(const candidate& item, placement_pass& pass);
     backend_entry* select_server(const candidate& item, const task_record& record,
-                                 std::span<backend_entry* const> servers,
-                                 const std::set<const backend_entry*>& reserved_servers) const;
-    [[nodiscard]] static bool hosts_long_running(const backend_entry& server);
+                                 placement_pass& pass);
     [[nodiscard]] bool accepts_tasks(const backend_entry& server) const;
     [[nodiscard]] bool meets_constraints(const backend_entry& server, const workflow_entry& entry,
                                          std::uint32_t occurrence, std::uint32_t step) const;
--- a/src/decide/dispatch/workflow_entry.cpp
+++ b/src/decide/dispatch/workflow_entry.cpp
@@ -43,7 +43,6 @@
     }
     task.checkpoint.clear();
     ++target.done;
-    changed = true;
     if (!target.complete()) {
         return false;
     }
@@ -110,7 +109,6 @@
             }
         }
     }
-    changed = false;
 }
 
 duration workflow_entry::remaining_critical_path(const occurrence_state& occurrence) const {
--- a/src/decide/dispatch/workflow_entry.h
+++ b/src/decide/dispatch/workflow_entry.h
@@ -57,7 +57,7 @@
     chart_position position{};
     workflow_state state = workflow_state::pending;
     bool stored_before = false;
-    bool changed = false;     ///< Since the last save.
+    bool changed = false;     ///< Waits to be saved.
     bool over_quota = false;  ///< Exceeded the submission rate of its team.
     duration critical_path{}; ///< Estimated time of the longest chain of steps.
     /// Time within which an occurrence should end: from the acceptance of the workflow, or from the
