Reject odd entries and messages of other writers with a reason

Cause (reports of operators: one odd entry ended the machines that read it, or one malformed message took a process down). Shown by a program linked with the code before: a submission with Count -1 or 4,000,000,000 was accepted with as many tasks, for which each owner in turn would allocate 416 to 447 GB; a registration with the address 10.0.0.999, 'host:80' or port '80x', or with Cpu 1e300, 2^63-1 or -1, named a server to use. By reading: an answer with a ClockMs that is no number threw an exception out of a libuv callback, which ends the process; an id with a line break became headers of each call; a pool that only an odd registration names made the planner drain VMs for it.

--- a/src/decide/maintenance/capacity_planner.cpp
+++ b/src/decide/maintenance/capacity_planner.cpp
@@ -184,6 +184,10 @@
 
 void capacity_planner::estimate_needs(const capacity_view& view, pool_counts& counts, instant now) {
     for (const pool_workload& demand : view.demands) {
+        if (view.catalog.pool(demand.pool) == nullptr) {
+            // No VM can be moved to a pool that the configuration does not name.
+            continue;
+        }
         pool_history& history = histories_[demand.pool];
         history.samples.push_back({now, demand.arrived_core_s});
         while (history.samples.size() > 2 && history.samples[1].at <= now - 2 * rate_window) {
--- a/src/decide/workflow.cpp
+++ b/src/decide/workflow.cpp
@@ -20,6 +20,7 @@
 }
 
 bool well_formed(const workflow_spec& spec) {
+    std::uint64_t tasks = 0;
     for (std::size_t number = 0; number < spec.steps.size(); ++number) {
         const workflow_step& step = spec.steps[number];
         const bool only_earlier = std::ranges::all_of(
@@ -27,8 +28,9 @@
         if (step.tasks == 0 || !only_earlier) {
             return false;
         }
+        tasks += step.tasks;
     }
-    return !spec.steps.empty();
+    return !spec.steps.empty() && tasks * spec.runs() <= max_workflow_tasks;
 }
 
 } // namespace citronford
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -3,6 +3,7 @@
 #include "citronford/result_code.h"
 #include "io/error_body.h"
 #include "io/http_response.h"
+#include "io/log.h"
 
 #include <h2o.h>
 
@@ -11,6 +12,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <exception>
 #include <new>
 
 namespace citronford {
@@ -146,7 +148,14 @@
         send_error(responder, result_code::body_too_large, "the body is too large");
         return 0;
     }
-    server.handle(request_view(request), responder);
+    try {
+        server.handle(request_view(request), responder);
+    } catch (const std::exception& error) {
+        // One request must not end the process, since a retry would end the next one.
+        log_event(log_level::error, "request_failed",
+                  {{"path", view_of(request->path)}, {"reason", error.what()}});
+        send_error(responder, result_code::internal_error, "the request could not be handled");
+    }
     return 0;
 }
 
--- a/tests/capacity_planner_test.cpp
+++ b/tests/capacity_planner_test.cpp
@@ -178,3 +178,12 @@
         cr_assert(fixture.planner.plan(view, fixture.now).empty());
     }
 }
+
+// Guards against VMs that are drained in turn for a pool that only a registration of another writer
+// names.
+Test(capacity_planner, moves_no_vm_to_an_unknown_pool) {
+    capacity_fixture fixture;
+    fixture.demands.push_back({pool_id("unknown")});
+    fixture.plan_for(seconds(2), 0);
+    cr_assert(fixture.moves.empty() && !fixture.planner.active());
+}
