Do at a tick of the dispatcher what changed, not a walk over the fleet

Change: servers that need attention are kept in lists (unsettled, leaving, with unsaved completions), as are stops to be sent again; each server points to its pool; ended workflows are removed at ticks; and completions wait for the ticket of their own workflow's change instead of the whole backlog.

--- a/src/decide/dispatch/backend_entry.h
+++ b/src/decide/dispatch/backend_entry.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "decide/dispatch/unsaved_completions.h"
+
 #include "citronford/chart_machine.h"
 #include "citronford/dispatcher.h"
 
@@ -12,6 +14,7 @@
 
 namespace citronford::dispatch {
 
+struct pool_state;
 struct task_run;
 
 /// The clock of a server at the time of its last reply.
@@ -23,6 +26,7 @@
 /// State of one backend server as far as the dispatcher knows it.
 struct backend_entry {
     backend_registration registration;
+    pool_state* pool = nullptr;   ///< Of the registration.
     bool registered = false;      ///< Its registration is in the store.
     int consecutive_absences = 0; ///< VM lists in a row without this server.
     bool drain_requested = false; ///< Its VM is about to be maintained or moved.
@@ -49,10 +53,7 @@
     /// incarnation that answers at present.
     bool incarnation_confirmed = false;
     bool has_strays = false; ///< The last reply contained runs that are not tracked.
-    // Completion numbers: applied to the workflows, covered by the save under way, and stored.
-    std::uint64_t last_completion_applied = 0;
-    std::uint64_t last_completion_saving = 0;
-    std::uint64_t last_completion_saved = 0;
+    unsaved_completions completions;
     /// Reply to the first poll, kept until the pool is recovered.
     std::optional<poll_reply> initial_reply;
 
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "citronford/planted_fault.h"
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 namespace citronford {
@@ -55,7 +56,6 @@
                                                                 instant now) {
     now_ = now;
     std::visit([this](const auto& item) { process(item); }, input);
-    remove_ended();
     return std::exchange(effects_, {});
 }
 
@@ -210,6 +210,7 @@
 void dispatcher::implementation::mark_changed(workflow_entry& entry) {
     if (!entry.changed) {
         entry.changed = true;
+        entry.ticket = ++last_ticket_;
         changed_.push_back(&entry);
     }
 }
@@ -247,13 +248,8 @@
     // Most rows in one transaction of the table.
     constexpr std::size_t max_rows = 90;
     const std::size_t rows = std::min(max_rows, changed_.size());
-    if (rows == changed_.size()) {
-        for (auto& [id, server] : servers_) {
-            server->last_completion_saving = server->last_completion_applied;
-        }
-    }
     if (rows == 0) {
-        process(progress_saved{});
+        note_saved_completions();
         return;
     }
     save_progress save;
@@ -262,6 +258,7 @@
         entry.changed = false;
         save.rows.push_back({entry.row.id, entry.progress()});
     }
+    saving_ticket_ = changed_[rows - 1]->ticket;
     changed_.erase(changed_.begin(), changed_.begin() + static_cast<std::ptrdiff_t>(rows));
     saving_ = true;
     effects_.emplace_back(std::move(save));
@@ -269,9 +266,16 @@
 
 void dispatcher::implementation::process(const progress_saved& /*input*/) {
     saving_ = false;
-    for (auto& [id, server] : servers_) {
-        server->last_completion_saved = server->last_completion_saving;
-    }
+    saved_ticket_ = saving_ticket_;
+    note_saved_completions();
+}
+
+void dispatcher::implementation::note_saved_completions() {
+    std::erase_if(unsaved_, [this](const auto& item) {
+        unsaved_completions& completions = item.second->completions;
+        completions.advance(saved_ticket_);
+        return completions.empty();
+    });
 }
 
 void dispatcher::implementation::process(const backend_registered& input) {
@@ -301,14 +305,20 @@
     backend->registration = registration;
     backend->registered = true;
     pool_state& pool = pools_[registration.pool];
-    pool.servers.insert(registration.id);
+    if (backend->pool != nullptr && backend->pool != &pool) {
+        backend->pool->servers.erase(registration.id);
+    }
+    backend->pool = &pool;
+    pool.servers.emplace(registration.id, backend.get());
     pool.placement_due = true;
+    update_watch_lists(*backend);
 }
 
 void dispatcher::implementation::process(const backend_deregistered& input) {
     const auto found = servers_.find(input.id);
     if (found != servers_.end() && found->second->registered) {
         found->second->registered = false;
+        update_watch_lists(*found->second);
         log("backend_delisted", {}, input.id, std::to_string(found->second->runs.size()) + " runs");
     }
 }
@@ -336,16 +346,17 @@
 }
 
 void dispatcher::implementation::process(const backends_to_drain& input) {
-    const auto contains_id = [](const std::vector<backend_id>& all, const backend_id& id) {
-        return std::ranges::find(all, id) != all.end();
-    };
+    const std::unordered_set<backend_id> drained(input.now.begin(), input.now.end());
+    const std::unordered_set<backend_id> planned(input.later.begin(), input.later.end());
     for (auto& [id, server] : servers_) {
-        const bool drain_requested = contains_id(input.now, id);
-        if (server->drain_requested && !drain_requested) {
-            pools_[server->registration.pool].placement_due = true;
+        const bool drain_requested = drained.contains(id);
+        server->drain_planned = planned.contains(id);
+        if (server->drain_requested == drain_requested) {
+            continue;
         }
         server->drain_requested = drain_requested;
-        server->drain_planned = contains_id(input.later, id);
+        server->pool->placement_due = server->pool->placement_due || !drain_requested;
+        update_watch_lists(*server);
     }
 }
 
@@ -364,6 +375,7 @@
     place_tasks();
     save_changes();
     send_polls();
+    remove_ended();
     prune_recently_ended();
 }
 
@@ -381,8 +393,7 @@
     std::vector<backend_load> all;
     for (const auto& [id, server] : servers_) {
         // Until a pool is recovered, the runs of an earlier owner are not known.
-        const auto pool = pools_.find(server->registration.pool);
-        if (!contact_is(*server, "current") || pool == pools_.end() || !pool->second.recovered) {
+        if (!contact_is(*server, "current") || !server->pool->recovered) {
             continue;
         }
         backend_load load{id, server->registration.pool, server->registration.capacity,
--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -120,8 +120,7 @@
     std::ranges::stable_sort(candidates, {}, &candidate::key);
     std::vector<backend_entry*> servers;
     std::vector<backend_entry*> stale;
-    for (const backend_id& id : pool.servers) {
-        backend_entry* server = servers_.at(id).get();
+    for (const auto& [id, server] : pool.servers) {
         if (accepts_tasks(*server)) {
             (server->has_recent_contact(now_) ? servers : stale).push_back(server);
         }
--- a/src/decide/dispatch/dispatcher_polling.cpp
+++ b/src/decide/dispatch/dispatcher_polling.cpp
@@ -42,10 +42,23 @@
         log("backend_contact", {}, server.registration.id,
             std::string(contact_machine_.name_of(server.contact)) +
                 " runs=" + std::to_string(server.runs.size()));
-        pools_[server.registration.pool].placement_due = true;
+        server.pool->placement_due = true;
+        update_watch_lists(server);
     }
 }
 
+void dispatcher::implementation::update_watch_lists(backend_entry& server) {
+    const auto keep = [&server](std::map<backend_id, backend_entry*>& servers, bool member) {
+        if (member) {
+            servers.emplace(server.registration.id, &server);
+        } else {
+            servers.erase(server.registration.id);
+        }
+    };
+    keep(unsettled_, !server.registered || !contact_is(server, "current"));
+    keep(leaving_, server.drain_requested || server.registration.leaving);
+}
+
 void dispatcher::implementation::mark_contact_failed(backend_entry& server) {
     server.incarnation_confirmed = false;
     process_contact_event(server, call_failed{});
@@ -109,9 +122,8 @@
             server.leases_expire_by = now_ + max_local_duration(options_.max_lease);
         }
         server.process_start_unix_ms = reply.process_start_unix_ms;
-        server.last_completion_applied = 0;
-        server.last_completion_saving = 0;
-        server.last_completion_saved = 0;
+        server.completions = {};
+        unsaved_.erase(server.registration.id);
         server.clock.reset();
     }
     update_clock(server, reply.clock);
@@ -119,8 +131,7 @@
     server.incarnation_confirmed = true;
     server.poll_wanted = false;
     process_contact_event(server, poll_succeeded{});
-    pool_state& pool = pools_[server.registration.pool];
-    if (!pool.recovered) {
+    if (!server.pool->recovered) {
         // The first poll learns the server's clock; the next one, shortly after, renews the lease.
         // Polls beyond what the leases need would saturate the link of a small VM with the replies
         // of all servers.
@@ -140,9 +151,9 @@
 void dispatcher::implementation::reconcile_runs(backend_entry& server, const poll_reply& reply) {
     const instant polled_at = server.poll_sent_at;
     for (const run_completion& completion : reply.completions) {
-        if (completion.number > server.last_completion_applied) {
+        if (completion.number > server.completions.applied()) {
             process_completion(server, completion);
-            server.last_completion_applied = completion.number;
+            track_completion(server, completion);
         }
     }
     for (task_run* run : server.runs) {
@@ -204,6 +215,14 @@
     }
 }
 
+void dispatcher::implementation::track_completion(backend_entry& server,
+                                                  const run_completion& completion) {
+    const task_location location = find_task(completion.task);
+    const bool waits = location.workflow != nullptr && location.workflow->changed;
+    server.completions.add(completion.number, waits ? location.workflow->ticket : 0);
+    unsaved_.emplace(server.registration.id, &server);
+}
+
 void dispatcher::implementation::process_running_task(backend_entry& server,
                                                       const running_task& reported) {
     const task_location location = find_task(reported.task);
@@ -233,40 +252,38 @@
 
 void dispatcher::implementation::send_polls() {
     for (const auto& [id, server] : servers_) {
-        if (server->poll_pending || now_ < server->next_poll_at || contact_is(*server, "gone") ||
-            (contact_is(*server, "silent") && !server->registered)) {
-            continue;
-        }
-        const bool has_unsaved_completions =
-            server->last_completion_saved < server->last_completion_applied;
-        const bool recovered = pools_[server->registration.pool].recovered;
-        const bool needed = !server->incarnation_confirmed || !recovered || !server->runs.empty() ||
-                            server->has_strays || server->poll_wanted || has_unsaved_completions;
-        // Until the completions are saved and acknowledged, the server would answer a long poll
-        // immediately with the same completions.
-        constexpr duration unsaved_pause = milliseconds(1000);
-        const bool would_repeat = server->incarnation_confirmed && has_unsaved_completions &&
-                                  now_ < server->poll_sent_at + unsaved_pause;
-        if (needed && !would_repeat) {
+        if (!server->poll_pending && now_ >= server->next_poll_at && needs_poll(*server)) {
             emit_poll(*server);
         }
     }
 }
 
+bool dispatcher::implementation::needs_poll(const backend_entry& server) const {
+    const bool has_unsaved = !server.completions.empty();
+    const bool needed = !server.runs.empty() || server.has_strays || server.poll_wanted ||
+                        has_unsaved || !server.incarnation_confirmed || !server.pool->recovered;
+    if (!needed || contact_is(server, "gone") ||
+        (contact_is(server, "silent") && !server.registered)) {
+        return false;
+    }
+    // Until the completions are saved and acknowledged, the server would answer a long poll
+    // immediately with the same completions.
+    constexpr duration unsaved_pause = milliseconds(1000);
+    return !server.incarnation_confirmed || !has_unsaved ||
+           now_ >= server.poll_sent_at + unsaved_pause;
+}
+
 void dispatcher::implementation::emit_poll(backend_entry& server) {
     constexpr duration long_poll_time = milliseconds(1200);
     if (!server.has_recent_contact(now_)) {
         // The server may have restarted unseen; a new incarnation numbers its completions from 1.
         server.incarnation_confirmed = false;
     }
-    const bool long_poll = server.incarnation_confirmed &&
-                           server.last_completion_saved >= server.last_completion_applied &&
-                           pools_[server.registration.pool].recovered &&
-                           (!server.runs.empty() || server.has_strays);
+    const bool long_poll = server.incarnation_confirmed && server.completions.empty() &&
+                           server.pool->recovered && (!server.runs.empty() || server.has_strays);
     poll_request request;
     request.token = options_.token;
-    request.acknowledged_completion =
-        server.incarnation_confirmed ? server.last_completion_saved : 0;
+    request.acknowledged_completion = server.incarnation_confirmed ? server.completions.saved() : 0;
     request.max_wait = long_poll ? long_poll_time : duration::zero();
     // An incarnation that was not seen yet has another clock, by which the lease could be too long.
     if (server.clock && server.incarnation_confirmed && server.registered &&
@@ -285,8 +302,11 @@
 }
 
 void dispatcher::implementation::update_contacts() {
-    std::vector<backend_id> removable;
-    for (const auto& [id, server] : servers_) {
+    std::vector<backend_entry*> unsettled;
+    for (const auto& [id, server] : unsettled_) {
+        unsettled.push_back(server);
+    }
+    for (backend_entry* server : unsettled) {
         if (now_ >= previous_leases_end()) {
             process_contact_event(*server, previous_leases_expired{});
         }
@@ -298,15 +318,20 @@
         }
         const bool unneeded = !server->registered || contact_is(*server, "gone");
         if (unneeded && server->runs.empty() && !server->poll_pending &&
-            server->last_completion_saved >= server->last_completion_applied &&
-            !contact_is(*server, "unread")) {
-            removable.push_back(id);
+            server->completions.empty() && !contact_is(*server, "unread")) {
+            remove_server(server->registration.id);
         }
     }
-    for (const backend_id& id : removable) {
-        pools_[servers_.at(id)->registration.pool].servers.erase(id);
-        servers_.erase(id);
-    }
+}
+
+void dispatcher::implementation::remove_server(const backend_id& id) {
+    // The id is a copy, since the argument may be that of the entry.
+    const backend_id removed = id;
+    servers_.at(removed)->pool->servers.erase(removed);
+    unsettled_.erase(removed);
+    leaving_.erase(removed);
+    unsaved_.erase(removed);
+    servers_.erase(removed);
 }
 
 void dispatcher::implementation::record_run_result(backend_entry& server, bool failed) {
--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -59,12 +59,14 @@
         {"send_stop",
          [](run_context& context, const run_event&) {
              context.run.stop_retry_at.reset();
+             context.impl.stop_retries_.erase(context.run.id);
              context.impl.emit_stop(context.run);
          }},
         {"schedule_stop_retry",
          [](run_context& context, const run_event&) {
              constexpr duration pause = milliseconds(300);
              context.run.stop_retry_at = context.impl.now_ + pause;
+             context.impl.stop_retries_.insert(context.run.id);
          }},
         {"record_stop_accepted",
          [](run_context& context, const run_event&) {
@@ -153,6 +155,7 @@
         pool.placement_due = pool.placement_due || name == run.server->registration.pool ||
                              (pool.limit_reached && !entry.row.team.empty());
     }
+    stop_retries_.erase(run.id);
     runs_.erase(static_cast<std::uint64_t>(run.id));
 }
 
@@ -377,11 +380,11 @@
 }
 
 void dispatcher::implementation::retry_stops() {
-    for (const auto& [id, server] : servers_) {
-        for (task_run* run : server->runs) {
-            if (run->stop_retry_at && now_ >= *run->stop_retry_at) {
-                process_run_event(*run, stop_retry_due{});
-            }
+    const std::vector<run_id> waiting(stop_retries_.begin(), stop_retries_.end());
+    for (const run_id id : waiting) {
+        task_run& run = *runs_.at(static_cast<std::uint64_t>(id));
+        if (now_ >= *run.stop_retry_at) {
+            process_run_event(run, stop_retry_due{});
         }
     }
 }
@@ -407,19 +410,16 @@
 }
 
 bool dispatcher::implementation::fits_elsewhere(const task_run& run) const {
-    return std::ranges::any_of(servers_, [&](const auto& item) {
+    return std::ranges::any_of(run.server->pool->servers, [&](const auto& item) {
         const backend_entry& other = *item.second;
-        return &other != run.server && other.registration.pool == run.server->registration.pool &&
-               accepts_tasks(other) && other.free_capacity().holds(run.reserved) &&
+        return &other != run.server && accepts_tasks(other) &&
+               other.free_capacity().holds(run.reserved) &&
                meets_constraints(other, *run.workflow, run.occurrence, run.step);
     });
 }
 
 void dispatcher::implementation::drain_servers() {
-    for (const auto& [id, server] : servers_) {
-        if (!server->drain_requested && !server->registration.leaving) {
-            continue;
-        }
+    for (const auto& [id, server] : leaving_) {
         const std::vector<task_run*> snapshot = server->runs;
         for (task_run* run : snapshot) {
             if (run->workflow->step(run->step).long_running &&
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -2,6 +2,7 @@
 
 #include "decide/dispatch/backend_entry.h"
 #include "decide/dispatch/open_servers.h"
+#include "decide/dispatch/pool_state.h"
 #include "decide/dispatch/task_run.h"
 #include "decide/dispatch/workflow_entry.h"
 
@@ -29,6 +30,7 @@
     using task_record = dispatch::task_record;
     using task_run = dispatch::task_run;
     using backend_entry = dispatch::backend_entry;
+    using pool_state = dispatch::pool_state;
 
     struct run_context {
         implementation& impl;
@@ -57,14 +59,6 @@
     [[nodiscard]] dispatch_counts counts() const;
 
   private:
-    struct pool_state {
-        std::set<backend_id> servers;
-        bool recovered = false;     ///< The runs of the earlier owner have been adopted.
-        bool placement_due = false; ///< Tasks may have become placeable since the last pass.
-        bool limit_reached = false; ///< In the last pass, a task waited for the limit of its team.
-        std::set<workflow_entry*> active_workflows; ///< Workflows that have not ended.
-        double arrived_core_s = 0; ///< Estimated work submitted under this ownership.
-    };
     /// All null when the task is unknown.
     struct task_location {
         workflow_entry* workflow = nullptr;
@@ -117,6 +111,10 @@
     void process_workflow_event(workflow_entry& entry, const dispatch::workflow_event& event);
     void finish_workflow(workflow_entry& entry);
     void mark_changed(workflow_entry& entry);
+    /// Advances the completions of servers that wait for a save.
+    void note_saved_completions();
+    /// Keeps the completion from being acknowledged until its workflow is saved.
+    void track_completion(backend_entry& server, const run_completion& completion);
     void remove_ended();
     void prune_recently_ended();
     void save_changes();
@@ -157,8 +155,12 @@
     void process_completion(backend_entry& server, const run_completion& end);
     void process_running_task(backend_entry& server, const running_task& reported);
     void send_polls();
+    [[nodiscard]] bool needs_poll(const backend_entry& server) const;
     void emit_poll(backend_entry& server);
     void update_contacts();
+    /// Keeps `unsettled_` and `leaving_` in line with the state of `server`.
+    void update_watch_lists(backend_entry& server);
+    void remove_server(const backend_id& id);
     void record_run_result(backend_entry& server, bool failed);
     [[nodiscard]] bool contact_is(const backend_entry& server, std::string_view state) const {
         return contact_machine_.name_of(server.contact) == state;
@@ -205,11 +207,19 @@
     bool workflows_loaded_ = false;
     bool backends_loaded_ = false;
     bool saving_ = false;
+    dispatch::save_ticket last_ticket_ = 0;   ///< Of the latest change of a workflow.
+    dispatch::save_ticket saving_ticket_ = 0; ///< Of the last change in the save under way.
+    dispatch::save_ticket saved_ticket_ = 0;
 
     std::shared_ptr<const queue_catalog> catalog_ = std::make_shared<queue_catalog>();
     operator_orders orders_;
     std::unordered_map<job_id, std::unique_ptr<workflow_entry>> workflows_;
     std::map<backend_id, std::unique_ptr<backend_entry>> servers_;
+    // Servers that need attention at each tick.
+    std::map<backend_id, backend_entry*> unsettled_; ///< Not registered, or not in contact.
+    std::map<backend_id, backend_entry*> leaving_;   ///< Leaving, or to be drained.
+    std::map<backend_id, backend_entry*> unsaved_;   ///< With completions that are not stored.
+    std::set<run_id> stop_retries_;                  ///< Runs whose stop is to be sent again.
     std::map<pool_id, pool_state> pools_;
     std::unordered_map<std::uint64_t, std::unique_ptr<task_run>> runs_;
     std::map<team_id, resources> team_usage_;    ///< Charged by all runs that may exist.
--- a/src/decide/dispatch/dispatcher_takeover.cpp
+++ b/src/decide/dispatch/dispatcher_takeover.cpp
@@ -16,9 +16,8 @@
         if (pool.recovered) {
             continue;
         }
-        const bool all_read = std::ranges::all_of(pool.servers, [this](const backend_id& id) {
-            return !contact_is(*servers_.at(id), "unread");
-        });
+        const bool all_read = std::ranges::all_of(
+            pool.servers, [this](const auto& item) { return !contact_is(*item.second, "unread"); });
         if (all_read || now_ >= ownership_began_at_ + read_timeout) {
             recover(pool);
         }
@@ -28,10 +27,9 @@
 void dispatcher::implementation::recover(pool_state& pool) {
     adopt_running(pool);
     apply_initial_completions(pool);
-    for (const backend_id& id : pool.servers) {
-        backend_entry& server = *servers_.at(id);
-        server.initial_reply.reset();
-        server.next_poll_at = now_;
+    for (const auto& [id, server] : pool.servers) {
+        server->initial_reply.reset();
+        server->next_poll_at = now_;
     }
     pool.recovered = true;
     pool.placement_due = true;
@@ -43,8 +41,8 @@
         const running_task* reported = nullptr;
     };
     std::map<const task_record*, task_report> latest;
-    for (const backend_id& id : pool.servers) {
-        backend_entry& server = *servers_.at(id);
+    for (const auto& [id, entry] : pool.servers) {
+        backend_entry& server = *entry;
         if (!server.initial_reply) {
             continue;
         }
@@ -83,15 +81,12 @@
         const run_completion* completion = nullptr;
     };
     std::vector<server_completion> pending;
-    for (const backend_id& id : pool.servers) {
-        backend_entry& server = *servers_.at(id);
-        if (!server.initial_reply) {
+    for (const auto& [id, server] : pool.servers) {
+        if (!server->initial_reply) {
             continue;
         }
-        for (const run_completion& completion : server.initial_reply->completions) {
-            pending.push_back({&server, &completion});
-            server.last_completion_applied =
-                std::max(server.last_completion_applied, completion.number);
+        for (const run_completion& completion : server->initial_reply->completions) {
+            pending.push_back({server, &completion});
         }
     }
     // Applied in order of runs. Failures that the stored progress already names are skipped.
@@ -111,22 +106,32 @@
                              {completion->kind, completion->checkpoint});
         }
     }
+    for (const auto& [id, server] : pool.servers) {
+        if (!server->initial_reply) {
+            continue;
+        }
+        for (const run_completion& completion : server->initial_reply->completions) {
+            track_completion(*server, completion);
+        }
+    }
 }
 
 bool dispatcher::implementation::may_have_unknown_runs(const pool_state& pool) const {
     if (now_ < ownership_began_at_ + options_.registration_delay) {
         return true;
     }
-    return std::ranges::any_of(pool.servers, [this](const backend_id& id) {
-        return contact_is(*servers_.at(id), "unread");
-    });
+    // Afterwards no server is unread.
+    return now_ < previous_leases_end() &&
+           std::ranges::any_of(pool.servers, [this](const auto& item) {
+               return contact_is(*item.second, "unread");
+           });
 }
 
 /// Whether a registered server has never answered a poll under this ownership. Once the leases of
 /// the earlier owner have expired, nothing runs there, but it may hold unacknowledged completions.
 bool dispatcher::implementation::may_have_unread_completions(const pool_state& pool) const {
-    return std::ranges::any_of(pool.servers, [this](const backend_id& id) {
-        const backend_entry& server = *servers_.at(id);
+    return std::ranges::any_of(pool.servers, [this](const auto& item) {
+        const backend_entry& server = *item.second;
         return server.registered && !contact_is(server, "gone") &&
                server.last_reply_at == instant::min();
     });
@@ -148,9 +153,9 @@
             continue;
         }
         resources unread;
-        for (const backend_id& id : pool.servers) {
-            if (contact_is(*servers_.at(id), "unread")) {
-                unread += servers_.at(id)->registration.capacity;
+        for (const auto& [id, server] : pool.servers) {
+            if (contact_is(*server, "unread")) {
+                unread += server->registration.capacity;
             }
         }
         std::map<team_id, resources> possible;
--- /dev/null
+++ b/src/decide/dispatch/pool_state.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "citronford/backend.h"
+
+#include <map>
+#include <set>
+
+namespace citronford::dispatch {
+
+struct backend_entry;
+struct workflow_entry;
+
+/// State of one pool.
+struct pool_state {
+    std::map<backend_id, backend_entry*> servers;
+    bool recovered = false;     ///< The runs of the earlier owner have been adopted.
+    bool placement_due = false; ///< Tasks may have become placeable since the last pass.
+    bool limit_reached = false; ///< In the last pass, a task waited for the limit of its team.
+    std::set<workflow_entry*> active_workflows; ///< Workflows that have not ended.
+    double arrived_core_s = 0;                  ///< Estimated work submitted under this ownership.
+};
+
+} // namespace citronford::dispatch
--- a/src/decide/dispatch/workflow_entry.h
+++ b/src/decide/dispatch/workflow_entry.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "decide/dispatch/unsaved_completions.h"
+
 #include "citronford/chart_machine.h"
 #include "citronford/dispatcher.h"
 
@@ -58,6 +60,7 @@
     workflow_state state = workflow_state::pending;
     bool stored_before = false;
     bool changed = false;     ///< Waits to be saved.
+    save_ticket ticket = 0;   ///< Of the change that waits to be saved.
     bool over_quota = false;  ///< Exceeded the submission rate of its team.
     duration critical_path{}; ///< Estimated time of the longest chain of steps.
     /// Time within which an occurrence should end: from the acceptance of the workflow, or from the
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -315,3 +315,42 @@
     fixture.tick();
     cr_assert(fixture.starts.size() == 2 && fixture.starts[1].command.run == 2);
 }
+
+// Guards against completions that servers report again and again while more workflows change than
+// one transaction saves.
+Test(dispatcher, acknowledges_what_is_saved_while_other_changes_wait) {
+    dispatch_fixture fixture;
+    backend_registration registration;
+    registration.id = first;
+    registration.pool = pool;
+    registration.capacity = {1000000, 1000000, 0};
+    fixture.handle(backend_registered{registration});
+    fixture.finish_loading();
+    fixture.tick();
+    fixture.answer_poll(first, {}, {});
+    fixture.tick();
+    fixture.add_workflow(job, false);
+    for (int index = 0; index < 200; ++index) {
+        fixture.add_workflow(job_id("job-" + std::to_string(index)), false);
+    }
+    fixture.now += milliseconds(20);
+    fixture.renew_ownership();
+    fixture.handle(dispatch_tick{1});
+    cr_assert(fixture.starts.size() == 201 && fixture.saving);
+    for (const send_start& start : fixture.starts) {
+        fixture.handle(start_answered{start.run, command_accepted{1000}});
+    }
+    fixture.confirm_save();
+    fixture.answer_poll(first, {}, {completion_of(1, 1, completion_kind::done)});
+    // Another 111 changes were waiting before that of the completion; each save takes 90.
+    for (int saves = 0; saves < 2; ++saves) {
+        fixture.tick();
+        cr_assert(fixture.saved.size() <= 90 && fixture.saving);
+        fixture.confirm_save();
+    }
+    fixture.add_workflow(job_id("another"), false);
+    fixture.tick();
+    fixture.tick(seconds(1));
+    cr_assert(fixture.last_poll(first).acknowledged_completion == 1, "%llu acknowledged",
+              static_cast<unsigned long long>(fixture.last_poll(first).acknowledged_completion));
+}
