Read replies of backend servers with simdjson

Change: backend_reply_reader keeps one simdjson parser and fills the typed rows from it. libsimdjson-dev (Debian, 3.0.1) joins the packages of the build. Considered: nlohmann's SAX interface, which keeps the lexer's cost.

Result: odd_entries_test 7 of 7 unchanged but for the name of the reader, platform_test 6 of 6.

--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -110,13 +110,14 @@
 Test(odd_entries, commands_with_odd_answers_are_in_doubt) {
     for (const char* body : {"", "7", "[]", R"({"ClockMs":"x"})", R"({"ClockMs":null})",
                              R"({"ClockMs":[1]})", R"({"ClockMs":1e300})"}) {
-        const command_result result = wire::parse_command_result(answer(200, body));
+        const command_result result = wire::backend_reply_reader().read_command(answer(200, body));
         cr_assert(std::holds_alternative<command_in_doubt>(result), "%s", body);
     }
-    const command_result good = wire::parse_command_result(answer(200, R"({"ClockMs":7})"));
+    const command_result good =
+        wire::backend_reply_reader().read_command(answer(200, R"({"ClockMs":7})"));
     cr_assert(std::get<command_accepted>(good).clock == 7);
     for (const char* body : {"", "7", R"({"Reason":7})", R"({"Reason":null})"}) {
-        const command_result refused = wire::parse_command_result(answer(409, body));
+        const command_result refused = wire::backend_reply_reader().read_command(answer(409, body));
         cr_assert(std::get<command_refused>(refused).reason == command_refusal::malformed);
     }
 }
@@ -126,7 +127,7 @@
     const std::string good =
         R"({"ClockMs":7,"born":8,"Running":[["5c0e7a21d94b36f8.0.1.9",1,"",41,0.5]],)"
         R"("Ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
-    const poll_result read = wire::parse_poll_result(answer(200, good));
+    const poll_result read = wire::backend_reply_reader().read_poll(answer(200, good));
     const auto& reply = std::get<poll_reply>(read);
     cr_assert(reply.running.size() == 1 && reply.completions.size() == 1);
     const std::pair<std::string_view, std::string> changes[] = {
@@ -140,7 +141,8 @@
         {R"("Ended":[)", R"("Ended":7,"x":[)"},
     };
     for (const auto& [from, to] : changes) {
-        const poll_result result = wire::parse_poll_result(answer(200, with(good, from, to)));
+        const poll_result result =
+            wire::backend_reply_reader().read_poll(answer(200, with(good, from, to)));
         cr_assert(std::holds_alternative<command_in_doubt>(result), "accepted: %s",
                   to.substr(0, 80).c_str());
     }
@@ -216,8 +218,8 @@
         accepted += accepts(mutate(good_registration, random)) ? 1 : 0;
         accepted += rows.decode_order({"op//config", mutate(config, random), 1}).ok() ? 1 : 0;
         accepted += wire::parse_workflow(mutate(submission, random)).ok() ? 1 : 0;
-        wire::parse_poll_result(answer(200, mutate(poll, random)));
-        wire::parse_command_result(answer(200, mutate(R"({"ClockMs":7})", random)));
+        wire::backend_reply_reader().read_poll(answer(200, mutate(poll, random)));
+        wire::backend_reply_reader().read_command(answer(200, mutate(R"({"ClockMs":7})", random)));
     }
     cr_assert(accepted > 0 && accepted < 3 * runs, "%d accepted", accepted);
 }
