Read only the progress row for workflows that are known to be stored

Cause: each question about a workflow that has not started read two rows, its progress and, as that was absent, the workflow itself.

Change: a node remembers which workflows it accepted or has seen stored, beside the final states, in the same cache of 4,000.

Result: fleet_drivers_test 14 of 14; the new test fails before, with a second read.

--- a/src/node/fleet/workflow_service.cpp
+++ b/src/node/fleet/workflow_service.cpp
@@ -18,8 +18,8 @@
 /// seconds.
 constexpr duration outage_retry_delay = seconds(1);
 
-/// Limit of cached final states.
-constexpr std::size_t max_final_states = 4000;
+/// Limit of the cached states.
+constexpr std::size_t max_known_states = 4000;
 
 } // namespace
 
@@ -106,6 +106,7 @@
     registry_.observe("citronford_submission_seconds", labels, timers_.now() - caller.since);
     switch (effect.result) {
     case submission_result::accepted:
+        cache_state(effect.job, workflow_state::pending);
         caller.reply(workflow_accepted{effect.job});
         return;
     case submission_result::refused:
@@ -117,19 +118,20 @@
     }
 }
 
-void workflow_service::cache_final_state(const job_id& job, workflow_state state) {
-    if (final_states_.emplace(job, state).second) {
-        final_states_order_.push_back(job);
-        if (final_states_order_.size() > max_final_states) {
-            final_states_.erase(final_states_order_.front());
-            final_states_order_.pop_front();
-        }
+void workflow_service::cache_state(const job_id& job, workflow_state state) {
+    if (!known_states_.insert_or_assign(job, state).second) {
+        return;
+    }
+    known_states_order_.push_back(job);
+    if (known_states_order_.size() > max_known_states) {
+        known_states_.erase(known_states_order_.front());
+        known_states_order_.pop_front();
     }
 }
 
 void workflow_service::read_state(const job_id& job, state_callback done) {
-    const auto known = final_states_.find(job);
-    if (known != final_states_.end()) {
+    const auto known = known_states_.find(job);
+    if (known != known_states_.end() && ended(known->second)) {
         done(workflow_status{known->second});
         return;
     }
@@ -140,7 +142,11 @@
                         return;
                     }
                     if (result->rows.empty() || !result->rows.front().value) {
-                        read_work_row(job, std::move(done));
+                        if (known_states_.contains(job)) {
+                            done(workflow_status{workflow_state::pending});
+                        } else {
+                            read_work_row(job, std::move(done));
+                        }
                         return;
                     }
                     const auto progress = decode_progress(*result->rows.front().value);
@@ -149,7 +155,7 @@
                         return;
                     }
                     if (ended(progress->state)) {
-                        cache_final_state(job, progress->state);
+                        cache_state(job, progress->state);
                     }
                     done(workflow_status{progress->state});
                 });
@@ -157,13 +163,14 @@
 
 void workflow_service::read_work_row(const job_id& job, state_callback done) {
     table_.scan(work_row_key(job), 0,
-                [job, done = std::move(done)](absl::StatusOr<table_scan> result) {
+                [this, job, done = std::move(done)](absl::StatusOr<table_scan> result) {
                     if (!result.ok()) {
                         done(result.status());
                         return;
                     }
                     for (const table_row& row : result->rows) {
                         if (!parse_job_row_key(row.key).is_cancel) {
+                            cache_state(job, workflow_state::pending);
                             done(workflow_status{workflow_state::pending});
                             return;
                         }
--- a/src/node/fleet/workflow_service.h
+++ b/src/node/fleet/workflow_service.h
@@ -46,7 +46,7 @@
     void perform(const answer_submission& effect);
     void read_state(const job_id& job, state_callback done);
     void read_work_row(const job_id& job, state_callback done);
-    void cache_final_state(const job_id& job, workflow_state state);
+    void cache_state(const job_id& job, workflow_state state);
     void store_cancel(const job_id& job, int attempts_left, workflow_reply reply);
     [[nodiscard]] bool table_is_down() const;
 
@@ -62,9 +62,10 @@
     std::map<std::uint64_t, waiting_caller> callers_;
     std::uint64_t last_submission_ = 0;
     std::size_t unanswered_ = 0;
-    /// Cache of final states, which never change and need not be read again.
-    std::unordered_map<job_id, workflow_state> final_states_;
-    std::deque<job_id> final_states_order_; ///< Oldest first, for eviction.
+    /// Cached states. A final state never changes and need not be read again; `pending` only says
+    /// that the workflow is stored.
+    std::unordered_map<job_id, workflow_state> known_states_;
+    std::deque<job_id> known_states_order_; ///< Oldest first, for eviction.
 };
 
 } // namespace citronford
--- a/tests/fleet_drivers_test.cpp
+++ b/tests/fleet_drivers_test.cpp
@@ -351,6 +351,29 @@
     cr_assert(std::holds_alternative<answer_unavailable>(*answer));
 }
 
+// Guards against a second read for each question about a waiting workflow, which is billed.
+Test(workflow_service, reads_only_the_progress_of_a_known_workflow) {
+    table_fixture fixture;
+    metrics registry;
+    observed_table table(fixture.table, fixture.timers, registry);
+    workflow_service service(*submission_batcher::create(installed_chart("submission")), table,
+                             fixture.timers, registry);
+    int accepted = 0;
+    accepted_workflow row;
+    row.id = job_id("j");
+    row.spec.steps = {{.tasks = 1}};
+    service.submit(row, seconds(3), [&](const workflow_answer& content) {
+        accepted += std::holds_alternative<workflow_accepted>(content) ? 1 : 0;
+    });
+    fixture.answer_commit(committed(5));
+    cr_assert(accepted == 1);
+    std::optional<workflow_answer> answer;
+    service.get_status(job_id("j"), [&](const workflow_answer& content) { answer = content; });
+    fixture.answer_scan(table_scan{});
+    cr_assert(fixture.scans.empty(), "the row of the workflow is read again");
+    cr_assert(std::get<workflow_status>(*answer).state == workflow_state::pending);
+}
+
 // Guards against repeated reads of a final state, which are billed.
 Test(workflow_service, caches_final_states) {
     table_fixture fixture;
