Wait for listed servers that nobody has registered when an ownership begins

Change: servers of the first VM list that are not registered count as unread, with their capacity against the limits of teams, until they register, leave the list, or the earlier leases are over.

--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -49,10 +49,16 @@
 struct backend_deregistered {
     backend_id id;
 };
+struct present_backend {
+    backend_id id;
+    pool_id pool;
+    resources capacity;
+};
 /// The backend servers in the platform's list of VMs. A server that has been replaced stays
-/// registered for some seconds, but is missing from the list.
+/// registered for some seconds, but is missing from the list. One whose registration expired in a
+/// partition is only in the list, and may run tasks under leases of an earlier owner.
 struct present_backends {
-    std::vector<backend_id> backends;
+    std::vector<present_backend> backends;
 };
 /// All backend servers that were registered when the ownership began have been passed in.
 struct backends_loaded {};
@@ -138,6 +144,8 @@
     /// After the beginning of the ownership, servers may be missing from the registrations for this
     /// long because the store was unavailable.
     duration registration_delay{};
+    /// VM lists are passed in; a new owner waits for the first one before it starts tasks.
+    bool has_vm_lists = false;
 };
 
 /// Resource use of one backend server.
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -104,7 +104,7 @@
     entry.over_quota = !input.stored_before && !consume_quota(entry.row.team);
     entry.restore(input.progress, now_);
     workflows_.emplace(entry.row.id, std::move(added));
-    pool_state& pool = pools_[entry.row.pool];
+    pool_state& pool = pool_named(entry.row.pool);
     pool.active_workflows.insert(&entry);
     pool.placement_due = true;
     if (!input.stored_before && !entry.over_quota) {
@@ -147,7 +147,7 @@
         }
         entry.add_occurrence(entry.next_occurrence, now_ - milliseconds(unix_ms_ - due_unix_ms));
         ++entry.next_occurrence;
-        pools_[entry.row.pool].placement_due = true;
+        pool_named(entry.row.pool).placement_due = true;
     }
 }
 
@@ -187,7 +187,7 @@
     recently_ended_.emplace(entry.row.id, now_);
     awaiting_removal_.push_back(entry.row.id);
     std::erase(scheduled_, &entry);
-    pools_[entry.row.pool].active_workflows.erase(&entry);
+    pool_named(entry.row.pool).active_workflows.erase(&entry);
     for_each_run(entry, [this](task_run& run) { process_run_event(run, stop_requested{}); });
 }
 
@@ -304,11 +304,12 @@
     }
     backend->registration = registration;
     backend->registered = true;
-    pool_state& pool = pools_[registration.pool];
+    pool_state& pool = pool_named(registration.pool);
     if (backend->pool != nullptr && backend->pool != &pool) {
         backend->pool->servers.erase(registration.id);
     }
     backend->pool = &pool;
+    unregistered_.erase(registration.id);
     pool.servers.emplace(registration.id, backend.get());
     pool.placement_due = true;
     update_watch_lists(*backend);
@@ -323,10 +324,44 @@
     }
 }
 
+dispatcher::implementation::pool_state&
+dispatcher::implementation::pool_named(const pool_id& name) {
+    pool_state& pool = pools_[name];
+    pool.name = name;
+    return pool;
+}
+
+void dispatcher::implementation::note_unregistered(const present_backends& input) {
+    if (now_ >= previous_leases_end()) {
+        unregistered_.clear();
+        return;
+    }
+    if (vm_list_received_) {
+        // A server that joins a later list has run nothing for an earlier owner.
+        const auto listed = [&](const auto& item) {
+            return std::ranges::find(input.backends, item.first, &present_backend::id) !=
+                   input.backends.end();
+        };
+        std::erase_if(unregistered_, [&](const auto& item) { return !listed(item); });
+        return;
+    }
+    vm_list_received_ = true;
+    for (const present_backend& item : input.backends) {
+        if (!servers_.contains(item.id)) {
+            unregistered_.emplace(item.id, item);
+        }
+    }
+    log("servers_unregistered", {}, {}, std::to_string(unregistered_.size()));
+}
+
 void dispatcher::implementation::process(const present_backends& input) {
+    note_unregistered(input);
     // A single list may be older than the registration of a new server.
     constexpr int required_absences = 2;
-    const std::set<backend_id> present(input.backends.begin(), input.backends.end());
+    std::unordered_set<backend_id> present;
+    for (const present_backend& item : input.backends) {
+        present.insert(item.id);
+    }
     for (auto& [id, server] : servers_) {
         server->consecutive_absences = present.contains(id) ? 0 : server->consecutive_absences + 1;
         if (server->consecutive_absences >= required_absences) {
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -105,6 +105,10 @@
     void process(const backends_to_drain& input);
     void process(const dispatch_tick& input);
 
+    /// The state of the pool `name`, which is created when it is new.
+    pool_state& pool_named(const pool_id& name);
+    void note_unregistered(const present_backends& input);
+
     // Workflows.
     void begin_due_occurrences(workflow_entry& entry);
     [[nodiscard]] bool consume_quota(const team_id& team);
@@ -221,6 +225,9 @@
     std::map<backend_id, backend_entry*> unsaved_;   ///< With completions that are not stored.
     std::set<run_id> stop_retries_;                  ///< Runs whose stop is to be sent again.
     std::map<pool_id, pool_state> pools_;
+    /// Servers of the first VM list that are not registered.
+    std::map<backend_id, present_backend> unregistered_;
+    bool vm_list_received_ = false;
     std::unordered_map<std::uint64_t, std::unique_ptr<task_run>> runs_;
     std::map<team_id, resources> team_usage_;    ///< Charged by all runs that may exist.
     std::map<team_id, resources> unknown_usage_; ///< Upper bound for unread servers.
--- a/src/decide/dispatch/dispatcher_takeover.cpp
+++ b/src/decide/dispatch/dispatcher_takeover.cpp
@@ -18,7 +18,8 @@
         }
         const bool all_read = std::ranges::all_of(
             pool.servers, [this](const auto& item) { return !contact_is(*item.second, "unread"); });
-        if (all_read || now_ >= ownership_began_at_ + read_timeout) {
+        const bool listed = vm_list_received_ || !options_.has_vm_lists;
+        if ((all_read && listed) || now_ >= ownership_began_at_ + read_timeout) {
             recover(pool);
         }
     }
@@ -120,10 +121,13 @@
     if (now_ < ownership_began_at_ + options_.registration_delay) {
         return true;
     }
-    // Afterwards no server is unread.
-    return now_ < previous_leases_end() &&
-           std::ranges::any_of(pool.servers, [this](const auto& item) {
-               return contact_is(*item.second, "unread");
+    if (now_ >= previous_leases_end()) {
+        return false;
+    }
+    const bool unread = std::ranges::any_of(
+        pool.servers, [this](const auto& item) { return contact_is(*item.second, "unread"); });
+    return unread || std::ranges::any_of(unregistered_, [&](const auto& item) {
+               return item.second.pool == pool.name;
            });
 }
 
@@ -158,6 +162,11 @@
                 unread += server->registration.capacity;
             }
         }
+        for (const auto& [id, server] : unregistered_) {
+            if (server.pool == name) {
+                unread += server.capacity;
+            }
+        }
         std::map<team_id, resources> possible;
         for (const workflow_entry* entry : pool.active_workflows) {
             for (const auto& [number, occurrence] : entry->occurrences) {
--- a/src/decide/dispatch/pool_state.h
+++ b/src/decide/dispatch/pool_state.h
@@ -12,6 +12,7 @@
 
 /// State of one pool.
 struct pool_state {
+    pool_id name;
     std::map<backend_id, backend_entry*> servers;
     bool recovered = false;     ///< The runs of the earlier owner have been adopted.
     bool placement_due = false; ///< Tasks may have become placeable since the last pass.
--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -141,6 +141,7 @@
     options.lease = std::min<duration>(options.lease, own_settings_.longest_backend_lease);
     options.max_lease = own_settings_.longest_backend_lease;
     options.stop_time = own_settings_.backend_stop_time;
+    options.has_vm_lists = true;
     // Registrations that expired during an outage of the table return within two seconds after it;
     // a table failure within the last 6 s may have been such an outage.
     constexpr duration outage_window = seconds(6);
--- a/src/node/fleet/vm_driver.cpp
+++ b/src/node/fleet/vm_driver.cpp
@@ -186,7 +186,7 @@
     present_backends present;
     for (const fleet_vm& vm : vms_) {
         if (!vm.backend.view().empty()) {
-            present.backends.push_back(vm.backend);
+            present.backends.push_back({vm.backend, vm.pool, vm.capacity});
         }
     }
     on_.note_present(present);
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -192,11 +192,11 @@
     fixture.answer_poll(first, {}, {});
     fixture.handle(poll_answered{second, backend_unreachable{}});
     fixture.tick(seconds(1));
-    fixture.handle(present_backends{{first}});
+    fixture.handle(present_backends{{{first, pool}}});
     fixture.tick();
     cr_assert(fixture.starts.empty(),
               "started after one VM list, which may be older than the server");
-    fixture.handle(present_backends{{first}});
+    fixture.handle(present_backends{{{first, pool}}});
     fixture.answer_poll(first, {}, {});
     fixture.tick();
     cr_assert(fixture.starts.size() == 1);
@@ -354,3 +354,57 @@
     cr_assert(fixture.last_poll(first).acknowledged_completion == 1, "%llu acknowledged",
               static_cast<unsigned long long>(fixture.last_poll(first).acknowledged_completion));
 }
+
+// Guards against tasks that are started again while their runs go on under the leases of an earlier
+// owner, on servers whose registrations expired in a partition.
+Test(dispatcher, waits_for_listed_servers_that_are_not_registered) {
+    dispatch_fixture fixture;
+    fixture.register_backend(first);
+    fixture.add_workflow(job, true);
+    fixture.handle(present_backends{{{first, pool}, {second, pool}}});
+    fixture.finish_loading();
+    fixture.tick();
+    fixture.answer_poll(first, {}, {});
+    fixture.tick();
+    cr_assert(fixture.starts.empty(), "started while the other server may run the task");
+    fixture.add_workflow(job_id("new"), false);
+    fixture.tick();
+    cr_assert(fixture.starts.size() == 1, "a new workflow has no earlier runs");
+    // The registration comes back, and the server reports the task.
+    fixture.register_backend(second);
+    fixture.tick();
+    fixture.answer_poll(second, {reported_run(1)}, {});
+    fixture.tick();
+    cr_assert(fixture.starts.size() == 1, "the running task was started again");
+}
+
+// Guards against tasks that wait for a server which is replaced before it registers.
+Test(dispatcher, does_not_wait_for_unregistered_servers_that_leave_the_list) {
+    dispatch_fixture fixture;
+    fixture.register_backend(first);
+    fixture.add_workflow(job, true);
+    fixture.handle(present_backends{{{first, pool}, {second, pool}}});
+    fixture.finish_loading();
+    fixture.tick();
+    fixture.answer_poll(first, {}, {});
+    fixture.tick();
+    cr_assert(fixture.starts.empty());
+    fixture.handle(present_backends{{{first, pool}, {backend_id("i-3"), pool}}});
+    fixture.answer_poll(first, {}, {});
+    fixture.tick();
+    cr_assert(fixture.starts.size() == 1);
+}
+
+// Guards against tasks that wait for ever for a server that registers late.
+Test(dispatcher, waits_for_unregistered_servers_no_longer_than_their_leases) {
+    dispatch_fixture fixture;
+    fixture.register_backend(first);
+    fixture.add_workflow(job, true);
+    fixture.handle(present_backends{{{first, pool}, {second, pool}}});
+    fixture.finish_loading();
+    for (int round = 0; round < 200 && fixture.starts.empty(); ++round) {
+        fixture.tick(milliseconds(50));
+        fixture.answer_poll(first, {}, {});
+    }
+    cr_assert(fixture.starts.size() == 1);
+}
