--- a/src/decide/dispatch/dispatcher_polling.cpp
+++ b/src/decide/dispatch/dispatcher_polling.cpp
@@ -319,19 +319,19 @@
         const bool unneeded = !server->registered || contact_is(*server, "gone");
         if (unneeded && server->runs.empty() && !server->poll_pending &&
             server->completions.empty() && !contact_is(*server, "unread")) {
-            remove_server(server->registration.id);
+            remove_server(*server);
         }
     }
 }
 
-void dispatcher::implementation::remove_server(const backend_id& id) {
-    // The id is a copy, since the argument may be that of the entry.
-    const backend_id removed = id;
-    servers_.at(removed)->pool->servers.erase(removed);
-    unsettled_.erase(removed);
-    leaving_.erase(removed);
-    unsaved_.erase(removed);
-    servers_.erase(removed);
+void dispatcher::implementation::remove_server(const backend_entry& server) {
+    // Keeps the entry until nothing refers to it.
+    const auto removed = servers_.extract(server.registration.id);
+    const backend_id& id = removed.key();
+    server.pool->servers.erase(id);
+    unsettled_.erase(id);
+    leaving_.erase(id);
+    unsaved_.erase(id);
 }
 
 void dispatcher::implementation::record_run_result(backend_entry& server, bool failed) {
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -164,7 +164,7 @@
     void update_contacts();
     /// Keeps `unsettled_` and `leaving_` in line with the state of `server`.
     void update_watch_lists(backend_entry& server);
-    void remove_server(const backend_id& id);
+    void remove_server(const backend_entry& server);
     void record_run_result(backend_entry& server, bool failed);
     [[nodiscard]] bool contact_is(const backend_entry& server, std::string_view state) const {
         return contact_machine_.name_of(server.contact) == state;
