--- a/daemons/citronford_fleetd.cpp
+++ b/daemons/citronford_fleetd.cpp
@@ -24,8 +24,8 @@
 /// Connections to the platform: three are held by watches, the others carry single calls.
 constexpr std::size_t platform_connections = 8;
 
-/// Connections to one backend server: one is held by a long poll, the other carries commands. With
-/// more, the owner of 1,100 servers runs out of the 4,100 descriptors of a small VM.
+/// Connections to one backend server: one is held by a long poll, the other carries commands. The
+/// owner is connected to every server of the fleet, within the descriptors of a small VM.
 constexpr std::size_t backend_connections = 2;
 
 std::int64_t unix_ms() {
--- a/include/citronford/workflow.h
+++ b/include/citronford/workflow.h
@@ -80,8 +80,8 @@
 /// Estimated run time of the longest chain of dependent steps of one occurrence.
 duration critical_path_length(const workflow_spec& spec);
 
-/// Most tasks of a workflow, over all steps and occurrences. Its progress fits into one row of the
-/// platform's table, and a small entry VM holds it in memory.
+/// Most tasks of a workflow, over all steps and occurrences, so that a small entry VM holds it in
+/// memory.
 inline constexpr std::uint64_t max_workflow_tasks = 20000;
 
 /// Whether the workflow has steps, each with tasks and with dependencies on earlier steps only, and
