Test that a search known to fail is not repeated

Cause: with failed_searches switched off, costs_no_more_with_more_waiting_workflows still passed, since a pool without free CPU is ruled out by the order alone. Change: a pool that is full in memory only, which needs failed_searches. Result: fails with failed_searches switched off, passes with it.

--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -106,6 +106,31 @@
               static_cast<unsigned long long>(examined));
 }
 
+// Guards against the same where the order by free CPU does not help, since memory is what is full.
+Test(placement, searches_a_pool_without_memory_once_in_a_pass) {
+    dispatch_fixture fixture;
+    constexpr int servers = 50;
+    for (int index = 0; index < servers; ++index) {
+        backend_registration registration;
+        registration.id = backend_id("i-" + std::to_string(index));
+        registration.pool = pool;
+        registration.capacity = {1000000, 5, 0};
+        fixture.handle(backend_registered{registration});
+    }
+    fixture.finish_loading();
+    fixture.tick();
+    for (int index = 0; index < servers; ++index) {
+        fixture.answer_poll(backend_id("i-" + std::to_string(index)), {}, {});
+    }
+    for (int index = 0; index < 500; ++index) {
+        fixture.add_workflow(job_id("waiting-" + std::to_string(index)), false);
+    }
+    fixture.tick();
+    const dispatch_counts counts = fixture.decisions->counts();
+    cr_assert(counts.starts == 0 && counts.servers_examined == servers, "%llu servers examined",
+              static_cast<unsigned long long>(counts.servers_examined));
+}
+
 // Guards against a start that costs more in a larger fleet.
 Test(placement, examines_few_servers_for_a_start) {
     dispatch_fixture fixture;
