Keep a burst in its demand row for a second interval

A reader just before the first write and, delayed by a few milliseconds, just after the second never sees the burst. A write that failed lost the peak as well.

Change: a row holds the peak of the last two intervals. The new unit test failed before and passes after; the test of unchanged rows now expects the empty row one interval later.

--- a/include/citronford/buffer_control.h
+++ b/include/citronford/buffer_control.h
@@ -23,7 +23,8 @@
     friend bool operator==(const pool_load&, const pool_load&) = default;
 };
 
-/// Row `demand/{node}`: the peak demand of the queues of one node in its last interval.
+/// Row `demand/{node}`: the peak demand of the queues of one node in its last two intervals. A node
+/// that reads the rows once an interval thus sees each peak, wherever its own intervals begin.
 struct demand_record {
     node_id node;
     std::vector<pool_load> pools;
@@ -132,7 +133,8 @@
     buffer_control_options options_;
     std::set<node_id> live_;
     std::map<node_id, node_demand> nodes_;
-    std::map<pool_id, double> peaks_; ///< Peak demand of this node in the current interval.
+    std::map<pool_id, double> peaks_;               ///< Peak demand of this node in this interval.
+    std::map<pool_id, double> previous_peaks_;      ///< The same in the interval before.
     std::map<pool_id, std::deque<double>> windows_; ///< Fleet demand in the last intervals.
     std::map<pool_id, pool_buffer> buffers_;
 };
--- a/src/decide/buffer_control.cpp
+++ b/src/decide/buffer_control.cpp
@@ -68,8 +68,13 @@
 /// Rounds the demand up to tenths of a VM, so that small changes do not cause a table write.
 demand_record buffer_control::own_record() const {
     constexpr double steps = 10;
-    demand_record own{options_.node, {}};
+    std::map<pool_id, double> highest = previous_peaks_;
     for (const auto& [pool, vms] : peaks_) {
+        double& peak = highest[pool];
+        peak = std::max(peak, vms);
+    }
+    demand_record own{options_.node, {}};
+    for (const auto& [pool, vms] : highest) {
         const double rounded = std::ceil(vms * steps) / steps;
         if (rounded > 0) {
             own.pools.push_back({pool, rounded});
@@ -84,7 +89,8 @@
 
 void buffer_control::close_interval() {
     std::map<pool_id, double> sums;
-    for (const auto& [pool, peak] : std::exchange(peaks_, {})) {
+    previous_peaks_ = std::exchange(peaks_, {});
+    for (const auto& [pool, peak] : previous_peaks_) {
         sums[pool] += peak;
     }
     for (const auto& [node, demand] : nodes_) {
--- a/tests/buffer_control_test.cpp
+++ b/tests/buffer_control_test.cpp
@@ -105,9 +105,23 @@
     }
     cr_assert(fixture.writes.size() == 1);
     fixture.end_interval();
+    cr_assert(fixture.writes.size() == 1, "the last interval with demand still counts");
+    fixture.end_interval();
     cr_assert(fixture.writes.size() == 2 && fixture.writes[1].expected != absent_row);
 }
 
+// Guards against a burst that the other nodes never see: their intervals are not aligned with those
+// of the writer, and a late reading may fall behind the write of the next interval.
+Test(buffer_control, keeps_a_burst_in_its_row_for_a_second_interval) {
+    buffer_fixture writer;
+    writer.sample(1.2);
+    writer.end_interval();
+    writer.end_interval();
+    cr_assert(writer.writes.back().record.pools == std::vector<pool_load>({{quote, 1.2}}));
+    writer.end_interval();
+    cr_assert(writer.writes.back().record.pools.empty());
+}
+
 // Guards against an endless search for a buffer of a pool in a single zone, whose loss no buffer
 // survives.
 Test(buffer_control, plans_for_the_loss_of_a_rack_in_a_single_zone) {
