--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -23,6 +23,7 @@
 /// State of a dispatcher. dispatcher.cpp processes the inputs, dispatcher_runs.cpp the life cycle
 /// of runs, dispatcher_polling.cpp the contact with servers, dispatcher_takeover.cpp the recovery
 /// when an ownership begins, and dispatcher_placement.cpp decides which tasks to start where.
+/// dispatcher_figures.cpp sums up loads and waiting work for the planners and for reports.
 class dispatcher::implementation {
   public:
     using workflow_entry = dispatch::workflow_entry;
@@ -53,6 +54,7 @@
 
     std::vector<dispatch_effect> handle(const dispatch_input& input, instant now);
 
+    // Figures.
     [[nodiscard]] std::map<queue_id, std::uint64_t> waiting_workflows() const;
     [[nodiscard]] std::vector<backend_load> backend_loads() const;
     [[nodiscard]] std::vector<pool_workload> pool_workloads() const;
