--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -49,8 +49,8 @@
     pool_state& pool;
     open_servers servers;
     unknown_state unread;
-    std::set<const backend_entry*> reserved_servers; ///< Kept clear for long-running tasks.
-    failed_searches failed;
+    std::set<const backend_entry*> reserved_servers{}; ///< Kept clear for long-running tasks.
+    failed_searches failed{};
 };
 
 void dispatcher::implementation::place_tasks() {
