--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -20,10 +20,15 @@
 
 namespace citronford {
 
-/// State of a dispatcher. dispatcher.cpp processes the inputs, dispatcher_runs.cpp the life cycle
-/// of runs, dispatcher_polling.cpp the contact with servers, dispatcher_takeover.cpp the recovery
-/// when an ownership begins, and dispatcher_placement.cpp decides which tasks to start where.
-/// dispatcher_figures.cpp sums up loads and waiting work for the planners and for reports.
+/// State of a dispatcher. The files of its functions, by subject:
+/// - dispatcher.cpp: workflows, their saving, and the tick
+/// - dispatcher_servers.cpp: which servers there are
+/// - dispatcher_polling.cpp: the contact with servers
+/// - dispatcher_takeover.cpp: the recovery when an ownership begins
+/// - dispatcher_placement.cpp: which tasks to start where
+/// - dispatcher_runs.cpp: the life cycle of runs
+/// - dispatcher_stops.cpp: stops of runs, and moves off leaving servers
+/// - dispatcher_figures.cpp: sums for planners and reports
 class dispatcher::implementation {
   public:
     using workflow_entry = dispatch::workflow_entry;
--- a/tests/dispatch_fixture.h
+++ b/tests/dispatch_fixture.h
@@ -17,6 +17,15 @@
 inline const backend_id first("i-1");
 inline const backend_id second("i-2");
 
+inline run_completion completion_of(std::uint64_t number, std::uint32_t run, completion_kind kind,
+                                    std::uint32_t index = 0) {
+    return {number, {job, 0, 0, index}, run, kind, ""};
+}
+
+inline running_task reported_run(std::uint32_t run, std::uint32_t index = 0) {
+    return {{job, 0, 0, index}, run, "", 100, 0};
+}
+
 /// A dispatcher with two servers of four cores and a queue with three attempts.
 struct dispatch_fixture {
     std::unique_ptr<dispatcher> decisions;
