--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -49,6 +49,7 @@
 struct backend_deregistered {
     backend_id id;
 };
+/// A backend server that runs on a listed VM, in the pool of that VM.
 struct present_backend {
     backend_id id;
     pool_id pool;
--- a/src/decide/dispatch/dispatcher_stops.cpp
+++ b/src/decide/dispatch/dispatcher_stops.cpp
@@ -76,7 +76,7 @@
     if (definition.max_unavailable == 0 || run.server->registration.leaving) {
         return true;
     }
-    constexpr int full_rate = 100;
+    constexpr int full_rate = 100; // Percent.
     // Longest start-up time of a long-running task; servers do not report when it is ready.
     constexpr duration startup_time = milliseconds(2000);
     const step_state& state = run.workflow->occurrences.at(run.occurrence).steps[run.step];
--- a/src/decide/dispatch/open_servers.h
+++ b/src/decide/dispatch/open_servers.h
@@ -15,8 +15,8 @@
   public:
     explicit open_servers(std::vector<backend_entry*> servers);
 
-    /// Servers with at least `millicores` of free CPU, the fullest one first. A `millicores` of
-    /// zero stands for all servers.
+    /// Servers with at least `millicores` of free CPU, the fullest one first. Zero gives
+    /// all servers, also those whose reservations exceed their capacity.
     [[nodiscard]] std::span<backend_entry* const> with_cpu(std::int64_t millicores) const;
 
     /// Restores the order after the reservations of `server` have changed.
--- a/src/io/json_writer.cpp
+++ b/src/io/json_writer.cpp
@@ -7,11 +7,12 @@
 std::string escaped(char character) {
     constexpr std::string_view digits = "0123456789abcdef";
     constexpr unsigned bits_per_digit = 4;
+    constexpr unsigned digit_mask = 0xf;
     const auto code = static_cast<unsigned char>(character);
     if (character == '"' || character == '\\') {
         return {'\\', character};
     }
-    return {'\\', 'u', '0', '0', digits[code >> bits_per_digit], digits[code & 0xfU]};
+    return {'\\', 'u', '0', '0', digits[code >> bits_per_digit], digits[code & digit_mask]};
 }
 
 bool must_escape(char character) {
