Refuse submissions whose task count or due times exceed 64 bits

Times up to 10^13 ms apart likewise overflowed the due time of a later run.

Change: both limits divide instead of multiplying, and no run may be due later than 2 * 10^13 ms after 1970.

--- a/include/citronford/workflow.h
+++ b/include/citronford/workflow.h
@@ -84,6 +84,10 @@
 /// memory.
 inline constexpr std::uint64_t max_workflow_tasks = 20000;
 
+/// Latest time at which an occurrence may be due, in Unix milliseconds; far beyond any plan, and
+/// its conversion to microseconds fits 64 bits.
+constexpr std::int64_t max_due_unix_ms = 20'000'000'000'000;
+
 /// Whether the workflow has steps, each with tasks and with dependencies on earlier steps only, and
 /// no more than `max_workflow_tasks`.
 bool well_formed(const workflow_spec& spec);
--- a/src/decide/workflow.cpp
+++ b/src/decide/workflow.cpp
@@ -30,7 +30,12 @@
         }
         tasks += step.tasks;
     }
-    return !spec.steps.empty() && tasks * spec.runs() <= max_workflow_tasks;
+    if (spec.steps.empty() || tasks > max_workflow_tasks / spec.runs()) {
+        return false;
+    }
+    // Division, since the products of both checks can exceed 64 bits.
+    const std::int64_t latest_begin = max_due_unix_ms - spec.first_due_unix_ms;
+    return latest_begin >= 0 && spec.interval_ms <= latest_begin / spec.runs();
 }
 
 } // namespace citronford
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -171,6 +171,9 @@
         {R"("EstimateMs":900)", R"("After":[-1])"},
         {R"("Spec":"x")", R"("Spec":"x","Times":4000000000,"IntervalMs":1)"},
         {R"("Spec":"x")", R"("Spec":"x","Times":2,"IntervalMs":-1)"},
+        {R"("Spec":"x")", R"("Spec":"x","Times":5000,"IntervalMs":1e13)"},
+        {R"("Spec":"x","Steps":[{"Count":4,)",
+         R"("Times":2147483648,"Steps":[{"Count":4294967295},{"Count":4294967295},{"Count":2,)"},
         {R"("Spec":"x")", R"("Spec":")" + std::string(100000, 'x') + "\""},
         {R"("Spec":"x")", R"("Spec":)" + nested(10000)},
     };
