Lose a reply that is longer than 8 MiB

An endless body over a link of 1 Gbit/s is more than the 160 to 260 MB at which the platform kills a process, and the next owner would poll the same server.

Change: the client stops reading beyond `reply_limit`, closes the connection, reports the call as lost and logs `reply_too_large` with the address. A page of the platform's table has about 1 MB.

A head of a reply that never ends is still only bounded by the timeout.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -1,5 +1,7 @@
 #include "io/http_client.h"
 
+#include "io/log.h"
+
 #include <h2o.h>
 #include <h2o/http1client.h>
 
@@ -57,6 +59,7 @@
 /// One call under way.
 struct open_call {
     http_client::callback done;
+    endpoint to;
     std::string request; ///< Head and body as sent.
     h2o_iovec_t request_buffer{};
     http_reply reply;
@@ -89,6 +92,9 @@
     return http_unreachable{refused};
 }
 
+/// Whether `more` bytes make the body of the reply longer than the limit; logs it if so.
+bool is_too_large(const open_call& call, std::size_t more);
+
 int on_body(h2o_http1client_t* client, const char* error) {
     auto* call = static_cast<open_call*>(client->data);
     const bool ended = error == h2o_http1client_error_is_eos;
@@ -97,6 +103,10 @@
         return -1;
     }
     h2o_buffer_t*& input = client->sock->input;
+    if (is_too_large(*call, input->size)) {
+        finish(call, http_lost{});
+        return -1;
+    }
     call->reply.body.append(input->bytes, input->size);
     h2o_buffer_consume(&input, input->size);
     if (ended) {
@@ -199,10 +209,25 @@
     std::size_t open = 0;
     std::map<endpoint, std::unique_ptr<shared_endpoint>> endpoints;
     std::vector<std::unique_ptr<connection_pool>> retired;
+    log_limiter log;
 };
 
 namespace {
 
+bool is_too_large(const open_call& call, std::size_t more) {
+    http_client::implementation& owner = *call.owner;
+    const std::size_t size = call.reply.body.size() + more;
+    if (size <= owner.options.reply_limit) {
+        return false;
+    }
+    owner.log.log_repeated(log_level::warning, "reply_too_large", "", owner.timers.now(),
+                           {{"address", call.to.address},
+                            {"port", static_cast<std::int64_t>(call.to.port)},
+                            {"bytes", static_cast<std::int64_t>(size)},
+                            {"limit", static_cast<std::int64_t>(owner.options.reply_limit)}});
+    return true;
+}
+
 /// Makes the close of a connection discard what has not been delivered. Bytes that a broken path
 /// holds up would otherwise arrive long after their call has failed.
 void discard_unsent(const h2o_http1client_t& client) {
@@ -319,7 +344,7 @@
 } // namespace
 
 http_client::http_client(uv_loop_t* loop, timer_service& timers, http_client_options options)
-    : body_(new implementation{loop, timers, options, nullptr, {}, {}, {}, 0, {}, {}}) {
+    : body_(new implementation{loop, timers, options, nullptr, {}, {}, {}, 0, {}, {}, {}}) {
     body_->queue = h2o_multithread_create_queue(loop);
     h2o_multithread_register_receiver(body_->queue, &body_->receiver,
                                       h2o_hostinfo_getaddr_receiver);
@@ -339,6 +364,7 @@
     const std::size_t most = body_->options.connections_per_endpoint;
     auto* call = new open_call();
     call->done = std::move(done);
+    call->to = to;
     call->request = serialized(to, request, most > 0);
     call->owner = body_.get();
     ++body_->open;
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -50,6 +50,9 @@
     std::size_t connections_per_endpoint = 0;
     /// How long an idle connection is kept open.
     duration idle_timeout = seconds(8);
+    /// Bytes of the longest body that is read; a reply with a longer one is lost. A page of the
+    /// platform has about 1 MB.
+    std::size_t reply_limit = std::size_t{8} * 1024 * 1024;
 };
 
 /// An HTTP/1.1 client built on h2o. A connection carries one call at a time and is closed when its
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -24,8 +24,8 @@
     std::vector<http_responder> unanswered;
     std::size_t most_connections = 0;
 
-    explicit client_fixture(std::size_t connections)
-        : client(loop->handle(), *loop, {connections}) {
+    explicit client_fixture(std::size_t connections, std::size_t reply_limit = 1000)
+        : client(loop->handle(), *loop, {connections, seconds(8), reply_limit}) {
         auto created = http_server::create(
             loop->handle(), {"127.0.0.1", 0}, 1000,
             [this](const http_request& request, const http_responder& responder) {
@@ -134,6 +134,23 @@
     expect_equal(body, "/next");
 }
 
+// Guards against a reply that fills the memory of the process.
+Test(http_client, loses_a_reply_beyond_the_limit) {
+    client_fixture fixture(1, 5);
+    bool lost = false;
+    std::string body;
+    fixture.get("/long-path", seconds(1), [&](const http_result& result) {
+        lost = std::holds_alternative<http_lost>(result);
+        fixture.get("/next", seconds(1), [&](const http_result& next) {
+            const auto* reply = std::get_if<http_reply>(&next);
+            body = reply == nullptr ? "" : reply->body;
+        });
+    });
+    fixture.run_for(milliseconds(300));
+    cr_assert(lost);
+    expect_equal(body, "/next");
+}
+
 // Guards against a refused connection that is reported as a call that may have arrived.
 Test(http_client, reports_a_refused_connection_as_not_sent) {
     client_fixture fixture(2);
