--- a/src/io/workflow_codec.cpp
+++ b/src/io/workflow_codec.cpp
@@ -44,6 +44,12 @@
     }
 }
 
+/// The text of a row. Bytes that are no UTF-8, such as those of a name from the settings, are
+/// replaced, since an exception would end the process that writes.
+std::string text_of(const json& document) {
+    return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 json encode_step(const workflow_step& step) {
     const workflow_step absent;
     json document = {{"n", step.tasks}};
@@ -137,7 +143,7 @@
     for (const workflow_step& step : row.spec.steps) {
         document["steps"].push_back(encode_step(step));
     }
-    return document.dump(-1, ' ', false, json::error_handler_t::replace);
+    return text_of(document);
 }
 
 absl::StatusOr<accepted_workflow> decode_workflow(const job_id& job, std::string_view text) {
@@ -171,7 +177,7 @@
     for (const task_failures& task : progress.failures) {
         document["failed"].push_back({task.occurrence, task.step, task.index, task.runs});
     }
-    return document.dump();
+    return text_of(document);
 }
 
 absl::StatusOr<workflow_progress> decode_progress(std::string_view text) {
@@ -196,11 +202,10 @@
 }
 
 std::string encode_owner(const owner_row& row) {
-    return json{{"node", row.node.view()},
-                {"incarnation", row.incarnation},
-                {"released", row.released},
-                {"strength", row.capacity_permille}}
-        .dump();
+    return text_of({{"node", row.node.view()},
+                    {"incarnation", row.incarnation},
+                    {"released", row.released},
+                    {"strength", row.capacity_permille}});
 }
 
 absl::StatusOr<owner_row> decode_owner(std::string_view text) {
@@ -233,7 +238,7 @@
     for (const auto& [queue, count] : counts) {
         document[queue.str()] = count;
     }
-    return document.dump();
+    return text_of(document);
 }
 
 absl::StatusOr<waiting_counts> decode_waiting_counts(std::string_view text) {
@@ -252,7 +257,7 @@
     for (const vm_id& vm : record.maintained) {
         document["maintained"].push_back(vm.view());
     }
-    return document.dump();
+    return text_of(document);
 }
 
 absl::StatusOr<wave_record> decode_wave(std::string_view text) {
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -2,10 +2,12 @@
 
 #include "citronford/result_code.h"
 #include "io/http_client.h"
+#include "io/workflow_codec.h"
 #include "platform/backend_replies.h"
 #include "platform/job_body.h"
 #include "platform/platform_rows.h"
 #include "platform/vm_list_reader.h"
+#include "platform/wire_values.h"
 
 #include <random>
 
@@ -187,6 +189,32 @@
     cr_assert(long_estimate.ok() && long_estimate->steps[0].estimate <= std::chrono::hours(24));
 }
 
+// Guards against a deadline whose conversion to microseconds overflows and lies in the past.
+Test(odd_entries, deadlines_of_any_text_are_bounded) {
+    const std::pair<std::string_view, std::int64_t> deadlines[] = {
+        {"250", 250},
+        {"", 3000},
+        {"x", 3000},
+        {"-5", 3000},
+        {"0", 3000},
+        {"9223372036854775807", 3600000},
+        {"99999999999999999999999", 3600000},
+        {"-99999999999999999999999", 3000}};
+    for (const auto& [text, expected_ms] : deadlines) {
+        cr_assert(wire::parse_deadline(text) == milliseconds(expected_ms), "%s", text.data());
+    }
+}
+
+// Guards against a name in a row that ends the process that writes it.
+Test(odd_entries, rows_with_odd_names_are_written) {
+    owner_row row;
+    row.node = node_id("entry-\xff");
+    row.incarnation = "7f";
+    const auto read = decode_owner(encode_owner(row));
+    cr_assert(read.ok() && read->incarnation == "7f");
+    cr_assert(decode_waiting_counts(encode_waiting_counts({{queue_id("q-\xff"), 3}})).ok());
+}
+
 // Guards against a list that loses a VM, its capacity or its following pages.
 Test(odd_entries, pages_of_the_vm_list_are_read_whole) {
     wire::vm_list_reader reader;
