Start on deployments that leave out what describes them

Seen by users (hypothesis, not the first cause): the system does not start on a deployment of theirs, on every VM at once.

Cause: the platform fills nothing into a key that a deployment does not have, and gives bounds as whole numbers, fractions, true or false. Ten of the fields that the template names ended citronford_fleetd with code 72 when absent, and so did a fraction or 0 for the times in ms, a grace over 600 s and a link below 1 Mbit/s (--check-settings on, one field changed at a time).

Without an address of the VM service there are no orders to VMs and no lists to wait for. What a process cannot do without (its name, zone and ports, the table) is still refused, and the log says so as `start_failed`.

--- a/include/citronford/fleet_settings.h
+++ b/include/citronford/fleet_settings.h
@@ -11,6 +11,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace citronford {
 
@@ -24,10 +25,10 @@
     endpoint health{"127.0.0.1", 8343};           ///< Listens for readiness checks.
     endpoint metrics_endpoint{"127.0.0.1", 8345}; ///< Listens for metrics scrapes.
     endpoint table{"127.0.0.1", 8090};            ///< Of the platform's table service.
-    endpoint vms{"127.0.0.1", 8091};              ///< Of the platform's VM service.
+    endpoint vms;                                 ///< Of the VM service; port 0: there is none.
     endpoint advice;                              ///< Port 0: there is no advice service.
     std::int64_t processors_permille = 1000;      ///< Processors of this VM; 1000 is one processor.
-    std::int64_t link_mbit = 1000;                ///< Speed of the link of this VM in Mbit/s.
+    std::int64_t link_kbit = 1000000;             ///< Speed of the link of this VM in kbit/s.
     std::size_t body_limit = 262144;              ///< Largest accepted request body in bytes.
     milliseconds longest_backend_lease{6000}; ///< Backend servers shorten longer leases to this.
     milliseconds backend_stop_time{900};      ///< A backend server stops a task within this time.
@@ -35,12 +36,14 @@
     milliseconds vm_order_interval{3000};     ///< Minimum between orders of two owners to one VM.
     milliseconds move_time{1500};             ///< From a move order to service in the new pool.
     milliseconds maintenance_time{2000};      ///< From a maintenance order to the VM's return.
+    std::vector<replaced_setting> replaced;   ///< Values that were not allowed.
 };
 
 /// All keys, in the order of the documentation.
 std::span<const setting_description> fleet_setting_descriptions();
 
-/// Parses the text of a settings file like `parse_settings`.
+/// Parses the text of a settings file like `parse_settings`. A key that describes the deployment
+/// and has a value that is not allowed gets its default and is listed in `replaced`.
 absl::StatusOr<fleet_settings> parse_fleet_settings(std::string_view text);
 
 /// Reads and parses the file at `path`. Blocking; for start-up and reload only.
--- a/include/citronford/settings.h
+++ b/include/citronford/settings.h
@@ -11,9 +11,20 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace citronford {
 
+/// A value that is not allowed and that a daemon replaced by the default, since a fleet whose
+/// deployment leaves the key out must still start.
+struct replaced_setting {
+    std::string section;
+    std::string key;
+    std::string value;   ///< As in the file; often empty.
+    std::string allowed; ///< With the unit and the range.
+    std::string default_value;
+};
+
 /// Settings of one daemon, read once at start from an INI file. What the whole fleet shares is not
 /// here but in the fleet defaults.
 struct settings {
@@ -33,6 +44,7 @@
     milliseconds vm_list_poll{1000};
     milliseconds platform_timeout{2000};
     milliseconds node_lease{10000};
+    std::vector<replaced_setting> replaced; ///< Always empty: every fault is refused.
 };
 
 /// One key of the settings file, for the documentation and for messages.
@@ -43,6 +55,7 @@
     std::string default_value;
     bool required = false;
     std::string_view meaning;
+    bool replaces_invalid = false; ///< A value that is not allowed is replaced by the default.
 };
 
 /// All keys, in the order of the documentation.
--- a/src/io/fleet_settings.cpp
+++ b/src/io/fleet_settings.cpp
@@ -2,7 +2,10 @@
 
 #include "io/setting_rules.h"
 
+#include <algorithm>
+#include <cmath>
 #include <string>
+#include <type_traits>
 #include <vector>
 
 namespace citronford {
@@ -21,53 +24,73 @@
 /// Number of processors as a decimal number; a VM may have less than one.
 std::string assign_processors(fleet_settings& target, const std::string& text) {
     double share = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), share);
     constexpr double most = 1024;
-    if (error != std::errc() || end != text.data() + text.size() || share <= 0 || share > most) {
+    if (!parse_number(text, share) || share <= 0 || share > most) {
         return "a number above 0 and up to 1024";
     }
     constexpr double permille = 1000;
-    target.processors_permille = static_cast<std::int64_t>(share * permille);
+    target.processors_permille = static_cast<std::int64_t>(std::ceil(share * permille));
     return {};
 }
 
-/// Speed of the link in Mbit/s as a decimal number, rounded down.
+/// Speed of the link in Mbit/s as a decimal number.
 std::string assign_link(fleet_settings& target, const std::string& text) {
     double mbit = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), mbit);
     constexpr double most = 1000000;
-    if (error != std::errc() || end != text.data() + text.size() || mbit < 1 || mbit > most) {
-        return "a number from 1 to 1000000";
+    if (!parse_number(text, mbit) || mbit <= 0 || mbit > most) {
+        return "a number above 0 and up to 1000000";
     }
-    target.link_mbit = static_cast<std::int64_t>(mbit);
+    constexpr double kbit_per_mbit = 1000;
+    target.link_kbit = static_cast<std::int64_t>(std::ceil(mbit * kbit_per_mbit));
     return {};
 }
 
+/// A name of the deployment: up to the longest key of the platform's table, and nothing that a
+/// header of a request cannot carry.
+setting_assignment<fleet_settings> deployment_name(auto fleet_settings::*field) {
+    return [field](fleet_settings& target, const std::string& text) -> std::string {
+        constexpr std::size_t longest = 200;
+        const bool printable = std::ranges::all_of(text, [](unsigned char character) {
+            constexpr unsigned char del = 127;
+            return character > ' ' && character != del;
+        });
+        if (text.empty() || text.size() > longest || !printable) {
+            return "1 to 200 characters without spaces and control characters";
+        }
+        target.*field = std::decay_t<decltype(target.*field)>(text);
+        return {};
+    };
+}
+
 std::vector<rule> make_rules() {
-    constexpr double longest_s = 600;
+    constexpr double longest_s = 86400;
+    constexpr double longest_ms = 86400000;
+    constexpr bool replaces_invalid = true;
     return {
         {{"node", "id", "name", "", true, "Name of this entry VM, unique in the fleet."},
-         name_field(&fleet_settings::node)},
+         deployment_name(&fleet_settings::node)},
         {{"node", "zone", "name", "", true, "Availability zone of this entry VM."},
-         name_field(&fleet_settings::zone)},
+         deployment_name(&fleet_settings::zone)},
         {{"node", "charts", "path", "charts", false, "Directory of the state charts."},
          path_field(&fleet_settings::charts)},
         {{"node", "log_level", "debug, info, warning or error", "info", false,
           "Lowest level that is logged."},
          log_level_field(&fleet_settings::log_level)},
         {{"node", "processors", "number", "1", false,
-          "Share of one processor; a node with more is more likely to own the scheduler."},
+          "Share of one processor; a node with more is more likely to own the scheduler.",
+          replaces_invalid},
          assign_processors},
-        {{"node", "link_mbit", "Mbit/s, 1 to 1000000", "1000", false,
+        {{"node", "link_mbit", "Mbit/s up to 1000000", "1000", false,
           "Speed of the link of this VM; a node with a slow one is less likely to own the "
-          "scheduler."},
+          "scheduler.",
+          replaces_invalid},
          assign_link},
         {{"listen", "callers", "ADDRESS:PORT", "127.0.0.1:8340", false, "Port for callers."},
          endpoint_field(&fleet_settings::callers)},
         {{"listen", "health", "ADDRESS:PORT", "127.0.0.1:8343", false, "Port for readiness."},
          endpoint_field(&fleet_settings::health)},
         {{"listen", "figures", "ADDRESS:PORT", "127.0.0.1:8345", false,
-          "Port for figures and state."},
+          "Port for figures and state.", replaces_invalid},
          endpoint_field(&fleet_settings::metrics_endpoint)},
         {{"listen", "body_limit", "bytes, 1024 to 16777216", "262144", false,
           "Largest request body that is accepted."},
@@ -77,28 +100,29 @@
                                        })},
         {{"platform", "table", "ADDRESS:PORT", "", true, "Table service."},
          endpoint_field(&fleet_settings::table)},
-        {{"platform", "vms", "ADDRESS:PORT", "", true, "List of VMs and orders to them."},
-         endpoint_field(&fleet_settings::vms)},
+        {{"platform", "vms", "ADDRESS:PORT or nothing", "", false,
+          "List of VMs and orders to them; nothing where the platform has no such service."},
+         optional_endpoint(&fleet_settings::vms)},
         {{"platform", "advice", "ADDRESS:PORT or nothing", "", false,
           "Service that advises which backend servers may run a step."},
          optional_endpoint(&fleet_settings::advice)},
-        {{"timing", "longest_backend_lease_ms", "ms, 500 to 600000", "6000", false,
-          "Longest lease that a backend server grants."},
-         milliseconds_within(500, 600000, &fleet_settings::longest_backend_lease)},
-        {{"timing", "backend_stop_ms", "ms, 1 to 600000", "900", false,
-          "Longest time that a backend server takes to stop a task."},
-         milliseconds_within(1, 600000, &fleet_settings::backend_stop_time)},
-        {{"timing", "vm_order_interval_ms", "ms, 0 to 600000", "3000", false,
-          "Least time between orders of two owners to one VM."},
-         milliseconds_within(0, 600000, &fleet_settings::vm_order_interval)},
-        {{"timing", "stop_grace_s", "seconds up to 600", "6", false,
-          "From SIGTERM to the end of the process by force."},
+        {{"timing", "longest_backend_lease_ms", "ms, 500 to 86400000", "6000", false,
+          "Longest lease that a backend server grants.", replaces_invalid},
+         rounded_milliseconds_within(500, longest_ms, &fleet_settings::longest_backend_lease)},
+        {{"timing", "backend_stop_ms", "ms up to 86400000", "900", false,
+          "Longest time that a backend server takes to stop a task.", replaces_invalid},
+         rounded_milliseconds_within(0, longest_ms, &fleet_settings::backend_stop_time)},
+        {{"timing", "vm_order_interval_ms", "ms up to 86400000", "3000", false,
+          "Least time between orders of two owners to one VM.", replaces_invalid},
+         rounded_milliseconds_within(0, longest_ms, &fleet_settings::vm_order_interval)},
+        {{"timing", "stop_grace_s", "seconds up to 86400", "6", false,
+          "From SIGTERM to the end of the process by force.", replaces_invalid},
          seconds_up_to(longest_s, &fleet_settings::stop_grace)},
-        {{"timing", "move_s", "seconds up to 600", "1.5", false,
-          "Until a moved VM serves its new pool."},
+        {{"timing", "move_s", "seconds up to 86400", "1.5", false,
+          "Until a moved VM serves its new pool.", replaces_invalid},
          seconds_up_to(longest_s, &fleet_settings::move_time)},
-        {{"timing", "maintenance_s", "seconds up to 600", "2", false,
-          "Until a maintained VM is back."},
+        {{"timing", "maintenance_s", "seconds up to 86400", "2", false,
+          "Until a maintained VM is back.", replaces_invalid},
          seconds_up_to(longest_s, &fleet_settings::maintenance_time)},
     };
 }
--- a/src/io/setting_rules.h
+++ b/src/io/setting_rules.h
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <functional>
 #include <span>
@@ -41,6 +42,12 @@
     return error == std::errc() && end == text.data() + text.size();
 }
 
+/// Parses a finite decimal number.
+inline bool parse_number(std::string_view text, double& number) {
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    return error == std::errc() && end == text.data() + text.size() && std::isfinite(number);
+}
+
 /// Passes a whole number from `least` to `most` to `store`.
 template <class Settings, class Store>
 setting_assignment<Settings> number_within(std::int64_t least, std::int64_t most, Store store) {
@@ -62,14 +69,28 @@
     });
 }
 
+/// Milliseconds from `least` to `most`, with or without a fraction; rounded up, since these times
+/// bound what others may still do.
+template <class Settings>
+setting_assignment<Settings> rounded_milliseconds_within(double least, double most,
+                                                         milliseconds Settings::*field) {
+    return [=](Settings& target, const std::string& text) -> std::string {
+        double number = 0;
+        if (!parse_number(text, number) || number < least || number > most) {
+            return "a number of ms from " + std::to_string(static_cast<std::int64_t>(least)) +
+                   " to " + std::to_string(static_cast<std::int64_t>(most));
+        }
+        target.*field = milliseconds(static_cast<std::int64_t>(std::ceil(number)));
+        return {};
+    };
+}
+
 /// Seconds from 0 to `most`, with or without a fraction; stored as whole milliseconds.
 template <class Settings>
 setting_assignment<Settings> seconds_up_to(double most, milliseconds Settings::*field) {
     return [=](Settings& target, const std::string& text) -> std::string {
         double number = 0;
-        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-        if (error != std::errc() || end != text.data() + text.size() || number < 0 ||
-            number > most) {
+        if (!parse_number(text, number) || number < 0 || number > most) {
             return "a number of seconds up to " + std::to_string(static_cast<std::int64_t>(most));
         }
         constexpr double ms_per_s = 1000;
@@ -157,10 +178,11 @@
             }
         }
         for (const setting_rule<Settings>& rule : rules_) {
-            const auto& [section, key, type, text, required, meaning] = rule.description;
-            if (required &&
-                !tree.get_child_optional(std::string(section) + "." + std::string(key))) {
-                faults_ << '[' << section << "] " << key << ": missing; allowed: " << type << '\n';
+            const setting_description& known = rule.description;
+            if (known.required && !tree.get_child_optional(std::string(known.section) + "." +
+                                                           std::string(known.key))) {
+                faults_ << '[' << known.section << "] " << known.key
+                        << ": missing; allowed: " << known.type << '\n';
             }
         }
         std::string faults = faults_.str();
@@ -186,7 +208,13 @@
             return;
         }
         const std::string allowed = rule->assign(result_, value);
-        if (!allowed.empty()) {
+        if (allowed.empty()) {
+            return;
+        }
+        if (rule->description.replaces_invalid) {
+            result_.replaced.push_back(
+                {section, key, value, allowed, rule->description.default_value});
+        } else {
             faults_ << '[' << section << "] " << key << " = " << shown(rule->description, value)
                     << ": not allowed; allowed: " << allowed << '\n';
         }
--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -23,8 +23,8 @@
 /// a new owner about as much as a tenth of a processor does.
 std::int64_t owner_capacity_permille(const fleet_settings& own_settings) {
     constexpr std::int64_t full_capacity = 1000;
-    constexpr std::int64_t permille_per_mbit = 10;
-    return std::min({own_settings.processors_permille, own_settings.link_mbit * permille_per_mbit,
+    constexpr std::int64_t kbit_per_permille = 100;
+    return std::min({own_settings.processors_permille, own_settings.link_kbit / kbit_per_permille,
                      full_capacity});
 }
 
@@ -141,7 +141,7 @@
     options.lease = std::min<duration>(options.lease, own_settings_.longest_backend_lease);
     options.max_lease = own_settings_.longest_backend_lease;
     options.stop_time = own_settings_.backend_stop_time;
-    options.has_vm_lists = true;
+    options.has_vm_lists = own_settings_.vms.port != 0;
     // Registrations that expired during an outage of the table return within two seconds after it;
     // a table failure within the last 6 s may have been such an outage.
     constexpr duration outage_window = seconds(6);
@@ -168,7 +168,9 @@
     dispatch_->apply(orders_);
     dispatch_->start();
     owner_since_ = links_.timers.now();
-    begin_vm_orders(token);
+    if (own_settings_.vms.port != 0) {
+        begin_vm_orders(token);
+    }
 }
 
 void fleet_node::begin_vm_orders(fencing_token token) {
