Leave a last line for each end of a process

Cause: the log could not tell the hypotheses of the incident apart. Refused settings were printed but not logged; an uncaught exception and an abort in a library left no line; a process that exceeds its memory is killed and cannot write; a loop that ended returned success. A SIGHUP before the handlers were installed ended the process, which the platform may send at any moment.

Change: `fatal_exception` and `fatal_signal` are written without heap or locks; `memory_high` from four fifths of the limit on, and `citronford_resident_bytes` among the metrics; `loop_ended`; SIGHUP is ignored until its handler is there.

--- a/daemons/citronford_fleetd.cpp
+++ b/daemons/citronford_fleetd.cpp
@@ -6,6 +6,7 @@
 #include "io/http_client.h"
 #include "io/http_server.h"
 #include "io/log.h"
+#include "io/process_memory.h"
 #include "node/fleet/fleet_node.h"
 #include "platform/backend_client.h"
 #include "platform/job_front.h"
@@ -72,7 +73,7 @@
     auto created = fleet_node::create(own_settings, {**loop, table, backends, vms, rows, unix_ms},
                                       {[&] { return caller_server->open_requests(); },
                                        [&] { caller_server->stop_accepting(); },
-                                       [&] { leave_process(own_settings); }});
+                                       [&] { leave_process(own_settings); }, resident_bytes});
     if (!created.ok()) {
         return start_failure(created.status());
     }
@@ -114,7 +115,7 @@
                {"zone", own_settings.zone.view()},
                {"callers", static_cast<std::int64_t>(caller_server->port())}});
     (*loop)->run();
-    return EXIT_SUCCESS;
+    return loop_ended();
 }
 
 } // namespace
--- a/daemons/citronfordd.cpp
+++ b/daemons/citronfordd.cpp
@@ -110,7 +110,7 @@
                {"callers", static_cast<std::int64_t>(caller_server->port())},
                {"operators", static_cast<std::int64_t>((*operator_server)->port())}});
     (*loop)->run();
-    return EXIT_SUCCESS;
+    return loop_ended();
 }
 
 } // namespace
--- a/daemons/daemon_main.h
+++ b/daemons/daemon_main.h
@@ -3,10 +3,12 @@
 #include "citronford/invariant.h"
 #include "citronford/result_code.h"
 #include "citronford/settings.h"
+#include "io/fatal_log.h"
 #include "io/log.h"
 
 #include <boost/program_options.hpp>
 
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <span>
@@ -23,6 +25,13 @@
     return exit_code_of(code);
 }
 
+/// Logs that the loop of a daemon has ended although nothing asked for it; returns the exit code.
+inline int loop_ended() {
+    log_event(log_level::error, "loop_ended",
+              {{"code", static_cast<std::int64_t>(result_code::internal_error)}});
+    return exit_code_of(result_code::internal_error);
+}
+
 /// Prints every fault of the settings; returns the exit code.
 inline int settings_failure(std::string_view name, const absl::Status& status) {
     const result_code code = code_of(status);
@@ -53,6 +62,9 @@
                 Run run) {
     namespace po = boost::program_options;
     constexpr int usage_error = 2;
+    log_fatal_ends();
+    // A request to reload must not end a process that has no handler yet.
+    std::signal(SIGHUP, SIG_IGN);
     std::string path;
     po::options_description description(std::string(name) + ": " + std::string(purpose));
     auto add = description.add_options();
--- a/include/citronford/fleet_settings.h
+++ b/include/citronford/fleet_settings.h
@@ -29,6 +29,7 @@
     endpoint advice;                              ///< Port 0: there is no advice service.
     std::int64_t processors_permille = 1000;      ///< Processors of this VM; 1000 is one processor.
     std::int64_t link_kbit = 1000000;             ///< Speed of the link of this VM in kbit/s.
+    std::int64_t memory_limit_mb = 0;             ///< The process is killed beyond; 0: unknown.
     std::size_t body_limit = 262144;              ///< Largest accepted request body in bytes.
     milliseconds longest_backend_lease{6000}; ///< Backend servers shorten longer leases to this.
     milliseconds backend_stop_time{900};      ///< A backend server stops a task within this time.
--- a/src/io/fleet_settings.cpp
+++ b/src/io/fleet_settings.cpp
@@ -45,6 +45,16 @@
     return {};
 }
 
+std::string assign_memory(fleet_settings& target, const std::string& text) {
+    double megabytes = 0;
+    constexpr double most = 1e9;
+    if (!parse_number(text, megabytes) || megabytes < 0 || megabytes > most) {
+        return "a number up to 1000000000";
+    }
+    target.memory_limit_mb = static_cast<std::int64_t>(megabytes);
+    return {};
+}
+
 /// A name of the deployment: up to the longest key of the platform's table, and nothing that a
 /// header of a request cannot carry.
 setting_assignment<fleet_settings> deployment_name(auto fleet_settings::*field) {
@@ -85,6 +95,10 @@
           "scheduler.",
           replaces_invalid},
          assign_link},
+        {{"node", "memory_mb", "MB up to 1000000000", "0", false,
+          "The process is killed when it uses more, which the log announces; 0: not known.",
+          replaces_invalid},
+         assign_memory},
         {{"listen", "callers", "ADDRESS:PORT", "127.0.0.1:8340", false, "Port for callers."},
          endpoint_field(&fleet_settings::callers)},
         {{"listen", "health", "ADDRESS:PORT", "127.0.0.1:8343", false, "Port for readiness."},
--- a/src/io/log.cpp
+++ b/src/io/log.cpp
@@ -4,6 +4,7 @@
 
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <memory>
 #include <string>
@@ -80,6 +81,10 @@
     to_standard_output = true;
 }
 
+int log_descriptor() {
+    return to_standard_output ? STDOUT_FILENO : STDERR_FILENO;
+}
+
 void set_log_level(log_level level) {
     event_logger().set_level(spdlog_level(level));
 }
--- a/src/io/log.h
+++ b/src/io/log.h
@@ -29,6 +29,9 @@
 /// line.
 void log_to_standard_output();
 
+/// The file descriptor that the lines go to.
+int log_descriptor();
+
 /// Writes one line of key=value pairs to standard error: time, level, event, then the fields in
 /// order. A value that holds white space, quotes or control characters is quoted and escaped.
 /// Never pass a key of a team or a shared secret.
--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -12,6 +12,10 @@
 
 constexpr duration stop_tick_period = milliseconds(20);
 
+constexpr duration memory_tick_period = seconds(1);
+
+constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
+
 /// Time from failed readiness until the load balancer sends no more requests: it checks once a
 /// second and acts after two failures.
 constexpr duration balancer_delay = milliseconds(2300);
@@ -85,6 +89,7 @@
     : own_settings_(own_settings), links_(std::move(links)), process_(std::move(process)),
       charts_(std::move(charts)), table_(links_.table, links_.timers, registry_),
       drain_(std::move(stop)),
+      memory_(static_cast<std::uint64_t>(own_settings.memory_limit_mb) * bytes_per_mb),
       owner_(std::move(owner), options, table_, links_.timers,
              {[this](fencing_token token) { begin_dispatching(token); },
               [this] { end_dispatching(); }, [this] { ownership_stopped_ = true; }}),
@@ -102,6 +107,23 @@
     owner_.start();
     orders_follower_.start();
     workflows_.start();
+    memory_ticks_ = links_.timers.every(memory_tick_period, [this](instant) { watch_memory(); });
+}
+
+void fleet_node::watch_memory() {
+    const auto resident = process_.resident_bytes();
+    if (!resident.ok()) {
+        log_event(log_level::warning, "memory_unknown",
+                  {{"reason", message_of(resident.status())}});
+        memory_ticks_.cancel();
+        return;
+    }
+    registry_.set("citronford_resident_bytes", {}, static_cast<double>(*resident));
+    if (memory_.observe(*resident)) {
+        log_event(log_level::warning, "memory_high",
+                  {{"resident_mb", static_cast<std::int64_t>(*resident / bytes_per_mb)},
+                   {"limit_mb", own_settings_.memory_limit_mb}});
+    }
 }
 
 bool fleet_node::ready() const {
--- a/src/node/fleet/fleet_node.h
+++ b/src/node/fleet/fleet_node.h
@@ -4,6 +4,7 @@
 #include "citronford/drain.h"
 #include "citronford/fleet_rows.h"
 #include "citronford/fleet_settings.h"
+#include "citronford/memory_watch.h"
 #include "citronford/queue_catalog.h"
 #include "citronford/vm_fleet.h"
 #include "node/fleet/dispatch_driver.h"
@@ -36,6 +37,7 @@
     std::function<std::size_t()> open_requests; ///< Requests that have not been answered.
     std::function<void()> stop_listening;
     std::function<void()> leave; ///< Ends the process.
+    std::function<absl::StatusOr<std::uint64_t>()> resident_bytes;
 };
 
 /// The node of the scheduler on one entry VM: serves callers, follows the rows of the operators,
@@ -95,6 +97,7 @@
     void apply(const wave_order& order);
     void apply(const wave_withdrawn& order);
     void apply(const order_ignored& /*order*/) {}
+    void watch_memory();
     void tick_drain();
     void perform(const stop_listening& effect);
     void perform(const hand_over& effect);
@@ -108,6 +111,8 @@
     observed_table table_;
     drain drain_;
     timer_subscription drain_ticks_;
+    memory_watch memory_;
+    timer_subscription memory_ticks_;
     ownership_driver owner_;
     table_follower orders_follower_;
     workflow_service workflows_;
--- a/tests/fleet_settings_test.cpp
+++ b/tests/fleet_settings_test.cpp
@@ -18,6 +18,7 @@
                              {"Zone", "b"},
                              {"Limits.CpuShare", "0.25"},
                              {"Limits.LinkMbps", "1000.0"},
+                             {"Limits.MemoryMb", "260"},
                              {"Listen.Front", "10.0.0.1:8340"},
                              {"Listen.Ready", "10.0.0.1:8343"},
                              {"Ip", "10.0.0.1"},
@@ -74,7 +75,8 @@
 Test(fleet_settings, ordinary_deployment_replaces_nothing) {
     const fleet_settings read = parsed(usual_fields);
     cr_assert(read.replaced.empty());
-    cr_assert(read.processors_permille == 250 && read.link_kbit == 1000000);
+    cr_assert(read.processors_permille == 250 && read.link_kbit == 1000000 &&
+              read.memory_limit_mb == 260);
     cr_assert((read.vms == endpoint{"10.0.0.8", 8344}));
 }
 
@@ -97,7 +99,7 @@
     const fleet_settings read = parsed(only_required);
     cr_assert(read.longest_backend_lease == defaults.longest_backend_lease);
     cr_assert(read.stop_grace == defaults.stop_grace && read.vms.port == 0);
-    cr_assert(read.replaced.size() == 9, "%zu", read.replaced.size());
+    cr_assert(read.replaced.size() == 10, "%zu", read.replaced.size());
 }
 
 // Guards against a fleet that never starts because a bound is a fraction, a large or a small
@@ -112,6 +114,7 @@
     cr_assert(parsed(with("Limits.LinkMbps", "0.5")).link_kbit == 500);
     cr_assert(parsed(with("Limits.CpuShare", "2")).processors_permille == 2000);
     cr_assert(parsed(with("Zone", "j\u00e4rvi/1")).zone == zone_id("j\u00e4rvi/1"));
+    cr_assert(parsed(with("Limits.MemoryMb", "0.5")).memory_limit_mb == 0);
 }
 
 // Guards against a value that switches a bound off and stops the whole fleet.
--- a/tests/headers_test.cpp
+++ b/tests/headers_test.cpp
@@ -32,6 +32,7 @@
 #include "citronford/maintenance_planner.h"
 #include "citronford/manual_timer_service.h"
 #include "citronford/membership.h"
+#include "citronford/memory_watch.h"
 #include "citronford/object_store.h"
 #include "citronford/order_preview.h"
 #include "citronford/overloaded.h"
