Read replies with a parser of our own, which no peer can make abort

What callers saw: the processes end by themselves (FAULT). One reply of a backend server, or of any other peer, with an invalid length or an unknown transfer encoding ended the process that polled it, and then each successor.

Cause: h2o's HTTP client asserts in on_error_before_head that a connection is not to be kept, and sets that flag before it checks these two headers. Debian builds the library with assertions. The class: a library aborts on what a peer sends, and there is nothing to catch.

Change: http_reply_reader parses replies as a class without a network: strict in the head and in lengths, with a limit on the head as well as on the body, so a head without an end is bounded too. http_client keeps the connections itself, on libuv; pools of the library that had to be freed by turns of the loop are gone. What callers of the client see is unchanged: one result for each call, no reuse of the connections of an endpoint after a lost call, a reset of a lost one's connection, reports of what was certainly not sent. `reply_rejected` names the server.

Why it works: every byte of a peer now leads to one of four states of the reader, and two of them end the call as lost.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -1,15 +1,16 @@
 #include "io/http_client.h"
 
+#include "io/http_reply_reader.h"
 #include "io/log.h"
 
-#include <h2o.h>
-#include <h2o/http1client.h>
-
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
+#include <cerrno>
 #include <deque>
 #include <map>
+#include <utility>
 
 namespace citronford {
 
@@ -21,160 +22,47 @@
 
 namespace {
 
-/// h2o's own inactivity timeout; each call has a shorter one of its own.
-constexpr std::uint64_t h2o_io_timeout_ms = 3600000;
-
 struct open_call;
 
-/// Connections to one endpoint that calls share.
-struct connection_pool {
-    connection_pool(uv_loop_t* loop, const endpoint& to, duration idle_timeout) {
-        sockaddr_in address{};
-        uv_ip4_addr(to.address.c_str(), to.port, &address);
-        // The number of connections is bounded by the waiting list of the endpoint.
-        constexpr std::size_t unbounded = SIZE_MAX;
-        h2o_socketpool_init_by_address(&sockets, reinterpret_cast<sockaddr*>(&address),
-                                       sizeof(address), 0, unbounded);
-        h2o_socketpool_set_timeout(&sockets, loop, static_cast<std::uint64_t>(to_ms(idle_timeout)));
-    }
-    connection_pool(const connection_pool&) = delete;
-    connection_pool& operator=(const connection_pool&) = delete;
-    connection_pool(connection_pool&&) = delete;
-    connection_pool& operator=(connection_pool&&) = delete;
-    ~connection_pool() = default;
-
-    h2o_socketpool_t sockets{};
-    std::size_t active = 0; ///< Calls that use a connection of this pool.
-    bool retired = false;   ///< No further call uses it.
+/// A connection to an endpoint. It is freed when the loop has closed its socket.
+struct connection {
+    uv_tcp_t socket{};
+    uv_connect_t connecting{};
+    uv_write_t writing{};
+    open_call* call = nullptr; ///< Null while the connection is idle or closing.
+    http_client::implementation* owner = nullptr;
+    std::uint64_t generation = 0; ///< Of the endpoint when the connection was opened.
+    bool is_writing = false;      ///< The socket still refers to the request of its call.
+    instant idle_since;
+
+    [[nodiscard]] uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&socket); }
+    [[nodiscard]] uv_handle_t* handle() { return reinterpret_cast<uv_handle_t*>(&socket); }
 };
 
-/// The shared connections to one endpoint and the calls that wait for one.
+/// The connections to one endpoint that calls share, and the calls that wait for one.
 struct shared_endpoint {
-    endpoint to;
-    std::unique_ptr<connection_pool> pool;
-    std::size_t active = 0; ///< Calls that have a connection, also of a retired pool.
+    std::size_t active = 0;       ///< Calls that have a connection.
+    std::uint64_t generation = 0; ///< Connections of an earlier generation are not used again.
     std::deque<open_call*> waiting;
+    std::deque<connection*> idle; ///< The most recently used one is the last.
 };
 
 /// One call under way.
 struct open_call {
-    http_client::callback done;
+    open_call(endpoint address, std::size_t reply_limit)
+        : to(std::move(address)), reader(reply_limit) {}
+
     endpoint to;
+    http_reply_reader reader;
+    http_client::callback done;
     std::string request; ///< Head and body as sent.
-    h2o_iovec_t request_buffer{};
-    http_reply reply;
-    bool starting = true; ///< `http_client::call` has not returned yet.
-    bool failed_at_start = false;
     bool is_connected = false;
-    bool has_length = false;
-    std::size_t length = 0;
-    h2o_http1client_t* client = nullptr;
     timer_subscription timeout;
     http_client::implementation* owner = nullptr;
     shared_endpoint* shared = nullptr; ///< Null for a call with a connection of its own.
-    connection_pool* pool = nullptr;   ///< Set while the call has a shared connection.
+    connection* carrier = nullptr;     ///< Null while the call waits for a connection.
 };
 
-void release(open_call& call, bool lost);
-
-/// Ends a call. The h2o client must be closed or closing by itself.
-void finish(open_call* call, http_result result) {
-    const std::unique_ptr<open_call> owned(call);
-    owned->timeout.cancel();
-    release(*owned, !std::holds_alternative<http_reply>(result));
-    owned->done(std::move(result));
-}
-
-http_result result_without_reply(const open_call& call, bool refused) {
-    if (call.is_connected) {
-        return http_lost{};
-    }
-    return http_unreachable{refused};
-}
-
-/// Whether `more` bytes make the body of the reply longer than the limit; logs it if so.
-bool is_too_large(const open_call& call, std::size_t more);
-
-int on_body(h2o_http1client_t* client, const char* error) {
-    auto* call = static_cast<open_call*>(client->data);
-    const bool ended = error == h2o_http1client_error_is_eos;
-    if (error != nullptr && !ended) {
-        finish(call, http_lost{});
-        return -1;
-    }
-    h2o_buffer_t*& input = client->sock->input;
-    if (is_too_large(*call, input->size)) {
-        finish(call, http_lost{});
-        return -1;
-    }
-    call->reply.body.append(input->bytes, input->size);
-    h2o_buffer_consume(&input, input->size);
-    if (ended) {
-        if (call->has_length && call->reply.body.size() != call->length) {
-            finish(call, http_lost{});
-        } else {
-            finish(call, std::move(call->reply));
-        }
-    }
-    return 0;
-}
-
-std::string lower_case(std::string_view text) {
-    std::string result(text);
-    std::ranges::transform(result, result.begin(), [](unsigned char c) {
-        return static_cast<char>(c >= 'A' && c <= 'Z' ? c - 'A' + 'a' : c);
-    });
-    return result;
-}
-
-h2o_http1client_body_cb on_head(h2o_http1client_t* client, const char* error, int /*minor*/,
-                                int status, h2o_iovec_t /*message*/, h2o_header_t* headers,
-                                std::size_t count, int /*rlen*/) {
-    auto* call = static_cast<open_call*>(client->data);
-    if (error != nullptr && error != h2o_http1client_error_is_eos) {
-        finish(call, http_lost{});
-        return nullptr;
-    }
-    call->reply.status = status;
-    for (std::size_t index = 0; index < count; ++index) {
-        const h2o_header_t& header = headers[index];
-        call->reply.headers.emplace_back(lower_case({header.name->base, header.name->len}),
-                                         std::string(header.value.base, header.value.len));
-        if (call->reply.headers.back().first == "content-length") {
-            call->has_length = true;
-            call->length = h2o_strtosize(header.value.base, header.value.len);
-        }
-    }
-    if (error == h2o_http1client_error_is_eos) {
-        if (call->has_length && call->length != 0) {
-            finish(call, http_lost{});
-        } else {
-            finish(call, std::move(call->reply));
-        }
-        return nullptr;
-    }
-    return on_body;
-}
-
-h2o_http1client_head_cb on_connect(h2o_http1client_t* client, const char* error,
-                                   h2o_iovec_t** buffers, std::size_t* count, int* is_head) {
-    auto* call = static_cast<open_call*>(client->data);
-    if (error != nullptr) {
-        if (call->starting) {
-            call->failed_at_start = true;
-        } else {
-            finish(call, result_without_reply(*call, true));
-        }
-        return nullptr;
-    }
-    call->is_connected = true;
-    call->request_buffer = h2o_iovec_init(call->request.data(), call->request.size());
-    *buffers = &call->request_buffer;
-    *count = 1;
-    *is_head = 0;
-    return on_head;
-}
-
 std::string serialized(const endpoint& to, const http_call& call, bool keep_alive) {
     std::string text;
     text += call.method;
@@ -196,203 +84,313 @@
     return text;
 }
 
+/// Whether the peer has neither closed an idle connection nor sent anything on it.
+bool is_alive(const connection& idle) {
+    uv_os_fd_t descriptor = -1;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&idle.socket), &descriptor) != 0) {
+        return false;
+    }
+    char byte = 0;
+    const ssize_t size = recv(descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void free_connection(uv_handle_t* handle) {
+    delete static_cast<connection*>(handle->data);
+}
+
+/// Closes a connection in the ordinary way.
+void close_connection(connection* closed) {
+    closed->call = nullptr;
+    uv_close(closed->handle(), free_connection);
+}
+
+/// Closes a connection and discards what has not been delivered. Bytes that a broken path holds up
+/// would otherwise arrive long after their call has failed.
+void reset_connection(connection* closed) {
+    closed->call = nullptr;
+    if (uv_tcp_close_reset(&closed->socket, free_connection) != 0) {
+        uv_close(closed->handle(), free_connection);
+    }
+}
+
 } // namespace
 
 struct http_client::implementation {
     uv_loop_t* loop = nullptr;
     timer_service& timers;
     http_client_options options;
-    h2o_multithread_queue_t* queue = nullptr;
-    h2o_multithread_receiver_t receiver{};
-    h2o_timeout_t io_timeout{};
-    h2o_http1client_ctx_t context{};
     std::size_t open = 0;
     std::map<endpoint, std::unique_ptr<shared_endpoint>> endpoints;
-    std::vector<std::unique_ptr<connection_pool>> retired;
+    timer_subscription idle_check;
+    bool is_checking_idle = false;
     log_limiter log;
+    /// Bytes of the read under way, which the reader of its call copies.
+    std::array<char, 65536> input{};
 };
 
 namespace {
 
-bool is_too_large(const open_call& call, std::size_t more) {
-    http_client::implementation& owner = *call.owner;
-    const std::size_t size = call.reply.body.size() + more;
-    if (size <= owner.options.reply_limit) {
-        return false;
+void close_idle(shared_endpoint& shared) {
+    for (connection* idle : std::exchange(shared.idle, {})) {
+        close_connection(idle);
+    }
+}
+
+/// Closes the connections that have been idle for too long, and looks again later if any is left.
+void check_idle(http_client::implementation& owner) {
+    const instant oldest = owner.timers.now() - owner.options.idle_timeout;
+    bool any_left = false;
+    for (const auto& [to, shared] : owner.endpoints) {
+        while (!shared->idle.empty() && shared->idle.front()->idle_since <= oldest) {
+            close_connection(shared->idle.front());
+            shared->idle.pop_front();
+        }
+        any_left = any_left || !shared->idle.empty();
+    }
+    owner.is_checking_idle = any_left;
+    if (any_left) {
+        constexpr int checks_per_timeout = 4;
+        owner.idle_check = owner.timers.after(owner.options.idle_timeout / checks_per_timeout,
+                                              [&owner](instant) { check_idle(owner); });
     }
-    owner.log.log_repeated(log_level::warning, "reply_too_large", "", owner.timers.now(),
-                           {{"address", call.to.address},
-                            {"port", static_cast<std::int64_t>(call.to.port)},
-                            {"bytes", static_cast<std::int64_t>(size)},
-                            {"limit", static_cast<std::int64_t>(owner.options.reply_limit)}});
-    return true;
 }
 
-/// Makes the close of a connection discard what has not been delivered. Bytes that a broken path
-/// holds up would otherwise arrive long after their call has failed.
-void discard_unsent(const h2o_http1client_t& client) {
-    if (client.sock == nullptr) {
+void keep_idle(connection* kept, shared_endpoint& shared) {
+    http_client::implementation& owner = *kept->owner;
+    kept->call = nullptr;
+    kept->idle_since = owner.timers.now();
+    shared.idle.push_back(kept);
+    if (!std::exchange(owner.is_checking_idle, true)) {
+        owner.idle_check = owner.timers.after(owner.options.idle_timeout,
+                                              [&owner](instant) { check_idle(owner); });
+    }
+}
+
+void start_waiting(http_client::implementation& owner, shared_endpoint& shared);
+
+/// Gives up the connection of an ending call and lets the next call start.
+void release(open_call& call, bool was_answered) {
+    http_client::implementation& owner = *call.owner;
+    connection* used = std::exchange(call.carrier, nullptr);
+    --owner.open;
+    if (call.shared == nullptr) {
+        if (used != nullptr) {
+            was_answered ? close_connection(used) : reset_connection(used);
+        }
         return;
     }
-    const int descriptor = h2o_socket_get_fd(client.sock);
-    const linger at_once{1, 0};
-    if (descriptor >= 0) {
-        setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+    shared_endpoint& shared = *call.shared;
+    if (used == nullptr) {
+        std::erase(shared.waiting, &call);
+        return;
     }
+    --shared.active;
+    if (!was_answered) {
+        // A path that has gone silent takes all its connections with it.
+        ++shared.generation;
+        close_idle(shared);
+        reset_connection(used);
+    } else if (call.reader.is_reusable() && !used->is_writing &&
+               used->generation == shared.generation) {
+        keep_idle(used, shared);
+    } else {
+        close_connection(used);
+    }
+    start_waiting(owner, shared);
 }
 
-void fail_later(open_call* call) {
-    call->timeout = call->owner->timers.after(
-        duration::zero(), [call](instant) { finish(call, result_without_reply(*call, false)); });
+/// Ends a call.
+void finish(open_call* call, http_result result) {
+    const std::unique_ptr<open_call> owned(call);
+    owned->timeout.cancel();
+    release(*owned, std::holds_alternative<http_reply>(result));
+    owned->done(std::move(result));
 }
 
-/// Calls `function` when the present turn of the loop has ended, whatever the clock says: a process
-/// can be suspended within a turn.
-void after_turn(uv_loop_t* loop, std::function<void()> function) {
-    struct marker {
-        uv_idle_t handle{};
-        std::function<void()> function;
-    };
-    auto* entry = new marker{{}, std::move(function)};
-    uv_idle_init(loop, &entry->handle);
-    entry->handle.data = entry;
-    uv_close(reinterpret_cast<uv_handle_t*>(&entry->handle), [](uv_handle_t* handle) {
-        const std::unique_ptr<marker> ended(static_cast<marker*>(handle->data));
-        ended->function();
-    });
+http_result result_without_reply(const open_call& call, bool refused) {
+    if (call.is_connected) {
+        return http_lost{};
+    }
+    return http_unreachable{refused};
 }
 
-/// Closes and frees a retired pool that no call uses. h2o gives a connection back to its pool after
-/// the callback of the call, and the loop closes the timer of a pool in a later turn.
-void close_retired(http_client::implementation& owner, connection_pool* pool) {
-    after_turn(owner.loop, [&owner, pool] {
-        h2o_socketpool_dispose(&pool->sockets);
-        after_turn(owner.loop, [&owner, pool] {
-            after_turn(owner.loop, [&owner, pool] {
-                std::erase_if(owner.retired,
-                              [pool](const auto& item) { return item.get() == pool; });
-            });
-        });
-    });
+void log_rejected(const open_call& call, http_reply_reader::state state) {
+    const bool large = state == http_reply_reader::state::too_large;
+    http_client::implementation& owner = *call.owner;
+    owner.log.log_repeated(log_level::warning, "reply_rejected", large ? "large" : "malformed",
+                           owner.timers.now(),
+                           {{"address", call.to.address},
+                            {"port", static_cast<std::int64_t>(call.to.port)},
+                            {"reason", large ? "too large" : "not HTTP/1.1, or cut off"}});
 }
 
-void retire(http_client::implementation& owner, shared_endpoint& shared) {
-    connection_pool* pool = shared.pool.get();
-    pool->retired = true;
-    owner.retired.push_back(std::move(shared.pool));
-    if (pool->active == 0) {
-        close_retired(owner, pool);
+void apply_state(open_call* call, http_reply_reader::state state) {
+    switch (state) {
+    case http_reply_reader::state::incomplete:
+        return;
+    case http_reply_reader::state::complete:
+        uv_read_stop(call->carrier->stream());
+        finish(call, call->reader.take_reply());
+        return;
+    case http_reply_reader::state::malformed:
+    case http_reply_reader::state::too_large:
+        log_rejected(*call, state);
+        finish(call, http_lost{});
+        return;
     }
 }
 
-/// Connects a call that has its turn; h2o may take a pooled connection within the call.
-void connect_shared(const endpoint& to, open_call* call) {
-    shared_endpoint& shared = *call->shared;
-    http_client::implementation& owner = *call->owner;
-    if (!shared.pool) {
-        shared.pool = std::make_unique<connection_pool>(owner.loop, to, owner.options.idle_timeout);
+void provide_input(uv_handle_t* handle, std::size_t /*size*/, uv_buf_t* buffer) {
+    auto& input = static_cast<connection*>(handle->data)->owner->input;
+    *buffer = uv_buf_init(input.data(), static_cast<unsigned>(input.size()));
+}
+
+void on_input(uv_stream_t* stream, ssize_t size, const uv_buf_t* buffer) {
+    open_call* call = static_cast<connection*>(stream->data)->call;
+    if (call == nullptr || size == 0) {
+        return;
     }
-    ++shared.active;
-    call->pool = shared.pool.get();
-    ++call->pool->active;
-    call->starting = true;
-    h2o_http1client_connect_with_pool(&call->client, call, &owner.context, &call->pool->sockets,
-                                      on_connect);
-    call->starting = false;
-    if (call->failed_at_start) {
-        fail_later(call);
+    if (size > 0) {
+        apply_state(call, call->reader.read({buffer->base, static_cast<std::size_t>(size)}));
+    } else if (size == UV_EOF && call->reader.end() == http_reply_reader::state::complete) {
+        apply_state(call, http_reply_reader::state::complete);
+    } else {
+        finish(call, http_lost{});
     }
 }
 
-void start_waiting(shared_endpoint& shared, const endpoint& to, std::size_t most) {
-    while (shared.active < most && !shared.waiting.empty()) {
-        open_call* next = shared.waiting.front();
-        shared.waiting.pop_front();
-        connect_shared(to, next);
+void on_written(uv_write_t* writing, int status) {
+    auto* carrier = static_cast<connection*>(writing->data);
+    open_call* call = carrier->call;
+    carrier->is_writing = false;
+    // A peer may answer and close before it has read all; what it sent is still to be read.
+    if (call != nullptr && status != 0 && status != UV_EPIPE && status != UV_ECONNRESET) {
+        finish(call, http_lost{});
     }
 }
 
-/// Gives up what an ending call holds. The next call that waits starts in a turn of its own, when
-/// h2o has given the connection back to the pool.
-void release(open_call& call, bool lost) {
-    http_client::implementation& owner = *call.owner;
-    --owner.open;
-    if (call.shared == nullptr) {
-        return;
+/// Sends the request on a connection and reads the reply. Returns false if the socket fails at
+/// once.
+bool send_request(open_call* call) {
+    connection& carrier = *call->carrier;
+    call->is_connected = true;
+    uv_buf_t buffer =
+        uv_buf_init(call->request.data(), static_cast<unsigned>(call->request.size()));
+    carrier.writing.data = &carrier;
+    if (uv_read_start(carrier.stream(), provide_input, on_input) != 0) {
+        return false;
     }
-    shared_endpoint& shared = *call.shared;
-    if (call.pool == nullptr) {
-        std::erase(shared.waiting, &call);
+    carrier.is_writing = uv_write(&carrier.writing, carrier.stream(), &buffer, 1, on_written) == 0;
+    return carrier.is_writing;
+}
+
+void on_connected(uv_connect_t* connecting, int status) {
+    open_call* call = static_cast<connection*>(connecting->data)->call;
+    if (call == nullptr) {
         return;
     }
-    --shared.active;
-    --call.pool->active;
-    if (call.pool->retired) {
-        if (call.pool->active == 0) {
-            close_retired(owner, call.pool);
+    if (status != 0) {
+        finish(call, result_without_reply(*call, true));
+    } else if (!send_request(call)) {
+        finish(call, http_lost{});
+    }
+}
+
+/// Opens a connection for a call. Returns false if the socket fails at once.
+bool open_connection(open_call* call) {
+    sockaddr_in address{};
+    http_client::implementation& owner = *call->owner;
+    auto* opened = new connection();
+    opened->owner = &owner;
+    opened->generation = call->shared == nullptr ? 0 : call->shared->generation;
+    opened->call = call;
+    opened->socket.data = opened;
+    opened->connecting.data = opened;
+    call->carrier = opened;
+    uv_tcp_init(owner.loop, &opened->socket);
+    return uv_ip4_addr(call->to.address.c_str(), call->to.port, &address) == 0 &&
+           uv_tcp_connect(&opened->connecting, &opened->socket,
+                          reinterpret_cast<const sockaddr*>(&address), on_connected) == 0;
+}
+
+/// Reports the failure of a call in a later turn of the loop, since `call` must not.
+void fail_later(open_call* call) {
+    call->timeout = call->owner->timers.after(
+        duration::zero(), [call](instant) { finish(call, result_without_reply(*call, false)); });
+}
+
+/// Takes the idle connection that was used last and is still open; null when there is none.
+connection* take_idle(shared_endpoint& shared) {
+    while (!shared.idle.empty()) {
+        connection* last = shared.idle.back();
+        shared.idle.pop_back();
+        if (is_alive(*last)) {
+            return last;
         }
-    } else if (lost) {
-        retire(owner, shared);
+        close_connection(last);
+    }
+    return nullptr;
+}
+
+/// Gives a connection to a call that has its turn.
+void start_call(open_call* call) {
+    bool started = false;
+    connection* idle = nullptr;
+    if (call->shared != nullptr) {
+        ++call->shared->active;
+        idle = take_idle(*call->shared);
+    }
+    if (idle != nullptr) {
+        idle->call = call;
+        call->carrier = idle;
+        started = send_request(call);
+    } else {
+        started = open_connection(call);
+    }
+    if (!started) {
+        fail_later(call);
     }
-    if (!shared.waiting.empty()) {
-        owner.timers.once(duration::zero(), [&owner, &shared](instant) {
-            start_waiting(shared, shared.to, owner.options.connections_per_endpoint);
-        });
+}
+
+void start_waiting(http_client::implementation& owner, shared_endpoint& shared) {
+    while (shared.active < owner.options.connections_per_endpoint && !shared.waiting.empty()) {
+        open_call* next = shared.waiting.front();
+        shared.waiting.pop_front();
+        start_call(next);
     }
 }
 
 } // namespace
 
 http_client::http_client(uv_loop_t* loop, timer_service& timers, http_client_options options)
-    : body_(new implementation{loop, timers, options, nullptr, {}, {}, {}, 0, {}, {}, {}}) {
-    body_->queue = h2o_multithread_create_queue(loop);
-    h2o_multithread_register_receiver(body_->queue, &body_->receiver,
-                                      h2o_hostinfo_getaddr_receiver);
-    h2o_timeout_init(loop, &body_->io_timeout, h2o_io_timeout_ms);
-    body_->context.loop = loop;
-    body_->context.getaddr_receiver = &body_->receiver;
-    body_->context.io_timeout = &body_->io_timeout;
-}
+    : body_(new implementation{loop, timers, options, 0, {}, {}, false, {}, {}}) {}
 
 http_client::~http_client() {
-    // h2o keeps pointers into the context until the loop has closed its handles, which happens
-    // only when the process ends.
+    // The loop still holds pointers to the connections and closes them only when the process ends.
     body_.release(); // NOLINT(bugprone-unused-return-value)
 }
 
 void http_client::call(const endpoint& to, const http_call& request, callback done) {
-    const std::size_t most = body_->options.connections_per_endpoint;
-    auto* call = new open_call();
+    const bool shares = body_->options.connections_per_endpoint > 0;
+    auto* call = new open_call(to, body_->options.reply_limit);
     call->done = std::move(done);
-    call->to = to;
-    call->request = serialized(to, request, most > 0);
+    call->request = serialized(to, request, shares);
     call->owner = body_.get();
     ++body_->open;
-    call->timeout = body_->timers.after(request.timeout, [call](instant) {
-        if (call->client != nullptr && !call->failed_at_start) {
-            discard_unsent(*call->client);
-            h2o_http1client_cancel(call->client);
-        }
-        finish(call, result_without_reply(*call, false));
-    });
-    if (most > 0) {
-        auto& shared = body_->endpoints[to];
-        if (!shared) {
-            shared = std::make_unique<shared_endpoint>();
-            shared->to = to;
-        }
-        call->shared = shared.get();
-        shared->waiting.push_back(call);
-        start_waiting(*shared, to, most);
+    call->timeout = body_->timers.after(
+        request.timeout, [call](instant) { finish(call, result_without_reply(*call, false)); });
+    if (!shares) {
+        start_call(call);
         return;
     }
-    h2o_http1client_connect(&call->client, call, &body_->context,
-                            h2o_iovec_init(to.address.data(), to.address.size()), to.port, 0,
-                            on_connect);
-    call->starting = false;
-    if (call->failed_at_start) {
-        fail_later(call);
+    auto& shared = body_->endpoints[to];
+    if (!shared) {
+        shared = std::make_unique<shared_endpoint>();
     }
+    call->shared = shared.get();
+    shared->waiting.push_back(call);
+    start_waiting(*body_, *shared);
 }
 
 std::size_t http_client::open_calls() const {
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -55,7 +55,7 @@
     std::size_t reply_limit = std::size_t{8} * 1024 * 1024;
 };
 
-/// An HTTP/1.1 client built on h2o. A connection carries one call at a time and is closed when its
+/// An HTTP/1.1 client. A connection carries one call at a time and is closed when its
 /// call fails, so that an answer can only belong to the request that was sent on it. After a lost
 /// call, the idle connections to the same endpoint are not used again: one that has gone silent
 /// shows no error of its own.
--- a/tests/malformed_http_test.cpp
+++ b/tests/malformed_http_test.cpp
@@ -185,6 +185,26 @@
     cr_assert(client.open_calls() == 0);
 }
 
+// Guards against a connection that goes on writing the request of a call that has ended.
+Test(malformed_http, reply_before_the_end_of_the_request_is_taken) {
+    const auto loop = *event_loop::create();
+    http_client client(loop->handle(), *loop, {1});
+    auto* server = new raw_server(loop->handle());
+    server->reply = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    server->closes = false;
+    const std::string body(8 << 20, 'x');
+    int answered = 0;
+    for (int call = 0; call < 3; ++call) {
+        client.call(server->address(), {"POST", "/", {}, body, seconds(2)},
+                    [&](const http_result& result) {
+                        answered += std::holds_alternative<http_reply>(result) ? 1 : 0;
+                    });
+    }
+    run_for(*loop, milliseconds(300));
+    cr_assert(answered == 3, "%d answers", answered);
+    cr_assert(server->connections.size() == 3, "a connection with half a request was used again");
+}
+
 // Guards against an entry VM that one client ends.
 Test(malformed_http, server_goes_on_after_odd_requests) {
     const auto loop = *event_loop::create();
