--- a/src/io/fatal_log.cpp
+++ b/src/io/fatal_log.cpp
@@ -107,7 +107,7 @@
 
 /// A stack for the handlers, so that an overflow of the ordinary stack is reported too.
 void use_signal_stack() {
-    static std::array<std::byte, 16384> memory;
+    static std::array<std::byte, 65536> memory;
     stack_t stack{};
     stack.ss_sp = memory.data();
     stack.ss_size = memory.size();
--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -14,7 +14,7 @@
 
 constexpr duration memory_tick_period = seconds(1);
 
-constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
+constexpr std::uint64_t bytes_per_mb = std::uint64_t{1} << 20;
 
 /// Time from failed readiness until the load balancer sends no more requests: it checks once a
 /// second and acts after two failures.
