Resolve host names in the command line tools

Change: the tools resolve the host once, at their start. The process test of the command line asks by name, too. An accessor that nothing used is gone.

--- a/include/citronford/memory_watch.h
+++ b/include/citronford/memory_watch.h
@@ -15,8 +15,6 @@
     /// each further twentieth. Below that, the next rise counts as the first.
     [[nodiscard]] bool observe(std::uint64_t resident_bytes);
 
-    [[nodiscard]] std::uint64_t limit_bytes() const { return limit_bytes_; }
-
   private:
     std::uint64_t limit_bytes_;
     std::uint64_t reported_step_ = 0; ///< In twentieths of the limit.
--- a/tests/process/command_line.sh
+++ b/tests/process/command_line.sh
@@ -91,6 +91,7 @@
 exits 2 state --entry nowhere
 exits 2 defaults set "$work/absent"
 exits 2 job submit j1 --processors many
+succeeds state --entry "localhost:${operators[entry-a-1]##*:}"
 exits 3 state --entry 127.0.0.1:1
 exits 7 defaults set /dev/null
 exits 11 key withdraw nothing
--- a/tools/endpoint_text.h
+++ b/tools/endpoint_text.h
@@ -2,13 +2,34 @@
 
 #include "citronford/endpoint.h"
 
+#include <arpa/inet.h>
+#include <netdb.h>
+#include <sys/socket.h>
+
 #include <charconv>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace citronford {
 
-/// Parses `ADDRESS:PORT`; port 0 when the text is not of this form.
+/// The IPv4 address of a host; empty when it has none. Blocking; for the start of a tool only.
+inline std::string resolve_host(const std::string& host) {
+    addrinfo hints{};
+    hints.ai_family = AF_INET;
+    hints.ai_socktype = SOCK_STREAM;
+    addrinfo* found = nullptr;
+    if (getaddrinfo(host.c_str(), nullptr, &hints, &found) != 0) {
+        return {};
+    }
+    char text[INET_ADDRSTRLEN] = {};
+    const auto* address = reinterpret_cast<const sockaddr_in*>(found->ai_addr);
+    inet_ntop(AF_INET, &address->sin_addr, text, sizeof(text));
+    freeaddrinfo(found);
+    return text;
+}
+
+/// Parses `HOST:PORT`; port 0 when the text is not of this form or the host has no address.
 inline endpoint parse_endpoint(std::string_view text) {
     const auto colon = text.rfind(':');
     if (colon == std::string_view::npos) {
@@ -20,7 +41,11 @@
     if (error != std::errc() || end != digits.data() + digits.size()) {
         return {};
     }
-    return {std::string(text.substr(0, colon)), port};
+    std::string address = resolve_host(std::string(text.substr(0, colon)));
+    if (address.empty()) {
+        return {};
+    }
+    return {std::move(address), port};
 }
 
 } // namespace citronford
