Count the VMs that an earlier owner took down for a wave

Cause: a new owner restores the VMs that the record of its predecessor names as maintained, or knows nothing of them, and counts only its own orders. Orders to VMs that were up begin 1.5 s after a takeover, and maintenance takes 2 s, so the predecessor's last VMs can still be down.

Change: a VM of the wave that the list shows in maintenance counts as down, whoever ordered it.

--- a/include/citronford/wave_planner.h
+++ b/include/citronford/wave_planner.h
@@ -115,7 +115,11 @@
     void advance_orders(wave_state& wave, const wave_view& view, instant now,
                         std::vector<wave_effect>& effects) const;
     /// VMs that may be down for an order of the wave.
-    [[nodiscard]] std::ptrdiff_t count_unavailable(const wave_state& wave) const;
+    /// Whether a VM may be down for its maintenance, by an order of this owner or of an earlier
+    /// one.
+    [[nodiscard]] bool may_be_down(const vm_order_entry& entry, const wave_view& view) const;
+    [[nodiscard]] std::ptrdiff_t count_unavailable(const wave_state& wave,
+                                                   const wave_view& view) const;
     void choose_vms(wave_state& wave, const wave_view& view, instant now,
                     std::vector<wave_effect>& effects) const;
     void publish_and_save(wave_state& wave, std::vector<wave_effect>& effects) const;
--- a/src/decide/maintenance/wave_planner.cpp
+++ b/src/decide/maintenance/wave_planner.cpp
@@ -167,16 +167,26 @@
         const bool forced = is_urgent && now >= entry.recorded_at + options_.drain_time &&
                             load != nullptr && load->long_running == 0;
         if ((empty || forced) && vm->state == fleet_vm::condition::up &&
-            count_unavailable(wave) < static_cast<std::ptrdiff_t>(wave.order.max_concurrent)) {
+            count_unavailable(wave, view) <
+                static_cast<std::ptrdiff_t>(wave.order.max_concurrent)) {
             step(wave, entry, vm_order_due{}, now, effects);
         }
     }
 }
 
-std::ptrdiff_t wave_planner::count_unavailable(const wave_state& wave) const {
-    return std::ranges::count_if(wave.members, [this](const vm_order_entry& entry) {
-        return cycle_.may_be_unavailable(entry);
-    });
+bool wave_planner::may_be_down(const vm_order_entry& entry, const wave_view& view) const {
+    if (cycle_.may_be_unavailable(entry)) {
+        return true;
+    }
+    // The record of an earlier owner does not tell whether its VMs are back.
+    const fleet_vm* vm = view.fleet.vm(entry.vm);
+    return vm != nullptr && vm->state == fleet_vm::condition::in_maintenance;
+}
+
+std::ptrdiff_t wave_planner::count_unavailable(const wave_state& wave,
+                                               const wave_view& view) const {
+    return std::ranges::count_if(
+        wave.members, [&](const vm_order_entry& entry) { return may_be_down(entry, view); });
 }
 
 void wave_planner::choose_vms(wave_state& wave, const wave_view& view, instant now,
@@ -190,7 +200,7 @@
     }
     std::size_t in_progress = 0;
     for (const vm_order_entry& entry : wave.members) {
-        if (cycle_.in_state(entry, "closing") || cycle_.may_be_unavailable(entry)) {
+        if (cycle_.in_state(entry, "closing") || may_be_down(entry, view)) {
             ++in_progress;
             const fleet_vm* vm = view.fleet.vm(entry.vm);
             if (vm != nullptr) {
--- a/tests/wave_planner_test.cpp
+++ b/tests/wave_planner_test.cpp
@@ -86,6 +86,31 @@
     cr_assert(fixture.ordered.size() == 2, "no orders although both VMs are back");
 }
 
+// Guards against a new owner that adds its own orders to those of an earlier owner, whose VMs are
+// still down, recorded or not.
+Test(wave_planner, counts_the_vms_that_an_earlier_owner_took_down) {
+    for (const bool recorded : {false, true}) {
+        wave_fixture fixture(6);
+        fixture.order(2);
+        for (const int down : {0, 1}) {
+            fixture.vms[down].state = fleet_vm::condition::in_maintenance;
+            fixture.vms[down].backend = {};
+        }
+        if (recorded) {
+            fixture.waves.restore({1, begun_unix_ms, {vm_id("m0"), vm_id("m1")}}, begun_unix_ms,
+                                  fixture.now);
+        }
+        fixture.plan();
+        fixture.plan();
+        cr_assert(fixture.ordered.empty(), "%zu orders beside two VMs that are down",
+                  fixture.ordered.size());
+        fixture.vms[0].state = fleet_vm::condition::up;
+        fixture.plan();
+        fixture.plan();
+        cr_assert(fixture.ordered.size() == 1, "%zu orders", fixture.ordered.size());
+    }
+}
+
 // Guards against maintenance that ends tasks of callers while the wave has time to wait for them.
 Test(wave_planner, waits_until_a_server_is_empty) {
     wave_fixture fixture(1);
