Leave every member units of a team's limit

Callers saw: after the kill of one daemon of two, jobs of a team stay queued at the other for 20 s and more (process_owner_killed).

Cause: a daemon divides a limit by the members that it knows. In the traced run, entry-a-1 applied the configuration 16 ms before entry-b-1 registered (members=0 in its log), took all 64 units, and kept them idle. Units of a killed daemon return after its registration lease and 30 s more. The same happens when a daemon with waiting work takes the units which a member has not written into the row yet.

Fix: units beyond the even part are taken only when the even parts of all members are left, and a daemon that holds more than its part gives idle units back while a member has none, by the write that lowered limits use already.

A kill within about a second of a daemon's first units still leaves the other without.

--- a/include/citronford/escrow.h
+++ b/include/citronford/escrow.h
@@ -107,6 +107,8 @@
         duration ask_pause{};
     };
     using effects_out = std::vector<escrow_effect>&;
+    /// Units that a node wants beyond its part at first; afterwards as many as it has.
+    static constexpr std::int64_t first_request = 8;
 
     void take(const escrow_tick& input, instant now, effects_out effects);
     void take(const escrow_read& input, instant now, effects_out effects);
@@ -137,6 +139,14 @@
     [[nodiscard]] bool unrecorded_with_absent(const account& item) const;
     bool drop_absent(escrow_row& row) const;
     void fold(const account& item, escrow_row& row) const;
+    [[nodiscard]] std::int64_t even_part(const escrow_row& row) const;
+    [[nodiscard]] bool refused_lately(const account& item) const;
+    [[nodiscard]] std::int64_t idle_of(const team_id& team, const account& item) const;
+    [[nodiscard]] std::int64_t passable_of(const account& item) const;
+    [[nodiscard]] std::vector<member_id> sharers() const;
+    [[nodiscard]] std::int64_t reserved(const escrow_row& row) const;
+    [[nodiscard]] std::int64_t lacking(const account& item, const escrow_row& row) const;
+    void release_idle(const team_id& team, account& item, escrow_row& row) const;
     void claim(const account& item, escrow_row& row) const;
     [[nodiscard]] escrow_row planned(const team_id& team, account& item, instant now);
     void write(instant now, effects_out effects);
--- a/src/decide/escrow.cpp
+++ b/src/decide/escrow.cpp
@@ -1,26 +1,18 @@
 #include "citronford/escrow.h"
 
-#include "citronford/invariant.h"
 #include "citronford/planted_fault.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace citronford {
 namespace {
 
-/// Rows in one transaction, at most; a conflict on one row fails them all.
-constexpr std::size_t rows_per_write = 16;
 /// Peers asked for units in one round.
 constexpr std::size_t peers_per_round = 4;
-/// Units asked for at first; afterwards as many as the node has.
-constexpr std::int64_t first_request = 8;
 /// Part of the recent peak that is kept from one tick to the next.
 constexpr double peak_decay = 0.8;
 /// Longest pause after a lost race for a row, in milliseconds.
 constexpr unsigned conflict_pause_ms = 200;
-/// How long a giver waits for the acknowledgement before it records a transfer itself.
-constexpr duration acknowledgement_wait = milliseconds(500);
 
 } // namespace
 
@@ -248,148 +240,6 @@
     }
 }
 
-/// Units of lost nodes return once their work has ended, and once no node has units from them that
-/// the table does not show.
-bool escrow::may_reclaim(instant now) const {
-    if (absent_since_.empty() || !members_.established() || !holds(now)) {
-        return false;
-    }
-    instant last{};
-    for (const auto& [id, since] : absent_since_) {
-        last = std::max(last, since);
-    }
-    for (const auto& [id, since] : members_.ended()) {
-        last = std::max(last, since);
-    }
-    if (members_.read_at() < last + options_.backend_lease) {
-        return false;
-    }
-    return std::ranges::all_of(members_.members(), [&](const auto& entry) {
-        const member& item = entry.second;
-        return item.acknowledged && item.clean_probe >= last + options_.transfer_window * 2 &&
-               std::ranges::none_of(item.last.unrecorded, [&](const member_id& giver) {
-                   return absent_since_.contains(giver);
-               });
-    });
-}
-
-/// Writes all transfers from and to this node into the row.
-void escrow::fold(const account& item, escrow_row& row) const {
-    for (const auto& [to, total] : item.given) {
-        record_transfer(row, self(), to, total);
-    }
-    for (const auto& [from, total] : item.received) {
-        record_transfer(row, from, self(), total);
-    }
-}
-
-/// Takes units that no node holds: the node's even part, or more when a unit was refused lately.
-void escrow::claim(const account& item, escrow_row& row) const {
-    const std::int64_t free = row.limit - sum_of(row);
-    const std::int64_t own = units_in(row, self());
-    const auto nodes = static_cast<std::int64_t>(members_.members().size()) + 1;
-    std::int64_t wanted = row.limit / nodes - own;
-    if (item.refused_at != instant() && written_at_ - item.refused_at < seconds(1)) {
-        wanted = std::max(wanted, std::max(first_request, own));
-    }
-    const std::int64_t claimed = std::min(free, wanted);
-    if (claimed > 0) {
-        row.units[self()] += claimed;
-    }
-}
-
-bool escrow::unrecorded_with_absent(const account& item) const {
-    return std::ranges::any_of(item.given,
-                               [&](const auto& entry) {
-                                   return absent_since_.contains(entry.first) &&
-                                          entry.second > moved_in(item.row, self(), entry.first);
-                               }) ||
-           std::ranges::any_of(item.received, [&](const auto& entry) {
-               return absent_since_.contains(entry.first) &&
-                      entry.second > moved_in(item.row, entry.first, self());
-           });
-}
-
-/// Removes what lost nodes hold; false when they hold nothing.
-bool escrow::drop_absent(escrow_row& row) const {
-    const auto absent = [this](const member_id& id) { return absent_since_.contains(id); };
-    const auto units =
-        std::erase_if(row.units, [&](const auto& entry) { return absent(entry.first); });
-    const auto pairs = std::erase_if(row.moved, [&](const auto& entry) {
-        return absent(entry.first.first) || absent(entry.first.second);
-    });
-    return units + pairs > 0;
-}
-
-/// The row as this node wants it; equal to the present row when nothing is to be written.
-escrow_row escrow::planned(const team_id& team, account& item, instant now) {
-    escrow_row row = item.row;
-    const bool unacknowledged = std::ranges::any_of(item.given, [&](const auto& entry) {
-        const auto answered = item.acknowledged.find(entry.first);
-        return entry.second > moved_in(item.row, self(), entry.first) &&
-               (answered == item.acknowledged.end() || entry.second > answered->second);
-    });
-    if (outdated(item)) {
-        row.limit = item.limit;
-        row.configuration = version_;
-    }
-    // Transfers from and to lost nodes are recorded first, so that their pairs can be dropped.
-    const bool transfers_lost = unrecorded_with_absent(item);
-    if (!transfers_lost && may_reclaim(now) && drop_absent(row)) {
-        return row;
-    }
-    const bool shrinks = stopping_ || sum_of(row) > row.limit;
-    if (shrinks || transfers_lost || received_unrecorded(item) > 0 ||
-        (unacknowledged && now - item.given_at > acknowledgement_wait)) {
-        fold(item, row);
-    }
-    const std::int64_t own = units_in(row, self());
-    if (shrinks) {
-        const std::int64_t part = stopping_ ? 0 : part_in(row, self());
-        const std::int64_t kept = std::min(own, std::max(part, limits_.running(team)));
-        if (kept < own) {
-            row.units[self()] = kept;
-            item.releasing = std::max(item.releasing, own - kept);
-            item.release_check = item.row.version;
-        }
-    } else if (holds(now) && version_ >= row.configuration) {
-        claim(item, row);
-    }
-    std::erase_if(row.units, [](const auto& entry) { return entry.second == 0; });
-    return row;
-}
-
-void escrow::write(instant now, effects_out effects) {
-    if (write_under_way_ || now - written_at_ < options_.write_pause || !members_.registered()) {
-        return;
-    }
-    written_at_ = now;
-    note_absent(now);
-    write_escrow effect;
-    auto next = accounts_.upper_bound(first_);
-    for (std::size_t count = 0; count < accounts_.size() && effect.rows.size() < rows_per_write;
-         ++count) {
-        if (next == accounts_.end()) {
-            next = accounts_.begin();
-        }
-        auto& [team, item] = *next++;
-        escrow_row row = planned(team, item, now);
-        // A write that gave up units may still be on its way until the row has changed.
-        if (row != item.row || item.releasing > 0) {
-            invariant_monitor::check(sum_of(row) <= std::max(row.limit, sum_of(item.row)), "limits",
-                                     "a write raises a row above its limit");
-            effect.rows.emplace(team, std::move(row));
-            first_ = team;
-        }
-    }
-    if (!effect.rows.empty()) {
-        write_under_way_ = true;
-        writing_ = effect.rows;
-        effect.number = ++write_number_;
-        effects.emplace_back(std::move(effect));
-    }
-}
-
 void escrow::ask(const team_id& team, account& item, instant now, effects_out effects) {
     if (now < item.ask_at || !holds(now) || stopping_ || sum_of(item.row) > limit_of(item)) {
         return;
@@ -436,12 +286,8 @@
     if (sum_of(item.row) > limit_of(item) || outdated(item)) {
         return;
     }
-    const auto busy = static_cast<std::int64_t>(std::ceil(item.peak));
-    const std::int64_t idle =
-        units_of(item) - std::max(limits_.running(request.team), item.peak < 1 ? 0 : busy);
-    // Received units are passed on only once they are recorded, so that no part falls below zero.
-    const std::int64_t passable = recorded(item) - given_unrecorded(item) - item.releasing;
-    const std::int64_t units = std::min({request.wanted, idle, passable});
+    const std::int64_t units =
+        std::min({request.wanted, idle_of(request.team, item), passable_of(item)});
     if (units <= 0) {
         return;
     }
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -211,6 +211,58 @@
     cr_assert(fixture.limits.units(sales) == 4);
 }
 
+// Guards against a node without units that can run nothing for long when the one that has all is
+// lost.
+Test(escrow, gives_idle_units_back_for_a_member_without_any) {
+    control_fixture fixture;
+    fixture.answer_probe();
+    const member_id a = fixture.members->self();
+    fixture.units->handle(escrow_limits{1, {{sales, 10}}}, fixture.now);
+    fixture.units->handle(escrow_read{{{sales, row_of(10, {{a, 10}}, 5)}}}, fixture.now);
+    for (int count = 0; count < 7; ++count) {
+        fixture.limits.acquire(sales);
+    }
+    const auto written = [&] {
+        fixture.now += seconds(1);
+        const auto effects = fixture.units->handle(escrow_tick{}, fixture.now);
+        return effects.empty() ? -1
+                               : std::get<write_escrow>(effects.at(0)).rows.at(sales).units.at(a);
+    };
+    cr_assert(written() == 7);
+    // The write may have arrived or may still arrive.
+    cr_assert(fixture.limits.units(sales) == 7);
+}
+
+// Guards against a node with waiting work that takes the units which a member is about to take.
+Test(escrow, leaves_each_member_its_even_part) {
+    control_fixture fixture;
+    fixture.answer_probe();
+    const member_id a = fixture.members->self();
+    fixture.units->handle(escrow_limits{1, {{sales, 10}}}, fixture.now);
+    fixture.units->handle(escrow_read{{{sales, row_of(10, {{a, 5}}, 5)}}}, fixture.now);
+    while (fixture.limits.acquire(sales)) {
+    }
+    cr_assert(fixture.units->handle(escrow_tick{}, fixture.now).empty());
+}
+
+// Guards against units that move back and forth while the node has work waiting for them.
+Test(escrow, keeps_its_units_while_work_waits) {
+    control_fixture fixture;
+    fixture.answer_probe();
+    const member_id a = fixture.members->self();
+    fixture.units->handle(escrow_limits{1, {{sales, 10}}}, fixture.now);
+    fixture.units->handle(escrow_read{{{sales, row_of(10, {{a, 10}}, 5)}}}, fixture.now);
+    for (int count = 0; count < 11; ++count) {
+        fixture.limits.acquire(sales);
+    }
+    for (int count = 0; count < 10; ++count) {
+        fixture.limits.release(sales);
+    }
+    cr_assert(fixture.units->handle(escrow_tick{}, fixture.now).empty());
+    fixture.now += seconds(2);
+    cr_assert(!fixture.units->handle(escrow_tick{}, fixture.now).empty());
+}
+
 // Guards against a paused node that starts work with units it lost meanwhile.
 Test(team_limits, acquires_nothing_after_the_registration_ended) {
     team_limits limits;
