--- a/tests/deploy/check_packages.sh
+++ b/tests/deploy/check_packages.sh
@@ -18,8 +18,7 @@
 
 copy=$work/copy
 mkdir "$copy"
-git -C "$source_folder" ls-files -z --cached --others --exclude-standard |
-    (cd "$source_folder" && xargs -0 cp --parents -t "$copy")
+git -C "$source_folder" ls-files -z | (cd "$source_folder" && xargs -0 cp --parents -t "$copy")
 # The build needs no test and none of their tools.
 rm -rf "$copy"/{tests,benchmark,docs,journal,scripts,tools,.ci}
 read -r -a packages <<<"$(sed -n 's/^packages = \[\(.*\)\]$/\1/p' "$copy/deploy/system.toml" | tr -d '",')"
--- a/tests/deploy/planted_needs.sh
+++ b/tests/deploy/planted_needs.sh
@@ -22,6 +22,7 @@
             'add_executable(program main.cpp)' 'target_link_libraries(program xxhash)' "$@"
     } >"$folder/CMakeLists.txt"
     git -C "$folder" init -q
+    git -C "$folder" add .
 }
 listed='"g++", "cmake", "ninja-build", "libxxhash-dev"'
 archive=$(dpkg -L librapidcheck-dev | grep "/librapidcheck\.a$")
