Give idle units back only for members that never had any

Cause: gave units back for every member without units; a member without work gives its units away on request, so they went back and forth by table writes. The rule is meant for a member that has just joined, which stands neither in the units nor in the transfers of the row.

--- a/include/citronford/escrow.h
+++ b/include/citronford/escrow.h
@@ -143,9 +143,7 @@
     [[nodiscard]] bool refused_lately(const account& item) const;
     [[nodiscard]] std::int64_t idle_of(const team_id& team, const account& item) const;
     [[nodiscard]] std::int64_t passable_of(const account& item) const;
-    [[nodiscard]] std::vector<member_id> sharers() const;
-    [[nodiscard]] std::int64_t reserved(const escrow_row& row) const;
-    [[nodiscard]] std::int64_t lacking(const account& item, const escrow_row& row) const;
+    [[nodiscard]] std::int64_t reserved(const account& item, const escrow_row& row) const;
     void release_idle(const team_id& team, account& item, escrow_row& row) const;
     void claim(const account& item, escrow_row& row) const;
     [[nodiscard]] escrow_row planned(const team_id& team, account& item, instant now);
--- a/src/decide/escrow_division.cpp
+++ b/src/decide/escrow_division.cpp
@@ -73,46 +73,30 @@
     return recorded(item) - given_unrecorded(item) - item.releasing;
 }
 
-/// Members that take part in dividing the limits.
-std::vector<member_id> escrow::sharers() const {
-    std::vector<member_id> result;
-    for (const auto& [node, peer] : members_.members()) {
-        if (!peer.left && !peer.refused) {
-            result.push_back(peer.registration.member);
-        }
-    }
-    return result;
-}
-
-/// What members lack of their even part, in all.
-std::int64_t escrow::reserved(const escrow_row& row) const {
+/// Even parts of the members that never had units of the row. A member that had some and gave them
+/// away asks for units when it has work.
+std::int64_t escrow::reserved(const account& item, const escrow_row& row) const {
     std::int64_t sum = 0;
-    for (const member_id& id : sharers()) {
-        sum += std::max<std::int64_t>(0, even_part(row) - units_in(row, id));
+    for (const auto& [node, peer] : members_.members()) {
+        const member_id& id = peer.registration.member;
+        const bool known = row.units.contains(id) || item.given.contains(id) ||
+                           std::ranges::any_of(row.moved, [&](const auto& entry) {
+                               return entry.first.first == id || entry.first.second == id;
+                           });
+        sum += peer.left || peer.refused || known ? 0 : even_part(row);
     }
     return sum;
 }
 
-/// What members that have no units lack of their even part, beyond the units that no node holds.
-std::int64_t escrow::lacking(const account& item, const escrow_row& row) const {
-    std::int64_t sum = 0;
-    for (const member_id& id : sharers()) {
-        const auto given = item.given.find(id);
-        const bool on_way = given != item.given.end() && given->second > moved_in(row, self(), id);
-        sum += units_in(row, id) > 0 || on_way ? 0 : even_part(row);
-    }
-    return sum - (row.limit - sum_of(row));
-}
-
-/// Gives idle units back for members that have none: a node that first saw the team alone took the
-/// whole limit, and if it is lost, its units return to nobody before its work has surely ended.
+/// Gives idle units back for members that never had any: a node that first saw the team alone took
+/// the whole limit, and if it is lost, its units return to nobody before its work has surely ended.
 void escrow::release_idle(const team_id& team, account& item, escrow_row& row) const {
     if (item.releasing > 0 || refused_lately(item)) {
         return;
     }
+    const std::int64_t lacking = reserved(item, row) - (row.limit - sum_of(row));
     const std::int64_t surplus = units_in(row, self()) - even_part(row);
-    const std::int64_t units =
-        std::min({lacking(item, row), surplus, idle_of(team, item), passable_of(item)});
+    const std::int64_t units = std::min({lacking, surplus, idle_of(team, item), passable_of(item)});
     if (units > 0) {
         row.units[self()] -= units;
         item.releasing = units;
@@ -121,7 +105,7 @@
 }
 
 /// Takes units that no node holds: the node's even part and, when a unit was refused lately, more
-/// of what is left beyond the even parts of the members.
+/// of what is left beyond the parts of members that had none yet.
 void escrow::claim(const account& item, escrow_row& row) const {
     const std::int64_t free = row.limit - sum_of(row);
     const std::int64_t own = units_in(row, self());
@@ -129,7 +113,8 @@
         std::clamp<std::int64_t>(even_part(row) - own, 0, std::max<std::int64_t>(0, free));
     if (refused_lately(item)) {
         const std::int64_t wanted = std::max(first_request, own) - claimed;
-        claimed += std::max<std::int64_t>(0, std::min(wanted, free - claimed - reserved(row)));
+        claimed +=
+            std::max<std::int64_t>(0, std::min(wanted, free - claimed - reserved(item, row)));
     }
     if (claimed > 0) {
         row.units[self()] += claimed;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -233,6 +233,19 @@
     cr_assert(fixture.limits.units(sales) == 7);
 }
 
+// Guards against table writes without end: a member that gives its units away on request gets them
+// back.
+Test(escrow, gives_nothing_back_for_a_member_that_gave_its_units_away) {
+    control_fixture fixture;
+    fixture.answer_probe();
+    const member_id a = fixture.members->self();
+    escrow_row row = row_of(10, {{a, 10}}, 5);
+    row.moved[{fixture.b, a}] = 5;
+    fixture.units->handle(escrow_limits{1, {{sales, 10}}}, fixture.now);
+    fixture.units->handle(escrow_read{{{sales, row}}}, fixture.now);
+    cr_assert(fixture.units->handle(escrow_tick{}, fixture.now).empty());
+}
+
 // Guards against a node with waiting work that takes the units which a member is about to take.
 Test(escrow, leaves_each_member_its_even_part) {
     control_fixture fixture;
