--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -9,6 +9,7 @@
 #include <sys/wait.h>
 
 #include <array>
+#include <iomanip>
 #include <iostream>
 #include <sstream>
 
@@ -25,6 +26,7 @@
     std::uint16_t figures = 0;
     std::string settings;
     pid_t pid = 0;
+    std::int64_t down_since_ms = -1; ///< Set when the platform has ended the process.
 };
 
 /// The exit codes of a case.
@@ -49,6 +51,7 @@
     static constexpr const char* key = "key-of-a";
     static constexpr const char* service = "pool-1";
     static constexpr std::int64_t hold_max_ms = 6000;
+    static constexpr std::int64_t memory_mb = 260;
 
     explicit deployment(const std::string& folder, const std::string& work)
         : log(folder + "/record.txt"), rows_(log), work_(work) {
@@ -171,6 +174,51 @@
                                                         : std::to_string(reply.status);
     }
 
+    /// The platform's limit on the memory of a process: ends each one that exceeds it, and starts
+    /// it again after a second. Returns how many processes were ended.
+    int enforce_memory_limit() {
+        int ended = 0;
+        for (entry_vm& vm : vms) {
+            if (vm.pid == 0 && vm.down_since_ms >= 0 && log.now_ms() > vm.down_since_ms + 1000) {
+                vm.down_since_ms = -1;
+                launch(vm);
+                continue;
+            }
+            const std::int64_t used_mb = resident_mb(vm);
+            if (used_mb > memory_mb) {
+                log.write("platform: ends " + vm.name + ", which uses " + std::to_string(used_mb) +
+                          " MB of " + std::to_string(memory_mb));
+                stop(vm);
+                vm.down_since_ms = log.now_ms();
+                ++ended;
+            }
+        }
+        return ended;
+    }
+
+    static std::int64_t resident_mb(const entry_vm& vm) {
+        std::ifstream status("/proc/" + std::to_string(vm.pid) + "/status");
+        std::string word;
+        std::int64_t kilobytes = 0;
+        while (vm.pid > 0 && status >> word) {
+            if (word == "VmRSS:") {
+                status >> kilobytes;
+                break;
+            }
+        }
+        return kilobytes / 1024;
+    }
+
+    /// Adds the rows that `count` jobs like the ended job `id` have left in the store.
+    std::size_t add_past_jobs(const std::string& id, std::size_t count) {
+        return rows_.add_past_rows(id, count, [](std::size_t number) {
+            std::ostringstream name;
+            name << std::hex << std::setw(16) << std::setfill('0')
+                 << (number + 1) * 0x9e3779b97f4a7c15U;
+            return name.str();
+        });
+    }
+
     template <class Condition> bool wait_until(std::int64_t limit_ms, Condition condition) {
         const std::int64_t end = log.now_ms() + limit_ms;
         while (log.now_ms() < end) {
@@ -288,7 +336,7 @@
             {"Zone", vm.zone},
             {"Limits.CpuShare", "0.25"},
             {"Limits.LinkMbps", "1000.0"},
-            {"Limits.MemoryMb", "260"},
+            {"Limits.MemoryMb", std::to_string(memory_mb)},
             {"Listen.Front", ip + ":" + std::to_string(vm.front)},
             {"Listen.Ready", ip + ":" + std::to_string(vm.ready)},
             {"Ip", ip},
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -89,10 +89,35 @@
     void put(const std::string& table, const std::string& key, const json& value) {
         const std::lock_guard lock(mutex_);
         ++version_;
-        rows_[{table, "", key}] = {to_base64(value.dump()), version_, false};
+        write({table, "", key}, {to_base64(value.dump()), version_, false});
         changed_.notify_all();
     }
 
+    /// Adds rows as they were written in the past: for each row whose key is `key`, one with the
+    /// same table, part and value, and the key `name(number)` for each number below `count`.
+    /// Returns how many rows of `key` there are.
+    std::size_t add_past_rows(const std::string& key, std::size_t count,
+                              const std::function<std::string(std::size_t)>& name) {
+        std::vector<std::pair<location, row>> found;
+        {
+            const std::lock_guard lock(mutex_);
+            for (const auto& [at, present] : rows_) {
+                if (std::get<2>(at) == key && !present.dropped) {
+                    found.emplace_back(at, present);
+                }
+            }
+        }
+        for (const auto& [at, present] : found) {
+            for (std::size_t number = 0; number < count; ++number) {
+                // Calls are served meanwhile.
+                const std::lock_guard lock(mutex_);
+                write({std::get<0>(at), std::get<1>(at), name(number)},
+                      {present.value, ++past_version_, false});
+            }
+        }
+        return found.size();
+    }
+
     [[nodiscard]] std::uint64_t oversized() const { return oversized_; }
 
   private:
@@ -103,6 +128,15 @@
         bool dropped = false;
     };
 
+    void write(const location& at, row present) {
+        const auto [place, added] = rows_.try_emplace(at);
+        if (!added) {
+            by_version_.erase({place->second.version, at});
+        }
+        by_version_.emplace(present.version, at);
+        place->second = std::move(present);
+    }
+
     static location location_of(const json& entry) {
         return {entry.at("Table"), entry.value("part", ""), entry.at("Key")};
     }
@@ -181,12 +215,12 @@
         }
         ++version_;
         for (const json& entry : puts) {
-            rows_[location_of(entry)] = {entry.at("Value"), version_, false};
+            write(location_of(entry), {entry.at("Value"), version_, false});
         }
         for (const json& entry : removals) {
             const auto found = rows_.find(location_of(entry));
             if (found != rows_.end()) {
-                found->second = {"", version_, true};
+                write(found->first, {"", version_, true});
             }
         }
         changed_.notify_all();
@@ -239,18 +273,17 @@
         const auto deadline = clock::now() + std::chrono::milliseconds(wait_ms);
         std::unique_lock lock(mutex_);
         while (true) {
-            std::map<std::pair<std::uint64_t, location>, const row*> changes;
-            for (auto at = rows_.lower_bound({table, "", ""});
-                 at != rows_.end() && std::get<0>(at->first) == table; ++at) {
-                if (at->second.version > after) {
-                    changes.emplace(std::pair(at->second.version, at->first), &at->second);
+            std::vector<const location*> changes;
+            for (auto at = by_version_.upper_bound({after, {}}); at != by_version_.end(); ++at) {
+                if (at->first > after && std::get<0>(at->second) == table) {
+                    changes.push_back(&at->second);
                 }
             }
             if (!changes.empty() || clock::now() >= deadline) {
                 json reply = tail();
                 reply["rows"] = json::array();
-                for (const auto& [order, present] : changes) {
-                    reply["rows"].push_back(shown(order.second, *present));
+                for (const location* at : changes) {
+                    reply["rows"].push_back(shown(*at, rows_.at(*at)));
                 }
                 return {200, reply.dump()};
             }
@@ -263,7 +296,9 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<location, row> rows_;
-    std::uint64_t version_ = 0;
+    std::set<std::pair<std::uint64_t, location>> by_version_;
+    std::uint64_t past_version_ = 0;
+    std::uint64_t version_ = 10000000; ///< Lower versions are those of the past.
     std::uint64_t oversized_ = 0;
 };
 
