Keep a server that was read until its pool is recovered

A new owner reads a server with all that it runs, and the runs become its own only when the pool is recovered. A server whose registration expired between the two was dropped with its reply, because it had no runs yet, and its tasks were started again while the first runs went on.

The entry now stays until the reply is applied; its runs then count until their leases end. When the leases of a server expire before the recovery, the runs that its reply names are dropped, and a replaced server goes at once. New log events: backend_read (what the first reply named), backend_forgotten.

dispatcher_recovery_test: 3 of 9 tests fail on the code before (the registration expires, comes back, and a failure that had been read); the others show the related paths that held: gone for good, leases expired before the recovery, restarted or replaced behind the cut, unread when the registration expires, cut off from this owner only.

--- a/src/decide/dispatch/backend_entry.h
+++ b/src/decide/dispatch/backend_entry.h
@@ -54,7 +54,7 @@
     bool incarnation_confirmed = false;
     bool has_strays = false; ///< The last reply contained runs that are not tracked.
     unsaved_completions completions;
-    /// Reply to the first poll, kept until the pool is recovered.
+    /// Latest reply before the pool is recovered, kept until then.
     std::optional<poll_reply> initial_reply;
 
     bool poll_wanted = false; ///< Tasks wait and the last contact is not recent.
--- a/src/decide/dispatch/dispatcher_polling.cpp
+++ b/src/decide/dispatch/dispatcher_polling.cpp
@@ -66,6 +66,9 @@
 }
 
 void dispatcher::implementation::expire_runs(backend_entry& server) {
+    if (server.initial_reply) {
+        server.initial_reply->running.clear();
+    }
     const std::vector<task_run*> snapshot = server.runs;
     for (task_run* run : snapshot) {
         process_run_event(*run, lease_expired{});
@@ -132,6 +135,12 @@
     server.poll_wanted = false;
     process_contact_event(server, poll_succeeded{});
     if (!server.pool->recovered) {
+        if (!server.initial_reply) {
+            log("backend_read", {}, server.registration.id,
+                "running=" + std::to_string(reply.running.size()) +
+                    " completions=" + std::to_string(reply.completions.size()) +
+                    (reply.has_all_completions ? "" : " and more"));
+        }
         // The first poll learns the server's clock; the next one, shortly after, renews the lease.
         // Polls beyond what the leases need would saturate the link of a small VM with the replies
         // of all servers.
@@ -317,14 +326,23 @@
             process_contact_event(*server, own_leases_expired{});
         }
         const bool unneeded = !server->registered || contact_is(*server, "gone");
-        if (unneeded && server->runs.empty() && !server->poll_pending &&
-            server->completions.empty() && !contact_is(*server, "unread")) {
+        if (unneeded && !may_hold_work(*server)) {
             remove_server(*server);
         }
     }
 }
 
+bool dispatcher::implementation::may_hold_work(const backend_entry& server) const {
+    // Runs that the reply names become runs of this owner only when the pool is recovered.
+    const bool has_unapplied_reply =
+        server.initial_reply && !server.pool->recovered && !contact_is(server, "gone");
+    return !server.runs.empty() || server.poll_pending || !server.completions.empty() ||
+           has_unapplied_reply || contact_is(server, "unread");
+}
+
 void dispatcher::implementation::remove_server(const backend_entry& server) {
+    log("backend_forgotten", {}, server.registration.id,
+        std::string(contact_machine_.name_of(server.contact)));
     // Keeps the entry until nothing refers to it.
     const auto removed = servers_.extract(server.registration.id);
     const backend_id& id = removed.key();
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -171,6 +171,8 @@
     void update_contacts();
     /// Keeps `unsettled_` and `leaving_` in line with the state of `server`.
     void update_watch_lists(backend_entry& server);
+    /// Whether a server that is not used any more may still run tasks or hold their completions.
+    [[nodiscard]] bool may_hold_work(const backend_entry& server) const;
     void remove_server(const backend_entry& server);
     void record_run_result(backend_entry& server, bool failed);
     [[nodiscard]] bool contact_is(const backend_entry& server, std::string_view state) const {
--- /dev/null
+++ b/tests/dispatcher_recovery_test.cpp
@@ -0,0 +1,189 @@
+#include "dispatch_fixture.h"
+
+#include <algorithm>
+
+using namespace citronford;
+
+namespace {
+
+/// A new owner that has read two servers of a pool that it has not recovered, since workflows are
+/// still being loaded. The second one runs the task of a stored workflow.
+struct recovery_fixture : dispatch_fixture {
+    recovery_fixture() {
+        register_backend(first);
+        register_backend(second);
+        add_workflow(job, true);
+        handle(backends_loaded{});
+        tick();
+        answer_poll(first, {}, {});
+        answer_poll(second, {reported_run(1)}, {});
+        tick();
+    }
+
+    [[nodiscard]] bool started(const job_id& id) const {
+        return std::ranges::any_of(
+            starts, [&](const send_start& start) { return start.command.task.job == id; });
+    }
+
+    /// Ticks until `id` is started or `limit` has passed, while `first` answers its polls.
+    void run_until_started(const job_id& id, duration limit) {
+        constexpr duration step = milliseconds(50);
+        for (const instant end = now + limit; now < end && !started(id);) {
+            tick(step);
+            confirm_save();
+            answer_poll(first, {}, {});
+        }
+    }
+};
+
+} // namespace
+
+// Guards against two runs of a task: the registration of a server that a new owner had read expired
+// before the pool was recovered, and the owner forgot the runs on it.
+Test(dispatcher_recovery, keeps_the_runs_of_a_server_whose_registration_expires) {
+    recovery_fixture fixture;
+    fixture.handle(backend_deregistered{second});
+    fixture.tick();
+    fixture.tick();
+    fixture.handle(workflows_loaded{});
+    fixture.tick();
+    fixture.answer_poll(first, {}, {});
+    fixture.tick();
+    cr_assert(!fixture.started(job), "started while the server that expired runs the task");
+    cr_assert(fixture.decisions->counts().runs == 1);
+}
+
+// Guards against two runs of a task: as above, and the registration comes back before the pool is
+// recovered.
+Test(dispatcher_recovery, keeps_the_runs_of_a_server_whose_registration_comes_back) {
+    recovery_fixture fixture;
+    fixture.handle(backend_deregistered{second});
+    fixture.tick();
+    fixture.register_backend(second);
+    fixture.handle(workflows_loaded{});
+    fixture.tick();
+    fixture.answer_poll(first, {}, {});
+    fixture.tick();
+    cr_assert(!fixture.started(job));
+    cr_assert(fixture.decisions->counts().runs == 1);
+}
+
+// Guards against an attempt too many: a failure that a new owner had read was forgotten with the
+// registration of its server.
+Test(dispatcher_recovery, counts_failures_of_a_server_whose_registration_expires) {
+    dispatch_fixture fixture;
+    fixture.register_backend(first);
+    fixture.register_backend(second);
+    workflow_progress progress;
+    progress.state = workflow_state::running;
+    progress.failures = {{0, 0, 0, {1, 2}}};
+    fixture.add_workflow(job, true, 1, progress);
+    fixture.handle(backends_loaded{});
+    fixture.tick();
+    fixture.answer_poll(first, {}, {});
+    fixture.answer_poll(second, {}, {completion_of(1, 3, completion_kind::failed)});
+    fixture.tick();
+    fixture.handle(backend_deregistered{second});
+    fixture.tick();
+    fixture.handle(workflows_loaded{});
+    fixture.tick();
+    fixture.answer_poll(first, {}, {});
+    fixture.tick();
+    cr_assert(fixture.starts.empty(), "started again although all attempts are exhausted");
+    cr_assert(fixture.saved.back().progress.state == workflow_state::failed);
+}
+
+// Guards against a task that is never started again: the server that ran it has gone for good, and
+// the runs named in its first reply ended with their leases.
+Test(dispatcher_recovery, starts_the_tasks_of_a_server_that_is_gone_for_good) {
+    recovery_fixture fixture;
+    fixture.handle(backend_deregistered{second});
+    fixture.tick(milliseconds(200));
+    fixture.handle(poll_answered{second, backend_unreachable{}});
+    fixture.handle(workflows_loaded{});
+    fixture.run_until_started(job, seconds(20));
+    cr_assert(fixture.started(job));
+}
+
+// As above, when the leases expire before the pool is recovered.
+Test(dispatcher_recovery, drops_the_runs_of_a_reply_when_their_leases_expire) {
+    recovery_fixture fixture;
+    fixture.handle(backend_deregistered{second});
+    fixture.tick(milliseconds(200));
+    fixture.handle(poll_answered{second, backend_unreachable{}});
+    fixture.tick(seconds(10));
+    fixture.tick(seconds(10));
+    fixture.handle(workflows_loaded{});
+    fixture.run_until_started(job, seconds(20));
+    cr_assert(fixture.started(job));
+}
+
+// Guards against runs of an earlier incarnation: the server restarts behind the cut, and the next
+// poll is answered by an incarnation that runs nothing.
+Test(dispatcher_recovery, replaces_the_reply_of_a_server_that_restarts) {
+    recovery_fixture fixture;
+    fixture.handle(backend_deregistered{second});
+    fixture.tick(milliseconds(200));
+    fixture.handle(poll_answered{second, poll_reply{10, 8, {}, {}}});
+    fixture.handle(workflows_loaded{});
+    fixture.run_until_started(job, seconds(2));
+    cr_assert(fixture.started(job));
+}
+
+// As above, when another incarnation refuses the poll.
+Test(dispatcher_recovery, drops_the_reply_of_a_server_that_is_replaced) {
+    recovery_fixture fixture;
+    fixture.handle(backend_deregistered{second});
+    fixture.tick(milliseconds(200));
+    fixture.handle(poll_answered{second, backend_replaced{}});
+    fixture.tick();
+    fixture.handle(workflows_loaded{});
+    fixture.run_until_started(job, seconds(2));
+    cr_assert(fixture.started(job));
+}
+
+// Guards against two runs of a task: a registration that expires before the first poll is answered
+// must not end the wait for the server.
+Test(dispatcher_recovery, waits_for_an_unread_server_whose_registration_expires) {
+    dispatch_fixture fixture;
+    fixture.register_backend(first);
+    fixture.register_backend(second);
+    fixture.add_workflow(job, true);
+    fixture.finish_loading();
+    fixture.tick();
+    fixture.answer_poll(first, {}, {});
+    fixture.handle(backend_deregistered{second});
+    fixture.tick(seconds(1));
+    fixture.answer_poll(first, {}, {});
+    fixture.tick();
+    cr_assert(fixture.starts.empty());
+    fixture.answer_poll(second, {reported_run(1)}, {});
+    fixture.tick();
+    cr_assert(fixture.starts.empty());
+    cr_assert(fixture.decisions->counts().runs == 1);
+}
+
+// Guards against two runs of a task: only this owner cannot reach the server, which stays
+// registered and runs on under the leases of the earlier owner.
+Test(dispatcher_recovery, waits_for_the_leases_on_a_server_that_only_this_owner_cannot_reach) {
+    dispatch_fixture fixture;
+    fixture.register_backend(first);
+    fixture.register_backend(second);
+    fixture.add_workflow(job, true);
+    fixture.finish_loading();
+    fixture.tick();
+    fixture.answer_poll(first, {}, {});
+    const instant leases_end = fixture.now + seconds(7);
+    while (fixture.now < leases_end) {
+        fixture.handle(poll_answered{second, backend_unreachable{}});
+        fixture.tick(milliseconds(100));
+        fixture.answer_poll(first, {}, {});
+    }
+    cr_assert(fixture.starts.empty(), "started while an earlier lease may hold");
+    for (int round = 0; round < 50 && fixture.starts.empty(); ++round) {
+        fixture.handle(poll_answered{second, backend_unreachable{}});
+        fixture.tick(milliseconds(100));
+        fixture.answer_poll(first, {}, {});
+    }
+    cr_assert(fixture.starts.size() == 1);
+}
