Wait for completions that a server has not listed yet

While the last reply of a server was incomplete, stored tasks of its pool that this owner has not seen run are not started, and the server is polled until the list is complete. The wait ends when its leases expire: completions that were not acknowledged by then no longer count.

dispatcher_recovery_test: the two new tests fail on the code before.

--- a/src/decide/dispatch/backend_entry.h
+++ b/src/decide/dispatch/backend_entry.h
@@ -56,6 +56,9 @@
     unsaved_completions completions;
     /// Latest reply before the pool is recovered, kept until then.
     std::optional<poll_reply> initial_reply;
+    /// The last reply did not hold all completions: the server lists the others once those of the
+    /// reply are acknowledged.
+    bool has_unlisted_completions = false;
 
     bool poll_wanted = false; ///< Tasks wait and the last contact is not recent.
 
--- a/src/decide/dispatch/dispatcher_polling.cpp
+++ b/src/decide/dispatch/dispatcher_polling.cpp
@@ -69,6 +69,7 @@
     if (server.initial_reply) {
         server.initial_reply->running.clear();
     }
+    server.has_unlisted_completions = false;
     const std::vector<task_run*> snapshot = server.runs;
     for (task_run* run : snapshot) {
         process_run_event(*run, lease_expired{});
@@ -133,6 +134,7 @@
     server.last_reply_at = now_;
     server.incarnation_confirmed = true;
     server.poll_wanted = false;
+    server.has_unlisted_completions = !reply.has_all_completions;
     process_contact_event(server, poll_succeeded{});
     if (!server.pool->recovered) {
         if (!server.initial_reply) {
@@ -270,7 +272,8 @@
 bool dispatcher::implementation::needs_poll(const backend_entry& server) const {
     const bool has_unsaved = !server.completions.empty();
     const bool needed = !server.runs.empty() || server.has_strays || server.poll_wanted ||
-                        has_unsaved || !server.incarnation_confirmed || !server.pool->recovered;
+                        has_unsaved || server.has_unlisted_completions ||
+                        !server.incarnation_confirmed || !server.pool->recovered;
     if (!needed || contact_is(server, "gone") ||
         (contact_is(server, "silent") && !server.registered)) {
         return false;
@@ -337,7 +340,7 @@
     const bool has_unapplied_reply =
         server.initial_reply && !server.pool->recovered && !contact_is(server, "gone");
     return !server.runs.empty() || server.poll_pending || !server.completions.empty() ||
-           has_unapplied_reply || contact_is(server, "unread");
+           has_unapplied_reply || server.has_unlisted_completions || contact_is(server, "unread");
 }
 
 void dispatcher::implementation::remove_server(const backend_entry& server) {
--- a/src/decide/dispatch/dispatcher_takeover.cpp
+++ b/src/decide/dispatch/dispatcher_takeover.cpp
@@ -121,6 +121,12 @@
     if (now_ < ownership_began_at_ + options_.registration_delay) {
         return true;
     }
+    // A run that ended is as unknown as one that goes on until its completion has been listed.
+    const bool unlisted = std::ranges::any_of(
+        pool.servers, [](const auto& item) { return item.second->has_unlisted_completions; });
+    if (unlisted) {
+        return true;
+    }
     if (now_ >= previous_leases_end()) {
         return false;
     }
--- a/tests/dispatcher_recovery_test.cpp
+++ b/tests/dispatcher_recovery_test.cpp
@@ -36,6 +36,13 @@
     }
 };
 
+/// A reply with half of the completions of a server.
+poll_reply partial_reply(std::vector<run_completion> completions) {
+    poll_reply reply{1000, 7, {}, std::move(completions)};
+    reply.has_all_completions = false;
+    return reply;
+}
+
 } // namespace
 
 // Guards against two runs of a task: the registration of a server that a new owner had read expired
@@ -187,3 +194,53 @@
     }
     cr_assert(fixture.starts.size() == 1);
 }
+
+// Guards against tasks that are started again although they have ended: a server lists a limited
+// number of completions in a reply, and the others only after an acknowledgement.
+Test(dispatcher_recovery, starts_no_task_whose_completion_may_not_be_listed_yet) {
+    dispatch_fixture fixture;
+    fixture.register_backend(first);
+    fixture.add_workflow(job, true, 2);
+    fixture.finish_loading();
+    fixture.tick();
+    const std::vector listed = {completion_of(1, 1, completion_kind::done, 0)};
+    fixture.handle(poll_answered{first, partial_reply(listed)});
+    fixture.tick();
+    fixture.tick();
+    cr_assert(fixture.starts.empty(), "started before all completions were listed");
+    fixture.confirm_save();
+    fixture.tick();
+    cr_assert(fixture.last_poll(first).acknowledged_completion == 1,
+              "the completions that were listed are not acknowledged");
+    fixture.answer_poll(first, {}, {completion_of(2, 1, completion_kind::done, 1)});
+    fixture.tick();
+    cr_assert(std::ranges::all_of(fixture.starts, [](const send_start& start) {
+        return start.command.task.step == 1;
+    }));
+}
+
+// As above, when the registration of the server expires, and when its leases do: completions that
+// were not listed by then are not counted, so the tasks are started again.
+Test(dispatcher_recovery, waits_for_unlisted_completions_no_longer_than_the_contact_lasts) {
+    dispatch_fixture fixture;
+    fixture.register_backend(first);
+    fixture.register_backend(second);
+    fixture.add_workflow(job, true);
+    fixture.finish_loading();
+    fixture.tick();
+    fixture.answer_poll(first, {}, {});
+    fixture.handle(poll_answered{second, partial_reply({})});
+    fixture.tick();
+    fixture.handle(backend_deregistered{second});
+    fixture.tick();
+    fixture.answer_poll(first, {}, {});
+    fixture.tick();
+    cr_assert(fixture.starts.empty(), "started before all completions were listed");
+    fixture.handle(poll_answered{second, backend_unreachable{}});
+    for (int round = 0; round < 200 && fixture.starts.empty(); ++round) {
+        fixture.tick(milliseconds(100));
+        fixture.answer_poll(first, {}, {});
+        fixture.handle(poll_answered{second, backend_unreachable{}});
+    }
+    cr_assert(fixture.starts.size() == 1);
+}
