Start stored tasks only after the first VM list

It now waits for the list with stored tasks that it has not seen run, until the leases of the earlier owner have ended. New work does not wait.

dispatcher_recovery_test, waits_for_the_first_vm_list: fails on the code before.

--- a/src/decide/dispatch/dispatcher_takeover.cpp
+++ b/src/decide/dispatch/dispatcher_takeover.cpp
@@ -130,6 +130,10 @@
     if (now_ >= previous_leases_end()) {
         return false;
     }
+    // Only the VM list names servers whose registrations had expired before the ownership began.
+    if (options_.has_vm_lists && !vm_list_received_) {
+        return true;
+    }
     const bool unread = std::ranges::any_of(
         pool.servers, [this](const auto& item) { return contact_is(*item.second, "unread"); });
     return unread || std::ranges::any_of(unregistered_, [&](const auto& item) {
--- a/tests/dispatch_fixture.h
+++ b/tests/dispatch_fixture.h
@@ -36,11 +36,10 @@
     std::vector<progress_row> saved;
     bool saving = false;
 
-    dispatch_fixture() {
+    explicit dispatch_fixture(dispatch_options options = {}) {
         static const chart workflow = installed_chart("workflow");
         static const chart run = installed_chart("task_run");
         static const chart contact = installed_chart("backend_contact");
-        dispatch_options options;
         options.token = 5;
         auto created = dispatcher::create({workflow, run, contact}, options, now);
         cr_assert(created.ok(), "%s", created.status().ToString().c_str());
--- a/tests/dispatcher_recovery_test.cpp
+++ b/tests/dispatcher_recovery_test.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+const job_id new_job("new");
+
 /// A new owner that has read two servers of a pool that it has not recovered, since workflows are
 /// still being loaded. The second one runs the task of a stored workflow.
 struct recovery_fixture : dispatch_fixture {
@@ -244,3 +246,41 @@
     }
     cr_assert(fixture.starts.size() == 1);
 }
+
+// Guards against two runs of a task: the registration of its server had expired before the
+// ownership began, and the VM list that names the server is late.
+Test(dispatcher_recovery, waits_for_the_first_vm_list) {
+    dispatch_options options;
+    options.has_vm_lists = true;
+    dispatch_fixture fixture(options);
+    fixture.register_backend(first);
+    fixture.add_workflow(job, true);
+    fixture.finish_loading();
+    fixture.tick();
+    fixture.answer_poll(first, {}, {});
+    fixture.tick(seconds(2));
+    fixture.answer_poll(first, {}, {});
+    fixture.tick();
+    cr_assert(fixture.starts.empty(), "started before the first VM list");
+    fixture.add_workflow(new_job, false);
+    fixture.tick();
+    cr_assert(fixture.starts.size() == 1, "a new workflow has no earlier runs");
+    fixture.handle(present_backends{{{first, pool}}});
+    fixture.tick();
+    cr_assert(fixture.starts.size() == 2);
+}
+
+// As above: without any VM list, the wait ends with the leases of the earlier owner.
+Test(dispatcher_recovery, waits_for_the_first_vm_list_no_longer_than_the_leases) {
+    dispatch_options options;
+    options.has_vm_lists = true;
+    dispatch_fixture fixture(options);
+    fixture.register_backend(first);
+    fixture.add_workflow(job, true);
+    fixture.finish_loading();
+    for (int round = 0; round < 200 && fixture.starts.empty(); ++round) {
+        fixture.tick(milliseconds(50));
+        fixture.answer_poll(first, {}, {});
+    }
+    cr_assert(fixture.starts.size() == 1);
+}
