--- a/src/decide/dispatch/dispatcher_takeover.cpp
+++ b/src/decide/dispatch/dispatcher_takeover.cpp
@@ -163,12 +163,13 @@
 void dispatcher::implementation::estimate_unknown_usage() {
     unknown_usage_.clear();
     for (const auto& [name, pool] : pools_) {
-        if (!may_have_unknown_runs(pool)) {
+        if (pool.recovered && !may_have_unknown_runs(pool)) {
             continue;
         }
         resources unread;
         for (const auto& [id, server] : pool.servers) {
-            if (contact_is(*server, "unread")) {
+            // Runs named in a reply are charged to their teams once the pool is recovered.
+            if (contact_is(*server, "unread") || server->initial_reply) {
                 unread += server->registration.capacity;
             }
         }
--- a/tests/dispatcher_recovery_test.cpp
+++ b/tests/dispatcher_recovery_test.cpp
@@ -284,3 +284,54 @@
     }
     cr_assert(fixture.starts.size() == 1);
 }
+
+// Guards against a team above its limit: its runs in a pool that is not recovered, on servers that
+// were read, were not counted.
+Test(dispatcher_recovery, counts_runs_of_a_pool_that_is_not_recovered) {
+    const pool_id other_pool("other-pool");
+    const queue_id other_queue("other-queue");
+    const team_id team("team");
+    dispatch_fixture fixture;
+    queue_definition here;
+    here.name = queue;
+    here.pool = pool;
+    queue_definition there;
+    there.name = other_queue;
+    there.pool = other_pool;
+    catalog_team limited;
+    limited.name = team;
+    limited.limit = {1500, 0, 0};
+    fixture.handle(catalog_applied{std::make_shared<queue_catalog>(
+        2, std::vector{here, there},
+        std::vector{catalog_pool{pool, true, false}, catalog_pool{other_pool, true, false}},
+        std::vector{limited})});
+    fixture.register_backend(first);
+    const backend_id read("i-3");
+    const backend_id unread("i-4");
+    backend_registration registration;
+    registration.pool = other_pool;
+    registration.id = read;
+    registration.capacity = {1000, 1000, 0};
+    fixture.handle(backend_registered{registration});
+    registration.id = unread;
+    registration.capacity = {100, 100, 0};
+    fixture.handle(backend_registered{registration});
+    accepted_workflow stored;
+    stored.id = job;
+    stored.queue = other_queue;
+    stored.pool = other_pool;
+    stored.team = team;
+    stored.spec.steps = {{.tasks = 1, .size = {1000, 10, 0}}};
+    fixture.handle(workflow_found{stored, {}, true});
+    fixture.finish_loading();
+    fixture.tick();
+    fixture.answer_poll(first, {}, {});
+    fixture.answer_poll(read, {reported_run(1)}, {});
+    accepted_workflow added = stored;
+    added.id = new_job;
+    added.queue = queue;
+    added.pool = pool;
+    fixture.handle(workflow_found{added, {}, false});
+    fixture.tick();
+    cr_assert(fixture.starts.empty(), "started above the limit of the team");
+}
