Log why progress cannot be saved

Nothing in the log told a progress write that the table refuses from one that it does not answer: both were repeated in silence. progress_write_failed gives the code, the reason and the sizes, once for 20 attempts.

--- a/src/node/fleet/progress_writer.cpp
+++ b/src/node/fleet/progress_writer.cpp
@@ -5,6 +5,7 @@
 #include "io/log.h"
 #include "io/workflow_codec.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -74,9 +75,11 @@
 
 void progress_writer::process_commit(const absl::StatusOr<table_commit>& result) {
     if (!result.ok()) {
+        log_failure(result.status());
         schedule_retry(&progress_writer::send);
         return;
     }
+    failures_ = 0;
     if (result->committed) {
         fence_ = result->version;
         std::exchange(done_, nullptr)();
@@ -96,4 +99,25 @@
     superseded_();
 }
 
+void progress_writer::log_failure(const absl::Status& status) {
+    // A line for each retry would fill the log during an outage.
+    constexpr int failures_per_line = 20;
+    if (failures_++ % failures_per_line != 0) {
+        return;
+    }
+    std::size_t bytes = 0;
+    std::size_t largest = 0;
+    for (const table_write& write : writes_) {
+        bytes += write.value->size();
+        largest = std::max(largest, write.value->size());
+    }
+    log_event(log_level::warning, "progress_write_failed",
+              {{"code", static_cast<std::int64_t>(code_of(status))},
+               {"reason", message_of(status)},
+               {"failures", failures_},
+               {"rows", static_cast<std::int64_t>(writes_.size())},
+               {"bytes", static_cast<std::int64_t>(bytes)},
+               {"largest_row", static_cast<std::int64_t>(largest)}});
+}
+
 } // namespace citronford
--- a/src/node/fleet/progress_writer.h
+++ b/src/node/fleet/progress_writer.h
@@ -34,6 +34,7 @@
     void claim_fence(table_version expected);
     void send();
     void process_commit(const absl::StatusOr<table_commit>& result);
+    void log_failure(const absl::Status& status);
     void schedule_retry(void (progress_writer::*next)());
     void read_fence();
     [[nodiscard]] std::string fence_value() const;
@@ -44,6 +45,7 @@
     std::function<void()> superseded_;
     table_version fence_ = absent_row;
     std::uint64_t sequence_ = 0; ///< Number of the write under way.
+    int failures_ = 0;           ///< Failed attempts of the write under way.
     std::vector<table_write> writes_;
     std::function<void()> done_;
     timer_subscription retry_timer_;
