Bound the stored progress of a workflow

The tasks are now numbered through; those that are done are a bit string, and the failures a list of differences, three characters for a task that failed once. Where the numbers of the runs do not fit, their counts are stored, which stay within max_progress_bytes. Rows of earlier versions are read as before.

--- a/include/citronford/workflow.h
+++ b/include/citronford/workflow.h
@@ -6,6 +6,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -77,6 +78,34 @@
     friend auto operator<=>(const task_key&, const task_key&) = default;
 };
 
+/// Numbers the tasks of all occurrences of a workflow, in the order of occurrences, steps and
+/// indices.
+using task_number = std::uint32_t;
+
+/// The place of a task within its workflow.
+struct task_place {
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+
+    friend bool operator==(const task_place&, const task_place&) = default;
+};
+
+/// Converts between places and numbers of the tasks of one workflow.
+class task_numbering {
+  public:
+    explicit task_numbering(const workflow_spec& spec);
+
+    [[nodiscard]] task_number number_of(const task_place& place) const;
+
+    /// Nothing when the workflow has fewer tasks.
+    [[nodiscard]] std::optional<task_place> place_of(task_number number) const;
+
+  private:
+    std::vector<task_number> step_begins_; ///< Within an occurrence; ends with the number of tasks.
+    task_number end_ = 0;                  ///< Number of tasks of all occurrences.
+};
+
 /// Estimated run time of the longest chain of dependent steps of one occurrence.
 duration critical_path_length(const workflow_spec& spec);
 
--- a/include/citronford/workflow_progress.h
+++ b/include/citronford/workflow_progress.h
@@ -2,26 +2,15 @@
 
 #include "citronford/workflow.h"
 
+#include <cstddef>
 #include <cstdint>
-#include <string>
 #include <vector>
 
 namespace citronford {
 
-/// Which tasks of one step of one occurrence are done.
-struct step_progress {
-    std::uint32_t occurrence = 0;
-    std::uint32_t step = 0;
-    std::vector<bool> done; ///< By index of the task.
-
-    friend bool operator==(const step_progress&, const step_progress&) = default;
-};
-
 /// The failed runs of a task.
 struct task_failures {
-    std::uint32_t occurrence = 0;
-    std::uint32_t step = 0;
-    std::uint32_t index = 0;
+    task_number task = 0;
     std::vector<std::uint32_t> runs; ///< Numbers of the runs.
 
     friend bool operator==(const task_failures&, const task_failures&) = default;
@@ -31,10 +20,20 @@
 /// completions, so only completions that were acknowledged to them must be stored here.
 struct workflow_progress {
     workflow_state state = workflow_state::pending;
-    std::vector<step_progress> steps; ///< Steps with at least one task that is done.
-    std::vector<task_failures> failures;
+    std::vector<bool> done; ///< By number of the task, up to the last one that is done.
+    std::vector<task_failures> failures; ///< In rising order of tasks.
 
     friend bool operator==(const workflow_progress&, const workflow_progress&) = default;
 };
 
+/// Largest encoded progress in a table whose values may have `row_bytes`. The limit may count the
+/// characters of the base64 text, of which there are four for three bytes.
+constexpr std::size_t max_progress_text(std::size_t row_bytes) {
+    return row_bytes / 4 * 3;
+}
+
+/// Upper bound for the bytes of the stored progress of a workflow whose tasks have up to
+/// `max_attempts` runs that fail, with any run numbers.
+std::size_t max_progress_bytes(const workflow_spec& spec, std::uint32_t max_attempts);
+
 } // namespace citronford
--- a/src/decide/dispatch/workflow_entry.cpp
+++ b/src/decide/dispatch/workflow_entry.cpp
@@ -61,20 +61,17 @@
     if (is_ended()) {
         return saved;
     }
+    const task_numbering numbering(row.spec);
     for (const auto& [number, occurrence] : occurrences) {
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-            const step_state& source = occurrence.steps[step];
-            if (source.done > 0) {
-                step_progress& target = saved.steps.emplace_back();
-                target.occurrence = number;
-                target.step = step;
-                std::ranges::transform(source.tasks, std::back_inserter(target.done),
-                                       &task_record::done);
-            }
-            for (std::uint32_t index = 0; index < source.tasks.size(); ++index) {
-                const task_record& task = source.tasks[index];
-                if (!task.failed_runs.empty() && !task.done) {
-                    saved.failures.push_back({number, step, index, task.failed_runs});
+            const std::vector<task_record>& tasks = occurrence.steps[step].tasks;
+            const task_number first = numbering.number_of({number, step, 0});
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                if (tasks[index].done) {
+                    saved.done.resize(first + index + 1);
+                    saved.done.back() = true;
+                } else if (!tasks[index].failed_runs.empty()) {
+                    saved.failures.push_back({first + index, tasks[index].failed_runs});
                 }
             }
         }
@@ -83,30 +80,23 @@
 }
 
 void workflow_entry::restore(const workflow_progress& saved, instant now) {
-    const auto valid = [&](std::uint32_t occurrence, std::uint32_t step) {
-        return occurrence < row.spec.runs() && step < row.spec.steps.size();
-    };
-    for (const step_progress& source : saved.steps) {
-        if (!valid(source.occurrence, source.step)) {
-            continue;
-        }
-        occurrence_state& occurrence = add_occurrence(source.occurrence, now);
-        const std::size_t tasks =
-            std::min<std::size_t>(source.done.size(), step(source.step).tasks);
-        for (std::uint32_t index = 0; index < tasks; ++index) {
-            if (source.done[index]) {
-                complete_task(occurrence, source.step, index);
-            }
+    const task_numbering numbering(row.spec);
+    for (task_number task = 0; task < saved.done.size(); ++task) {
+        const auto place = numbering.place_of(task);
+        if (place && saved.done[task]) {
+            complete_task(add_occurrence(place->occurrence, now), place->step, place->index);
         }
     }
     for (const task_failures& source : saved.failures) {
-        if (valid(source.occurrence, source.step) && source.index < step(source.step).tasks) {
-            task_record& task =
-                add_occurrence(source.occurrence, now).steps[source.step].tasks[source.index];
-            task.failed_runs = source.runs;
-            for (const std::uint32_t run : source.runs) {
-                task.last_run = std::max(task.last_run, run);
-            }
+        const auto place = numbering.place_of(source.task);
+        if (!place) {
+            continue;
+        }
+        task_record& task =
+            add_occurrence(place->occurrence, now).steps[place->step].tasks[place->index];
+        task.failed_runs = source.runs;
+        for (const std::uint32_t run : source.runs) {
+            task.last_run = std::max(task.last_run, run);
         }
     }
 }
--- a/src/io/workflow_codec.cpp
+++ b/src/io/workflow_codec.cpp
@@ -95,33 +95,6 @@
     return step;
 }
 
-/// Hexadecimal digits of four tasks each: a step of 32 tasks takes 8 characters.
-std::string encode_bits(const std::vector<bool>& bits) {
-    constexpr std::string_view digits = "0123456789abcdef";
-    constexpr std::size_t bits_per_digit = 4;
-    std::string text((bits.size() + bits_per_digit - 1) / bits_per_digit, '0');
-    for (std::size_t digit = 0; digit < text.size(); ++digit) {
-        std::size_t value = 0;
-        for (std::size_t bit = 0; bit < bits_per_digit; ++bit) {
-            const std::size_t index = digit * bits_per_digit + bit;
-            value |= index < bits.size() && bits[index] ? std::size_t{1} << bit : 0;
-        }
-        text[digit] = digits[value];
-    }
-    return text;
-}
-
-std::vector<bool> decode_bits(std::string_view text) {
-    std::vector<bool> bits;
-    for (const char digit : text) {
-        const int value = digit >= 'a' ? digit - 'a' + 10 : digit - '0';
-        for (int bit = 0; bit < 4; ++bit) {
-            bits.push_back((value >> bit & 1) != 0);
-        }
-    }
-    return bits;
-}
-
 } // namespace
 
 std::string_view name_of(workflow_state state) {
@@ -169,38 +142,6 @@
     return row;
 }
 
-std::string encode_progress(const workflow_progress& progress) {
-    json document = {{"state", name_of(progress.state)}};
-    for (const step_progress& step : progress.steps) {
-        document["done"].push_back({step.occurrence, step.step, encode_bits(step.done)});
-    }
-    for (const task_failures& task : progress.failures) {
-        document["failed"].push_back({task.occurrence, task.step, task.index, task.runs});
-    }
-    return text_of(document);
-}
-
-absl::StatusOr<workflow_progress> decode_progress(std::string_view text) {
-    return decoded<workflow_progress>(text, [](const json& document) {
-        workflow_progress progress;
-        const std::string state = document.at("state");
-        const auto found = std::ranges::find(state_names, std::string_view(state),
-                                             [](const auto& item) { return item.second; });
-        if (found != state_names.end()) {
-            progress.state = found->first;
-        }
-        for (const json& item : document.value("done", json::array())) {
-            progress.steps.push_back(
-                {item.at(0), item.at(1), decode_bits(item.at(2).get_ref<const std::string&>())});
-        }
-        for (const json& item : document.value("failed", json::array())) {
-            progress.failures.push_back(
-                {item.at(0), item.at(1), item.at(2), item.at(3).get<std::vector<std::uint32_t>>()});
-        }
-        return progress;
-    });
-}
-
 std::string encode_owner(const owner_row& row) {
     return text_of({{"node", row.node.view()},
                     {"incarnation", row.incarnation},
--- a/src/io/workflow_codec.h
+++ b/src/io/workflow_codec.h
@@ -4,7 +4,6 @@
 #include "citronford/queue_catalog.h"
 #include "citronford/wave_planner.h"
 #include "citronford/workflow.h"
-#include "citronford/workflow_progress.h"
 
 #include <absl/status/statusor.h>
 
@@ -20,9 +19,6 @@
 /// `job` comes from the key of the row.
 absl::StatusOr<accepted_workflow> decode_workflow(const job_id& job, std::string_view text);
 
-std::string encode_progress(const workflow_progress& progress);
-absl::StatusOr<workflow_progress> decode_progress(std::string_view text);
-
 std::string encode_owner(const owner_row& row);
 absl::StatusOr<owner_row> decode_owner(std::string_view text);
 
--- a/src/node/fleet/dispatch_driver.cpp
+++ b/src/node/fleet/dispatch_driver.cpp
@@ -3,6 +3,7 @@
 #include "citronford/result_code.h"
 #include "citronford/workflow_rows.h"
 #include "io/log.h"
+#include "io/progress_codec.h"
 #include "io/workflow_codec.h"
 
 #include <algorithm>
@@ -116,13 +117,16 @@
         if (row.key == progress_fence_key || !row.value) {
             continue;
         }
-        auto progress = decode_progress(*row.value);
-        if (progress.ok()) {
-            loaded_progress_.emplace(parse_job_row_key(row.key).job, *std::move(progress));
-        } else {
+        const auto state = decode_progress_state(*row.value);
+        if (!state.ok()) {
             log_event(log_level::error, "row_unreadable",
-                      {{"key", row.key}, {"reason", message_of(progress.status())}});
+                      {{"key", row.key}, {"reason", message_of(state.status())}});
+            continue;
         }
+        // Of ended workflows, of which there are many, only the state is needed.
+        loaded_progress_.emplace(
+            parse_job_row_key(row.key).job,
+            loaded_progress{*state, ended(*state) ? std::string() : *row.value});
     }
     work_.start();
 }
@@ -154,9 +158,7 @@
                   {{"key", row.key}, {"reason", message_of(found.status())}});
         return;
     }
-    const auto saved = loaded_progress_.find(name.job);
-    const workflow_progress progress =
-        saved == loaded_progress_.end() ? workflow_progress{} : saved->second;
+    const workflow_progress progress = saved_progress(name.job, found->spec);
     if (ended(progress.state)) {
         ended_marker_.add(name.job, services_.timers.now());
     }
@@ -169,6 +171,24 @@
     handle(workflow_found{*std::move(found), progress, stored_before});
 }
 
+workflow_progress dispatch_driver::saved_progress(const job_id& job,
+                                                  const workflow_spec& spec) const {
+    const auto saved = loaded_progress_.find(job);
+    if (saved == loaded_progress_.end()) {
+        return {};
+    }
+    if (ended(saved->second.state)) {
+        return {saved->second.state, {}, {}};
+    }
+    auto progress = decode_progress(saved->second.text, spec);
+    if (!progress.ok()) {
+        log_event(log_level::error, "row_unreadable",
+                  {{"key", progress_row_key(job)}, {"reason", message_of(progress.status())}});
+        return {};
+    }
+    return *std::move(progress);
+}
+
 void dispatch_driver::process_backend_rows(std::span<const table_row> rows) {
     std::set<backend_id> present;
     for (const table_row& row : rows) {
--- a/src/node/fleet/dispatch_driver.h
+++ b/src/node/fleet/dispatch_driver.h
@@ -65,6 +65,12 @@
     [[nodiscard]] const dispatcher& state() const { return *decisions_; }
 
   private:
+    /// A progress row that was read before its workflow.
+    struct loaded_progress {
+        workflow_state state = workflow_state::pending;
+        std::string text; ///< Empty for a workflow that has ended.
+    };
+
     dispatch_driver(std::unique_ptr<dispatcher> decisions, const dispatch_options& options,
                     dispatch_services services, callbacks on);
 
@@ -80,6 +86,8 @@
     void load_progress();
     void load_progress_rows(const absl::StatusOr<table_scan>& result);
     void process_work_rows(std::span<const table_row> rows, bool stored_before);
+    [[nodiscard]] workflow_progress saved_progress(const job_id& job,
+                                                   const workflow_spec& spec) const;
     void process_work_row(const table_row& row, bool stored_before);
     void process_backend_rows(std::span<const table_row> rows);
     void process_backend_row(const table_row& row);
@@ -95,7 +103,7 @@
     table_follower work_;
     table_follower backends_;
     timer_subscription ticks_;
-    std::map<job_id, workflow_progress> loaded_progress_; ///< Dropped when workflows are loaded.
+    std::map<job_id, loaded_progress> loaded_progress_; ///< Dropped when workflows are loaded.
     std::vector<table_row> deferred_work_; ///< New work that came after the lease had expired.
     std::set<backend_id> registered_;
     instant published_at_{};
--- a/src/node/fleet/progress_writer.cpp
+++ b/src/node/fleet/progress_writer.cpp
@@ -3,7 +3,7 @@
 #include "citronford/result_code.h"
 #include "citronford/workflow_rows.h"
 #include "io/log.h"
-#include "io/workflow_codec.h"
+#include "io/progress_codec.h"
 
 #include <algorithm>
 #include <array>
--- a/src/node/fleet/workflow_service.cpp
+++ b/src/node/fleet/workflow_service.cpp
@@ -4,6 +4,7 @@
 #include "citronford/result_code.h"
 #include "citronford/workflow_rows.h"
 #include "io/log.h"
+#include "io/progress_codec.h"
 #include "io/workflow_codec.h"
 
 #include <array>
@@ -149,15 +150,15 @@
                         }
                         return;
                     }
-                    const auto progress = decode_progress(*result->rows.front().value);
-                    if (!progress.ok()) {
-                        done(progress.status());
+                    const auto state = decode_progress_state(*result->rows.front().value);
+                    if (!state.ok()) {
+                        done(state.status());
                         return;
                     }
-                    if (ended(progress->state)) {
-                        cache_state(job, progress->state);
+                    if (ended(*state)) {
+                        cache_state(job, *state);
                     }
-                    done(workflow_status{progress->state});
+                    done(workflow_status{*state});
                 });
 }
 
--- a/tests/fleet_drivers_test.cpp
+++ b/tests/fleet_drivers_test.cpp
@@ -3,6 +3,7 @@
 #include "citronford/result_code.h"
 #include "citronford/workflow_rows.h"
 #include "io/metrics.h"
+#include "io/progress_codec.h"
 #include "io/workflow_codec.h"
 #include "node/fleet/ended_work_marker.h"
 #include "node/fleet/observed_table.h"
