Do not repeat a write that the table rejects

A refusal of the request is now write_rejected, apart from table_unavailable. The rows of a rejected transaction are written one by one, the one that is rejected is reported and tried again 5 s later with the present progress, and all others are saved. Transactions are also bounded by their bytes.

The same cause on related paths: the row of waiting workflows, the marks of ended work, wave records and orders to cancel are no longer repeated when they are rejected.

--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -80,8 +80,10 @@
     backend_id backend;
     poll_result result;
 };
-/// The rows of the last `save_progress` are stored.
-struct progress_saved {};
+/// The rows of the last `save_progress` are stored, but for those that the table rejects.
+struct progress_saved {
+    std::vector<job_id> rejected;
+};
 /// Backend servers whose VMs are to be maintained or moved. Replaces the earlier sets.
 struct backends_to_drain {
     std::vector<backend_id> now;   ///< No new tasks; long-running tasks move to other servers.
--- a/include/citronford/result_code.h
+++ b/include/citronford/result_code.h
@@ -49,6 +49,7 @@
     node_joining = 405,
     repetition_refused = 406,
     history_lost = 407,
+    write_rejected = 408,
 
     setting_invalid = 500,
     chart_invalid = 501,
--- a/include/citronford/table_service.h
+++ b/include/citronford/table_service.h
@@ -52,8 +52,17 @@
     table_version version = 0; ///< Version of the table that the rows reflect.
 };
 
+/// Largest transactions that are sent: below the limits of the platform, 100 rows and 1 MB, with
+/// room for checks and for the encoding of the values.
+inline constexpr std::size_t max_transaction_rows = 90;
+inline constexpr std::size_t max_transaction_bytes = 400000;
+
+/// Largest value of a row where the deployment does not say.
+inline constexpr std::size_t default_row_bytes = 65536;
+
 /// The platform's transactional table service. An error status with `table_unavailable` says that
-/// nothing was written, `commit_in_doubt` that the transaction may have been committed.
+/// nothing was written, `write_rejected` that nothing was and the same rows would be rejected
+/// again, and `commit_in_doubt` that the transaction may have been committed.
 class table_service {
   public:
     using commit_callback = std::function<void(absl::StatusOr<table_commit>)>;
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "decide/dispatch/dispatcher_state.h"
 
 #include "citronford/planted_fault.h"
+#include "citronford/table_service.h"
 
 #include <algorithm>
 #include <utility>
@@ -244,9 +245,10 @@
     if (saving_) {
         return;
     }
-    // Most rows in one transaction of the table.
-    constexpr std::size_t max_rows = 90;
-    const std::size_t rows = std::min(max_rows, changed_.size());
+    const auto deferred = std::ranges::stable_partition(
+        changed_, [this](const workflow_entry* entry) { return now_ >= entry->save_not_before; });
+    const std::size_t due = changed_.size() - deferred.size();
+    const std::size_t rows = std::min(max_transaction_rows, due);
     if (rows == 0) {
         note_saved_completions();
         return;
@@ -255,15 +257,26 @@
     for (std::size_t index = 0; index < rows; ++index) {
         workflow_entry& entry = *changed_[index];
         entry.changed = false;
+        saving_ticket_ = std::max(saving_ticket_, entry.ticket);
         save.rows.push_back({entry.row.id, entry.progress()});
     }
-    saving_ticket_ = changed_[rows - 1]->ticket;
     changed_.erase(changed_.begin(), changed_.begin() + static_cast<std::ptrdiff_t>(rows));
     saving_ = true;
     effects_.emplace_back(std::move(save));
 }
 
-void dispatcher::implementation::process(const progress_saved& /*input*/) {
+void dispatcher::implementation::process(const progress_saved& input) {
+    // A row that the table rejects is written again with a later change of the workflow, which may
+    // make it smaller. Completions are acknowledged all the same: servers list a limited number, so
+    // that those of other workflows would not be seen behind them.
+    constexpr duration rejected_row_pause = seconds(5);
+    for (const job_id& job : input.rejected) {
+        const auto found = workflows_.find(job);
+        if (found != workflows_.end()) {
+            found->second->save_not_before = now_ + rejected_row_pause;
+            mark_changed(*found->second);
+        }
+    }
     saving_ = false;
     saved_ticket_ = saving_ticket_;
     note_saved_completions();
--- a/src/decide/dispatch/workflow_entry.h
+++ b/src/decide/dispatch/workflow_entry.h
@@ -59,10 +59,11 @@
     chart_position position{};
     workflow_state state = workflow_state::pending;
     bool stored_before = false;
-    bool changed = false;     ///< Waits to be saved.
-    save_ticket ticket = 0;   ///< Of the change that waits to be saved.
-    bool over_quota = false;  ///< Exceeded the submission rate of its team.
-    duration critical_path{}; ///< Estimated time of the longest chain of steps.
+    bool changed = false;      ///< Waits to be saved.
+    save_ticket ticket = 0;    ///< Of the change that waits to be saved.
+    instant save_not_before{}; ///< After the table has rejected the row.
+    bool over_quota = false;   ///< Exceeded the submission rate of its team.
+    duration critical_path{};  ///< Estimated time of the longest chain of steps.
     /// Time within which an occurrence should end: from the acceptance of the workflow, or from the
     /// due time of a scheduled occurrence.
     duration objective{};
--- a/src/decide/result_code.cpp
+++ b/src/decide/result_code.cpp
@@ -74,6 +74,8 @@
                       "sending may have run."},
     result_code_entry{result_code::history_lost, "history_lost", 503, not_run,
                       "The changes since a version of the table are no longer known."},
+    result_code_entry{result_code::write_rejected, "write_rejected", 422, not_run,
+                      "The table rejects the rows of a write, and would reject them again."},
     result_code_entry{result_code::setting_invalid, "setting_invalid", 500, not_run,
                       "A setting is unknown, missing or out of range."},
     result_code_entry{result_code::chart_invalid, "chart_invalid", 500, not_run,
--- a/src/node/fleet/dispatch_driver.cpp
+++ b/src/node/fleet/dispatch_driver.cpp
@@ -56,7 +56,8 @@
                                  const dispatch_options& options, dispatch_services services,
                                  callbacks on)
     : decisions_(std::move(decisions)), options_(options), services_(services), on_(std::move(on)),
-      progress_(services.table, services.timers, options.token, [this] { perform(fenced_out{}); }),
+      progress_(services.table, services.timers, {options.token, services.row_bytes},
+                [this] { perform(fenced_out{}); }),
       ended_marker_(services.table),
       waiting_writer_(services.table, options.token, std::string(waiting_row_key)),
       work_(
@@ -298,12 +299,15 @@
             ended_jobs.push_back(row.job);
         }
     }
-    progress_.write(effect.rows, [this, ended_jobs = std::move(ended_jobs)] {
-        for (const job_id& job : ended_jobs) {
-            ended_marker_.add(job, services_.timers.now());
-        }
-        handle(progress_saved{});
-    });
+    progress_.write(effect.rows,
+                    [this, ended_jobs = std::move(ended_jobs)](std::span<const job_id> rejected) {
+                        for (const job_id& job : ended_jobs) {
+                            if (std::ranges::find(rejected, job) == rejected.end()) {
+                                ended_marker_.add(job, services_.timers.now());
+                            }
+                        }
+                        handle(progress_saved{{rejected.begin(), rejected.end()}});
+                    });
 }
 
 void dispatch_driver::perform(const fenced_out& /*effect*/) {
--- a/src/node/fleet/dispatch_driver.h
+++ b/src/node/fleet/dispatch_driver.h
@@ -24,6 +24,7 @@
     table_service& table;
     backend_link& backends;
     const fleet_rows& rows;
+    std::size_t row_bytes = default_row_bytes; ///< Largest value of a row of the table.
 };
 
 /// Times up to which the owner may act.
--- a/src/node/fleet/ended_work_marker.cpp
+++ b/src/node/fleet/ended_work_marker.cpp
@@ -1,14 +1,14 @@
 #include "node/fleet/ended_work_marker.h"
 
+#include "citronford/result_code.h"
+#include "io/log.h"
+
 #include <algorithm>
 #include <string>
 
 namespace citronford {
 namespace {
 
-/// Rows in one transaction; the table accepts at most 100 entries.
-constexpr std::size_t batch_rows = 90;
-
 /// A batch that is not full is written after this time, to save calls to the table.
 constexpr duration batch_period = seconds(8);
 
@@ -31,7 +31,7 @@
         if (batch.jobs.empty() || batch.in_flight) {
             continue;
         }
-        const bool full = batch.jobs.size() >= batch_rows && !batch.failed;
+        const bool full = batch.jobs.size() >= max_transaction_rows && !batch.failed;
         if (full || now >= batch.not_before) {
             write(part, now);
         }
@@ -40,7 +40,7 @@
 
 void ended_work_marker::write(std::size_t part, instant now) {
     part_batch& batch = parts_[part];
-    const auto count = std::min(batch.jobs.size(), batch_rows);
+    const auto count = batch.row_by_row ? 1 : std::min(batch.jobs.size(), max_transaction_rows);
     std::vector<table_write> writes;
     writes.reserve(count);
     for (std::size_t index = 0; index < count; ++index) {
@@ -54,17 +54,34 @@
                       if (alive.expired()) {
                           return;
                       }
-                      part_batch& written = parts_[part];
-                      written.in_flight = false;
-                      written.failed = !result.ok();
-                      if (written.failed) {
-                          written.not_before = now + retry_pause;
-                      } else {
-                          written.jobs.erase(written.jobs.begin(),
-                                             written.jobs.begin() +
-                                                 static_cast<std::ptrdiff_t>(count));
-                      }
+                      process_commit(parts_[part], count, result.status(), now);
                   });
 }
 
+void ended_work_marker::process_commit(part_batch& batch, std::size_t count,
+                                       const absl::Status& status, instant sent_at) {
+    batch.in_flight = false;
+    const bool rejected = code_of(status) == result_code::write_rejected;
+    batch.failed = !status.ok() && !rejected;
+    if (batch.failed) {
+        batch.not_before = sent_at + retry_pause;
+        return;
+    }
+    if (rejected) {
+        log_event(log_level::error, "ended_work_rejected",
+                  {{"rows", static_cast<std::int64_t>(count)}, {"reason", message_of(status)}});
+        batch.not_before = sent_at;
+        if (count > 1) {
+            batch.row_by_row = true;
+            return;
+        }
+    }
+    // A single row that the table rejects is left as it is: its workflow has ended all the same.
+    batch.jobs.erase(batch.jobs.begin(), batch.jobs.begin() + static_cast<std::ptrdiff_t>(count));
+    batch.row_by_row = batch.row_by_row && !batch.jobs.empty();
+    if (batch.row_by_row) {
+        batch.not_before = sent_at;
+    }
+}
+
 } // namespace citronford
--- a/src/node/fleet/ended_work_marker.h
+++ b/src/node/fleet/ended_work_marker.h
@@ -33,11 +33,14 @@
     struct part_batch {
         std::vector<job_id> jobs;
         bool in_flight = false;
-        instant not_before{}; ///< When a batch that is not full is written.
-        bool failed = false;  ///< After a failed write, a full batch waits too.
+        instant not_before{};    ///< When a batch that is not full is written.
+        bool failed = false;     ///< After a failed write, a full batch waits too.
+        bool row_by_row = false; ///< After the table rejected several rows, until all are written.
     };
 
     void write(std::size_t part, instant now);
+    static void process_commit(part_batch& batch, std::size_t count, const absl::Status& status,
+                               instant sent_at);
 
     table_service& table_;
     std::array<part_batch, work_part_count> parts_;
--- a/src/node/fleet/observed_table.cpp
+++ b/src/node/fleet/observed_table.cpp
@@ -8,7 +8,9 @@
 namespace citronford {
 
 void observed_table::record(const absl::Status& status, std::string_view call, instant sent_at) {
-    const bool answered = status.ok() || code_of(status) == result_code::history_lost;
+    const result_code code = code_of(status);
+    const bool answered =
+        status.ok() || code == result_code::history_lost || code == result_code::write_rejected;
     if (answered) {
         last_answer_at_ = timers_.now();
         consecutive_failures_ = 0;
--- a/src/node/fleet/owner_row_writer.cpp
+++ b/src/node/fleet/owner_row_writer.cpp
@@ -1,5 +1,6 @@
 #include "node/fleet/owner_row_writer.h"
 
+#include "citronford/result_code.h"
 #include "io/log.h"
 #include "io/workflow_codec.h"
 
@@ -14,7 +15,7 @@
 
 void owner_row_writer::write(std::string_view text) {
     wanted_ = encode_fenced_value({token_, std::string(text)});
-    if (busy_ || superseded_ || (known_ && wanted_ == written_)) {
+    if (busy_ || superseded_ || wanted_ == rejected_ || (known_ && wanted_ == written_)) {
         return;
     }
     busy_ = true;
@@ -74,6 +75,14 @@
 void owner_row_writer::handle_commit(const absl::StatusOr<table_commit>& result,
                                      const std::string& sent) {
     busy_ = false;
+    if (code_of(result.status()) == result_code::write_rejected) {
+        log_event(log_level::error, "row_rejected",
+                  {{"key", key_},
+                   {"bytes", static_cast<std::int64_t>(sent.size())},
+                   {"reason", message_of(result.status())}});
+        rejected_ = sent;
+        return;
+    }
     known_ = result.ok() && result->committed;
     if (known_) {
         version_ = result->version;
--- a/src/node/fleet/owner_row_writer.h
+++ b/src/node/fleet/owner_row_writer.h
@@ -18,6 +18,7 @@
 
     /// Starts to write `text`, unless the row has it already, another call is under way or a later
     /// owner has written the row. A failed write is not retried; the next call reads the row first.
+    /// A value that the table rejects is not written again.
     void write(std::string_view text);
 
   private:
@@ -30,7 +31,8 @@
     fencing_token token_;
     std::string key_;
     std::string wanted_;
-    std::string written_; ///< Last known value of the row.
+    std::string written_;  ///< Last known value of the row.
+    std::string rejected_; ///< Value that the table rejected; not written again.
     table_version version_ = absent_row;
     bool known_ = false;      ///< Whether `version_` is the present version of the row.
     bool busy_ = false;       ///< Whether a read or write is under way.
--- a/src/node/fleet/progress_writer.cpp
+++ b/src/node/fleet/progress_writer.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <utility>
 
 namespace citronford {
@@ -17,12 +18,12 @@
 
 } // namespace
 
-progress_writer::progress_writer(table_service& table, timer_service& timers, fencing_token token,
-                                 std::function<void()> superseded)
-    : table_(table), timers_(timers), token_(token), superseded_(std::move(superseded)) {}
+progress_writer::progress_writer(table_service& table, timer_service& timers,
+                                 progress_writer_options options, std::function<void()> superseded)
+    : table_(table), timers_(timers), options_(options), superseded_(std::move(superseded)) {}
 
 std::string progress_writer::fence_value() const {
-    return std::to_string(token_) + ' ' + std::to_string(sequence_);
+    return std::to_string(options_.token) + ' ' + std::to_string(sequence_);
 }
 
 void progress_writer::schedule_retry(void (progress_writer::*next)()) {
@@ -30,8 +31,8 @@
 }
 
 void progress_writer::acquire_fence(std::function<void()> done) {
-    done_ = std::move(done);
-    writes_.clear();
+    done_ = [done = std::move(done)](std::span<const job_id>) { done(); };
+    sent_.clear();
     read_fence();
 }
 
@@ -50,19 +51,55 @@
                 });
 }
 
-void progress_writer::write(std::span<const progress_row> rows, std::function<void()> done) {
+void progress_writer::write(std::span<const progress_row> rows, write_callback done) {
     done_ = std::move(done);
-    ++sequence_;
-    writes_.clear();
+    row_by_row_ = false;
+    rejected_.clear();
     for (const progress_row& row : rows) {
-        writes_.push_back({progress_row_key(row.job), encode_progress(row.progress)});
+        enqueue(row);
+    }
+    send_next();
+}
+
+void progress_writer::enqueue(const progress_row& row) {
+    const std::size_t max_bytes = max_progress_text(options_.row_bytes);
+    bounded_progress encoded = encode_progress_within(row.progress, max_bytes);
+    if (encoded.detail != failure_detail::run_numbers) {
+        log_event(log_level::error, "progress_shortened",
+                  {{"job", row.job.view()},
+                   {"kept", encoded.detail == failure_detail::counts ? "counts" : "no failures"},
+                   {"bytes", static_cast<std::int64_t>(encoded.text.size())}});
+    }
+    queue_.push_back({row.job, std::move(encoded.text)});
+}
+
+void progress_writer::send_next() {
+    sent_.clear();
+    const std::size_t max_rows = row_by_row_ ? 1 : max_transaction_rows;
+    std::size_t bytes = 0;
+    while (!queue_.empty() && sent_.size() < max_rows) {
+        bytes += queue_.front().text.size();
+        if (!sent_.empty() && bytes > max_transaction_bytes) {
+            break;
+        }
+        sent_.push_back(std::move(queue_.front()));
+        queue_.pop_front();
+    }
+    if (sent_.empty()) {
+        std::exchange(done_, nullptr)(std::exchange(rejected_, {}));
+        return;
     }
+    ++sequence_;
     send();
 }
 
 void progress_writer::send() {
     const std::array checks = {table_check{std::string(progress_fence_key), fence_}};
-    std::vector<table_write> writes = writes_;
+    std::vector<table_write> writes;
+    writes.reserve(sent_.size() + 1);
+    for (const pending_row& row : sent_) {
+        writes.push_back({progress_row_key(row.job), row.text});
+    }
     writes.push_back({std::string(progress_fence_key), fence_value()});
     table_.commit(
         checks, writes,
@@ -76,29 +113,53 @@
 void progress_writer::process_commit(const absl::StatusOr<table_commit>& result) {
     if (!result.ok()) {
         log_failure(result.status());
-        schedule_retry(&progress_writer::send);
+        if (code_of(result.status()) == result_code::write_rejected && !sent_.empty()) {
+            process_rejection(result.status());
+        } else {
+            schedule_retry(&progress_writer::send);
+        }
         return;
     }
-    failures_ = 0;
     if (result->committed) {
-        fence_ = result->version;
-        std::exchange(done_, nullptr)();
+        process_written(result->version);
         return;
     }
     for (const table_row& row : result->conflicts) {
         // An earlier attempt of the same write was committed and its reply was lost.
         if (row.key == progress_fence_key && row.value == fence_value()) {
-            fence_ = row.version;
-            std::exchange(done_, nullptr)();
+            process_written(row.version);
             return;
         }
     }
     log_event(log_level::warning, "progress_superseded",
-              {{"token", static_cast<std::int64_t>(token_)},
+              {{"token", static_cast<std::int64_t>(options_.token)},
                {"expected", static_cast<std::int64_t>(fence_)}});
     superseded_();
 }
 
+void progress_writer::process_written(table_version version) {
+    failures_ = 0;
+    fence_ = version;
+    send_next();
+}
+
+void progress_writer::process_rejection(const absl::Status& status) {
+    failures_ = 0;
+    if (sent_.size() > 1) {
+        row_by_row_ = true;
+        queue_.insert(queue_.begin(), std::make_move_iterator(sent_.begin()),
+                      std::make_move_iterator(sent_.end()));
+    } else {
+        const pending_row& row = sent_.front();
+        log_event(log_level::error, "progress_row_rejected",
+                  {{"job", row.job.view()},
+                   {"bytes", static_cast<std::int64_t>(row.text.size())},
+                   {"reason", message_of(status)}});
+        rejected_.push_back(row.job);
+    }
+    send_next();
+}
+
 void progress_writer::log_failure(const absl::Status& status) {
     // A line for each retry would fill the log during an outage.
     constexpr int failures_per_line = 20;
@@ -107,15 +168,15 @@
     }
     std::size_t bytes = 0;
     std::size_t largest = 0;
-    for (const table_write& write : writes_) {
-        bytes += write.value->size();
-        largest = std::max(largest, write.value->size());
+    for (const pending_row& row : sent_) {
+        bytes += row.text.size();
+        largest = std::max(largest, row.text.size());
     }
     log_event(log_level::warning, "progress_write_failed",
               {{"code", static_cast<std::int64_t>(code_of(status))},
                {"reason", message_of(status)},
                {"failures", failures_},
-               {"rows", static_cast<std::int64_t>(writes_.size())},
+               {"rows", static_cast<std::int64_t>(sent_.size())},
                {"bytes", static_cast<std::int64_t>(bytes)},
                {"largest_row", static_cast<std::int64_t>(largest)}});
 }
--- a/src/node/fleet/vm_driver.cpp
+++ b/src/node/fleet/vm_driver.cpp
@@ -227,23 +227,25 @@
 
 void vm_driver::write(const table_write& row, int attempts_left) {
     const std::array writes = {row};
-    links_.table.commit({}, writes,
-                        [this, row, attempts_left, alive = std::weak_ptr(alive_)](
-                            const absl::StatusOr<table_commit>& result) {
-                            if (alive.expired() || result.ok()) {
-                                return;
-                            }
-                            if (attempts_left <= 1) {
-                                log_event(log_level::error, "row_not_written", {{"key", row.key}});
-                                return;
-                            }
-                            links_.timers.once(retry_delay,
-                                               [this, row, attempts_left, alive](instant) {
-                                                   if (!alive.expired()) {
-                                                       write(row, attempts_left - 1);
-                                                   }
-                                               });
-                        });
+    links_.table.commit(
+        {}, writes,
+        [this, row, attempts_left,
+         alive = std::weak_ptr(alive_)](const absl::StatusOr<table_commit>& result) {
+            if (alive.expired() || result.ok()) {
+                return;
+            }
+            const bool rejected = code_of(result.status()) == result_code::write_rejected;
+            if (rejected || attempts_left <= 1) {
+                log_event(log_level::error, "row_not_written",
+                          {{"key", row.key}, {"reason", message_of(result.status())}});
+                return;
+            }
+            links_.timers.once(retry_delay, [this, row, attempts_left, alive](instant) {
+                if (!alive.expired()) {
+                    write(row, attempts_left - 1);
+                }
+            });
+        });
 }
 
 } // namespace citronford
--- a/src/node/fleet/workflow_service.cpp
+++ b/src/node/fleet/workflow_service.cpp
@@ -224,7 +224,9 @@
     table_.commit({}, writes,
                   [this, job, attempts_left,
                    reply = std::move(reply)](const absl::StatusOr<table_commit>& result) mutable {
-                      if (!result.ok() && attempts_left > 1) {
+                      const bool rejected =
+                          code_of(result.status()) == result_code::write_rejected;
+                      if (!result.ok() && !rejected && attempts_left > 1) {
                           constexpr duration pause = milliseconds(150);
                           timers_.once(pause, [this, job, attempts_left,
                                                reply = std::move(reply)](instant) mutable {
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -212,3 +212,28 @@
     cr_assert(fixture.last_poll(first).acknowledged_completion == 1, "%llu acknowledged",
               static_cast<unsigned long long>(fixture.last_poll(first).acknowledged_completion));
 }
+
+// Guards against a fleet that saves nothing because the table rejects the row of one workflow, and
+// against a row that is written again without a pause.
+Test(dispatcher, saves_other_workflows_while_a_row_is_rejected) {
+    dispatch_fixture fixture;
+    fixture.register_backend(first);
+    fixture.finish_loading();
+    fixture.tick();
+    fixture.answer_poll(first, {}, {});
+    fixture.add_workflow(job, false);
+    fixture.tick();
+    fixture.tick();
+    cr_assert(fixture.saving && fixture.saved.size() == 1);
+    fixture.saving = false;
+    fixture.handle(progress_saved{{job}});
+    fixture.tick();
+    cr_assert(!fixture.saving, "written again without a pause");
+    fixture.add_workflow(job_id("other"), false);
+    fixture.tick();
+    cr_assert(fixture.saving && fixture.saved.size() == 1 &&
+              fixture.saved[0].job == job_id("other"));
+    fixture.confirm_save();
+    fixture.tick(seconds(6));
+    cr_assert(fixture.saving && fixture.saved.size() == 1 && fixture.saved[0].job == job);
+}
--- a/tests/fleet_drivers_test.cpp
+++ b/tests/fleet_drivers_test.cpp
@@ -1,10 +1,9 @@
-#include "mocks.h"
+#include "table_fixture.h"
 
 #include "citronford/result_code.h"
 #include "citronford/workflow_rows.h"
 #include "io/metrics.h"
 #include "io/progress_codec.h"
-#include "io/workflow_codec.h"
 #include "node/fleet/ended_work_marker.h"
 #include "node/fleet/observed_table.h"
 #include "node/fleet/owner_row_writer.h"
@@ -13,7 +12,6 @@
 #include "node/fleet/vm_driver.h"
 #include "node/fleet/workflow_service.h"
 
-#include <deque>
 #include <optional>
 
 using namespace citronford;
@@ -21,71 +19,18 @@
 
 namespace {
 
-constexpr fencing_token token = 5;
-
-/// A table whose calls the test answers one by one.
-struct table_fixture {
-    manual_timer_service timers;
-    mock_table_service table;
-    std::deque<table_service::commit_callback> commits;
-    std::deque<table_service::scan_callback> scans;
-    std::vector<std::vector<table_write>> written;
-    std::vector<std::vector<table_check>> checked;
-    std::vector<table_version> scanned_since;
-    std::unique_ptr<trompeloeil::expectation> allow_commits =
-        NAMED_ALLOW_CALL(table, commit(_, _, _))
-            .LR_SIDE_EFFECT(checked.emplace_back(_1.begin(), _1.end()))
-            .LR_SIDE_EFFECT(written.emplace_back(_2.begin(), _2.end()))
-            .LR_SIDE_EFFECT(commits.push_back(_3));
-    std::unique_ptr<trompeloeil::expectation> allow_scans =
-        NAMED_ALLOW_CALL(table, scan(_, _, _))
-            .LR_SIDE_EFFECT(scanned_since.push_back(_2))
-            .LR_SIDE_EFFECT(scans.push_back(_3));
-
-    void answer_commit(const absl::StatusOr<table_commit>& result) {
-        cr_assert(!commits.empty(), "no transaction is under way");
-        const auto done = std::move(commits.front());
-        commits.pop_front();
-        done(result);
-    }
-
-    void answer_scan(const absl::StatusOr<table_scan>& result) {
-        cr_assert(!scans.empty(), "no read is under way");
-        const auto done = std::move(scans.front());
-        scans.pop_front();
-        done(result);
-    }
-};
-
-table_commit committed(table_version version) {
-    table_commit commit;
-    commit.committed = true;
-    commit.version = version;
-    return commit;
-}
-
-table_commit conflict(const std::string& value, table_version version) {
-    table_commit commit;
-    commit.conflicts = {{std::string(progress_fence_key), value, version}};
-    return commit;
-}
-
-absl::Status in_doubt() {
-    return make_status(result_code::commit_in_doubt, "lost");
-}
-
 /// A progress writer that has claimed the fence row and has one write under way.
 struct writer_fixture : table_fixture {
     bool superseded = false;
     bool done = false;
-    progress_writer writer{table, timers, token, [this] { superseded = true; }};
+    progress_writer writer{table, timers, {token}, [this] { superseded = true; }};
 
     writer_fixture() {
         writer.acquire_fence([] {});
         answer_scan(table_scan{{{std::string(progress_fence_key), "4 17", 30}}, 31});
         answer_commit(committed(32));
         const std::vector<progress_row> rows = {{job_id("j"), {}}};
-        writer.write(rows, [this] { done = true; });
+        writer.write(rows, [this](std::span<const job_id>) { done = true; });
     }
 };
 
@@ -199,7 +144,8 @@
     cr_assert(fixture.written.back().back().key == std::string(progress_fence_key));
     expect_equal(*fixture.written.back().back().value, "5 1");
     fixture.answer_commit(committed(33));
-    fixture.writer.write(std::vector<progress_row>{{job_id("j"), {}}}, [] {});
+    fixture.writer.write(std::vector<progress_row>{{job_id("j"), {}}},
+                         [](std::span<const job_id>) {});
     expect_equal(*fixture.written.back().back().value, "5 2");
 }
 
--- a/tests/table_replies_test.cpp
+++ b/tests/table_replies_test.cpp
@@ -86,3 +86,19 @@
         cr_assert(code_of(reader.read_commit(refused).status()) == result_code::table_unavailable);
     }
 }
+
+// Guards against a transaction that is repeated without end although the table will never accept
+// it, and against one that is given up although only the rate limit was reached.
+Test(table_replies, tells_rejected_transactions_from_an_unavailable_table) {
+    wire::table_reply_reader reader;
+    for (const int status : {400, 403, 404, 413, 422}) {
+        cr_assert(code_of(reader.read_commit(answer(status, "{}")).status()) ==
+                      result_code::write_rejected,
+                  "%d", status);
+    }
+    for (const int status : {408, 429, 500, 503, 507}) {
+        cr_assert(code_of(reader.read_commit(answer(status, "{}")).status()) ==
+                      result_code::table_unavailable,
+                  "%d", status);
+    }
+}
