Refuse workflows whose rows cannot be stored

A workflow of up to 20000 tasks was accepted whatever its progress could grow to, and a body of 48 KB can be longer as a row. Both are now refused at once, with the limit of the deployment (RowBytes, setting table_row_bytes). A row that the table rejects made it refuse all rows of its batch as if it were down; they are now written one by one and the row is refused for good.

--- a/include/citronford/fleet_settings.h
+++ b/include/citronford/fleet_settings.h
@@ -25,6 +25,7 @@
     endpoint health{"127.0.0.1", 8343};           ///< Listens for readiness checks.
     endpoint metrics_endpoint{"127.0.0.1", 8345}; ///< Listens for metrics scrapes.
     endpoint table{"127.0.0.1", 8090};            ///< Of the platform's table service.
+    std::size_t table_row_bytes = 65536;          ///< Largest value of a row of the table.
     endpoint vms;                                 ///< Of the VM service; port 0: there is none.
     endpoint advice;                              ///< Port 0: there is no advice service.
     std::int64_t processors_permille = 1000;      ///< Processors of this VM; 1000 is one processor.
--- a/include/citronford/submission.h
+++ b/include/citronford/submission.h
@@ -25,6 +25,7 @@
     accepted_workflow row;
     std::uint32_t part = 0; ///< Part of the table; one transaction can write rows of one part only.
     instant deadline{};     ///< When the caller stops waiting.
+    std::size_t bytes = 0;  ///< Size of the row as stored.
 };
 /// All rows of a batch were written.
 struct batch_stored {
@@ -39,14 +40,19 @@
 struct batch_refused {
     std::uint32_t part = 0;
 };
+/// Nothing of the batch was written, because the table rejects one of its rows.
+struct batch_rejected {
+    std::uint32_t part = 0;
+};
 /// The batch may have been written.
 struct batch_in_doubt {
     std::uint32_t part = 0;
 };
 struct submission_tick {};
 
-using submission_input = std::variant<workflow_submitted, batch_stored, batch_conflict,
-                                      batch_refused, batch_in_doubt, submission_tick>;
+using submission_input =
+    std::variant<workflow_submitted, batch_stored, batch_conflict, batch_refused, batch_rejected,
+                 batch_in_doubt, submission_tick>;
 
 // Effects.
 
@@ -58,8 +64,9 @@
 };
 enum class submission_result {
     accepted,
-    refused, ///< Not stored, and never will be.
-    unknown, ///< May be stored.
+    refused,  ///< Not stored, and never will be.
+    rejected, ///< As `refused`; the table would reject the row again.
+    unknown,  ///< May be stored.
 };
 struct answer_submission {
     submission_id id{};
@@ -88,6 +95,7 @@
         int refused_writes = 0;
         instant not_before{}; ///< Time of the next write at the earliest.
         bool in_batch = false;
+        bool alone = false; ///< Written in a batch of its own, after one with it was rejected.
     };
     struct step_context {
         entry& item;
@@ -109,6 +117,10 @@
     struct write_refused {
         static constexpr std::string_view event_name = "write_refused";
     };
+    /// The table rejects the row.
+    struct write_rejected {
+        static constexpr std::string_view event_name = "write_rejected";
+    };
     struct write_in_doubt {
         static constexpr std::string_view event_name = "write_in_doubt";
     };
@@ -116,7 +128,7 @@
         static constexpr std::string_view event_name = "deadline_reached";
     };
     using event = std::variant<write_begun, row_stored, write_deferred, write_refused,
-                               write_in_doubt, deadline_reached>;
+                               write_rejected, write_in_doubt, deadline_reached>;
 
   private:
     using machine = chart_machine<step_context, event>;
@@ -128,6 +140,7 @@
     void apply(const batch_stored& input);
     void apply(const batch_conflict& input);
     void apply(const batch_refused& input);
+    void apply(const batch_rejected& input);
     void apply(const batch_in_doubt& input);
     void apply(const submission_tick& input);
     void step_batch(std::uint32_t part, const event& trigger);
--- a/src/decide/submission/submission_batcher.cpp
+++ b/src/decide/submission/submission_batcher.cpp
@@ -1,5 +1,7 @@
 #include "citronford/submission.h"
 
+#include "citronford/table_service.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -36,6 +38,8 @@
          [](step_context& context, const event&) { answer(context, submission_result::accepted); }},
         {"answer_refused",
          [](step_context& context, const event&) { answer(context, submission_result::refused); }},
+        {"answer_rejected",
+         [](step_context& context, const event&) { answer(context, submission_result::rejected); }},
         {"answer_unknown",
          [](step_context& context, const event&) { answer(context, submission_result::unknown); }},
     };
@@ -81,6 +85,23 @@
     step_batch(input.part, write_refused{});
 }
 
+void submission_batcher::apply(const batch_rejected& input) {
+    const auto in_batch = [&](const entry& item) {
+        return item.in_batch && item.submission.part == input.part;
+    };
+    const auto rows = std::ranges::count_if(
+        entries_, [&](const auto& numbered) { return in_batch(numbered.second); });
+    if (rows == 1) {
+        step_batch(input.part, write_rejected{});
+        return;
+    }
+    // Written again one by one, which shows the row that the table rejects.
+    for (auto& [id, item] : entries_) {
+        item.alone = item.alone || in_batch(item);
+    }
+    step_batch(input.part, write_deferred{});
+}
+
 void submission_batcher::apply(const batch_in_doubt& input) {
     step_batch(input.part, write_in_doubt{});
 }
@@ -118,10 +139,6 @@
 }
 
 void submission_batcher::write_due_rows(std::uint32_t part) {
-    // Limit of rows in one transaction.
-    constexpr std::size_t max_rows = 90;
-    // Limit of bytes in one transaction, with room for the encoding.
-    constexpr std::size_t max_bytes = 400000;
     bool& writing = writing_[part];
     if (writing) {
         return;
@@ -129,20 +146,25 @@
     write_batch batch{part, {}};
     std::size_t bytes = 0;
     for (auto& [id, item] : entries_) {
-        if (item.submission.part != part || now_ < item.not_before ||
-            batch.rows.size() == max_rows || bytes > max_bytes) {
+        const workflow_submitted& submission = item.submission;
+        if (submission.part != part || now_ < item.not_before) {
             continue;
         }
-        const job_id& job = item.submission.row.id;
         const bool repeated = std::ranges::any_of(
-            batch.rows, [&](const accepted_workflow* row) { return row->id == job; });
-        if (repeated) {
+            batch.rows, [&](const accepted_workflow* row) { return row->id == submission.row.id; });
+        const bool fits =
+            batch.rows.empty() || (!item.alone && batch.rows.size() < max_transaction_rows &&
+                                   bytes + submission.bytes <= max_transaction_bytes);
+        if (repeated || !fits) {
             continue;
         }
         step(item, write_begun{});
         item.in_batch = true;
-        bytes += item.submission.row.spec.payload.size() + 1000;
-        batch.rows.push_back(&item.submission.row);
+        bytes += submission.bytes;
+        batch.rows.push_back(&submission.row);
+        if (item.alone) {
+            break;
+        }
     }
     if (!batch.rows.empty()) {
         writing = true;
--- a/src/io/fleet_settings.cpp
+++ b/src/io/fleet_settings.cpp
@@ -114,6 +114,13 @@
                                        })},
         {{"platform", "table", "ADDRESS:PORT", "", true, "Table service."},
          endpoint_field(&fleet_settings::table)},
+        {{"platform", "table_row_bytes", "bytes, 1024 to 16777216", "65536", false,
+          "Largest value of a row of the table.", replaces_invalid},
+         number_within<fleet_settings>(1024, 16777216,
+                                       [](fleet_settings& target, std::int64_t number) {
+                                           target.table_row_bytes =
+                                               static_cast<std::size_t>(number);
+                                       })},
         {{"platform", "vms", "ADDRESS:PORT or nothing", "", false,
           "List of VMs and orders to them; nothing where the platform has no such service."},
          optional_endpoint(&fleet_settings::vms)},
--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -101,7 +101,8 @@
            duration::zero()},
           [this](std::span<const table_row> rows) { apply_order_rows(rows, true); },
           [this](std::span<const table_row> rows) { apply_order_rows(rows, false); }),
-      workflows_(std::move(submissions), table_, links_.timers, registry_) {}
+      workflows_(std::move(submissions), table_, links_.timers, registry_,
+                 own_settings.table_row_bytes) {}
 
 void fleet_node::start() {
     owner_.start();
@@ -173,7 +174,7 @@
     }
     auto created = dispatch_driver::create(
         {charts_.workflow, charts_.task_run, charts_.backend_contact}, options,
-        {links_.timers, table_, links_.backends, links_.rows},
+        {links_.timers, table_, links_.backends, links_.rows, own_settings_.table_row_bytes},
         {[this] {
              return owner_authority{owner_.state().lease_until(), owner_.state().authority_until()};
          },
--- a/src/node/fleet/workflow_service.cpp
+++ b/src/node/fleet/workflow_service.cpp
@@ -25,8 +25,9 @@
 } // namespace
 
 workflow_service::workflow_service(submission_batcher decisions, observed_table& table,
-                                   timer_service& timers, metrics& registry)
-    : decisions_(std::move(decisions)), table_(table), timers_(timers), registry_(registry) {}
+                                   timer_service& timers, metrics& registry, std::size_t row_bytes)
+    : decisions_(std::move(decisions)), table_(table), timers_(timers), registry_(registry),
+      row_bytes_(row_bytes) {}
 
 void workflow_service::start() {
     ticks_ = timers_.every(tick_period, [this](instant) {
@@ -41,7 +42,19 @@
     return table_.consecutive_failures() >= failures_of_outage;
 }
 
-void workflow_service::submit(accepted_workflow row, duration timeout, workflow_reply reply) {
+void workflow_service::submit(accepted_workflow row, std::uint32_t max_attempts, duration timeout,
+                              workflow_reply reply) {
+    const std::size_t bytes = encode_workflow(row).size();
+    const std::size_t progress_bytes = max_progress_bytes(row.spec, max_attempts);
+    if (bytes > row_bytes_ || progress_bytes > max_progress_text(row_bytes_)) {
+        log_event(log_level::info, "submission_refused",
+                  {{"job", row.id.view()},
+                   {"reason", "its rows can exceed the limit of the table"},
+                   {"bytes", static_cast<std::int64_t>(bytes)},
+                   {"progress_bytes", static_cast<std::int64_t>(progress_bytes)}});
+        reply(workflow_refused{result_code::write_rejected, duration::zero()});
+        return;
+    }
     if (table_is_down()) {
         log_event(log_level::info, "submission_refused",
                   {{"job", row.id.view()}, {"reason", "the table does not answer"}});
@@ -53,7 +66,7 @@
     callers_.emplace(number, waiting_caller{std::move(reply), timers_.now()});
     const std::uint32_t part = work_part(row.id);
     handle(workflow_submitted{static_cast<submission_id>(number), std::move(row), part,
-                              timers_.now() + timeout});
+                              timers_.now() + timeout, bytes});
 }
 
 void workflow_service::handle(const submission_input& input) {
@@ -73,11 +86,7 @@
     table_.commit(checks, writes,
                   [this, part = effect.part](const absl::StatusOr<table_commit>& result) {
                       if (!result.ok()) {
-                          if (code_of(result.status()) == result_code::commit_in_doubt) {
-                              handle(batch_in_doubt{part});
-                          } else {
-                              handle(batch_refused{part});
-                          }
+                          process_failed_batch(part, result.status());
                           return;
                       }
                       if (result->committed) {
@@ -94,8 +103,24 @@
                   });
 }
 
+void workflow_service::process_failed_batch(std::uint32_t part, const absl::Status& status) {
+    switch (code_of(status)) {
+    case result_code::commit_in_doubt:
+        handle(batch_in_doubt{part});
+        return;
+    case result_code::write_rejected:
+        log_event(log_level::warning, "submissions_rejected",
+                  {{"part", static_cast<std::int64_t>(part)}, {"reason", message_of(status)}});
+        handle(batch_rejected{part});
+        return;
+    default:
+        handle(batch_refused{part});
+        return;
+    }
+}
+
 void workflow_service::perform(const answer_submission& effect) {
-    constexpr std::string_view names[] = {"accepted", "refused", "unknown"};
+    constexpr std::string_view names[] = {"accepted", "refused", "rejected", "unknown"};
     log_event(
         log_level::info, "submission_answered",
         {{"job", effect.job.view()}, {"result", names[static_cast<std::size_t>(effect.result)]}});
@@ -113,6 +138,9 @@
     case submission_result::refused:
         caller.reply(workflow_refused{result_code::table_unavailable, outage_retry_delay});
         return;
+    case submission_result::rejected:
+        caller.reply(workflow_refused{result_code::write_rejected, duration::zero()});
+        return;
     case submission_result::unknown:
         caller.reply(workflow_in_doubt{});
         return;
@@ -224,8 +252,7 @@
     table_.commit({}, writes,
                   [this, job, attempts_left,
                    reply = std::move(reply)](const absl::StatusOr<table_commit>& result) mutable {
-                      const bool rejected =
-                          code_of(result.status()) == result_code::write_rejected;
+                      const bool rejected = code_of(result.status()) == result_code::write_rejected;
                       if (!result.ok() && !rejected && attempts_left > 1) {
                           constexpr duration pause = milliseconds(150);
                           timers_.once(pause, [this, job, attempts_left,
--- a/src/node/fleet/workflow_service.h
+++ b/src/node/fleet/workflow_service.h
@@ -2,6 +2,7 @@
 
 #include "citronford/queue_catalog.h"
 #include "citronford/submission.h"
+#include "citronford/table_service.h"
 #include "citronford/timer_service.h"
 #include "citronford/workflow_caller.h"
 #include "io/metrics.h"
@@ -21,7 +22,7 @@
 class workflow_service {
   public:
     workflow_service(submission_batcher decisions, observed_table& table, timer_service& timers,
-                     metrics& registry);
+                     metrics& registry, std::size_t row_bytes = default_row_bytes);
     workflow_service(const workflow_service&) = delete;
     workflow_service& operator=(const workflow_service&) = delete;
     workflow_service(workflow_service&&) = delete;
@@ -30,7 +31,10 @@
 
     void start();
 
-    void submit(accepted_workflow row, duration timeout, workflow_reply reply);
+    /// `max_attempts` is that of the queue. Refuses at once a workflow whose rows could exceed the
+    /// limit of the table while it runs.
+    void submit(accepted_workflow row, std::uint32_t max_attempts, duration timeout,
+                workflow_reply reply);
     void get_status(const job_id& job, workflow_reply reply);
     void cancel(const job_id& job, workflow_reply reply);
     void get_queue_status(const queue_id& queue, workflow_reply reply);
@@ -43,6 +47,7 @@
 
     void handle(const submission_input& input);
     void perform(const write_batch& effect);
+    void process_failed_batch(std::uint32_t part, const absl::Status& status);
     void perform(const answer_submission& effect);
     void read_state(const job_id& job, state_callback done);
     void read_work_row(const job_id& job, state_callback done);
@@ -54,6 +59,7 @@
     observed_table& table_;
     timer_service& timers_;
     metrics& registry_;
+    std::size_t row_bytes_; ///< Largest value of a row of the table.
     timer_subscription ticks_;
     struct waiting_caller {
         workflow_reply reply;
--- a/tests/fleet_drivers_test.cpp
+++ b/tests/fleet_drivers_test.cpp
@@ -309,7 +309,7 @@
     accepted_workflow row;
     row.id = job_id("j");
     row.spec.steps = {{.tasks = 1}};
-    service.submit(row, seconds(3), [&](const workflow_answer& content) {
+    service.submit(row, 3, seconds(3), [&](const workflow_answer& content) {
         accepted += std::holds_alternative<workflow_accepted>(content) ? 1 : 0;
     });
     fixture.answer_commit(committed(5));
--- a/tests/fleet_settings_test.cpp
+++ b/tests/fleet_settings_test.cpp
@@ -24,6 +24,7 @@
                              {"Ip", "10.0.0.1"},
                              {"PortRange.0", "7000"},
                              {"platform.Address", "10.0.0.7:8344"},
+                             {"platform.RowBytes", "65536"},
                              {"Cloud.Address", "10.0.0.8:8344"},
                              {"Advice", "10.0.0.9:8344"},
                              {"Bounds.HoldMaxMs", "6000"},
@@ -99,7 +100,7 @@
     const fleet_settings read = parsed(only_required);
     cr_assert(read.longest_backend_lease == defaults.longest_backend_lease);
     cr_assert(read.stop_grace == defaults.stop_grace && read.vms.port == 0);
-    cr_assert(read.replaced.size() == 10, "%zu", read.replaced.size());
+    cr_assert(read.replaced.size() == 11, "%zu", read.replaced.size());
 }
 
 // Guards against a fleet that never starts because a bound is a fraction, a large or a small
--- a/tests/rejected_writes_test.cpp
+++ b/tests/rejected_writes_test.cpp
@@ -9,6 +9,7 @@
 #include "node/fleet/workflow_service.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <utility>
 
@@ -68,8 +69,34 @@
     observed_table observed{table, timers, registry};
     workflow_service service{*submission_batcher::create(installed_chart("submission")), observed,
                              timers, registry};
+    std::map<std::string, workflow_answer> answers;
+
+    void submit(const std::string& job, const workflow_spec& spec, std::uint32_t attempts = 4) {
+        accepted_workflow row;
+        row.id = job_id(job);
+        row.spec = spec;
+        service.submit(row, attempts, seconds(3),
+                       [this, job](const workflow_answer& answer) { answers[job] = answer; });
+    }
+
+    /// Whether the caller was told not to send the job again.
+    [[nodiscard]] bool refused_for_good(const std::string& job) const {
+        const auto found = answers.find(job);
+        const auto* refused =
+            found == answers.end() ? nullptr : std::get_if<workflow_refused>(&found->second);
+        return refused != nullptr && refused->code == result_code::write_rejected &&
+               refused->retry_after == duration::zero();
+    }
 };
 
+workflow_spec one_step(std::uint32_t tasks) {
+    workflow_spec spec;
+    workflow_step step;
+    step.tasks = tasks;
+    spec.steps = {step};
+    return spec;
+}
+
 /// Jobs whose rows belong to the same part of the table.
 std::vector<std::string> jobs_of_one_part(std::size_t count) {
     std::vector<std::string> jobs;
@@ -147,6 +174,68 @@
     cr_assert(fixture.written.back()[0].value->size() <= max_progress_text(default_row_bytes));
 }
 
+// Guards against submissions that are answered late because of another one that the table rejects.
+Test(rejected_writes, other_submissions_are_accepted) {
+    service_fixture fixture;
+    const std::vector<std::string> jobs = jobs_of_one_part(5);
+    for (const std::string& job : jobs) {
+        fixture.submit(job, one_step(1));
+    }
+    // The first batch holds the first job, and the next one the four that came meanwhile.
+    fixture.answer_commit(committed(1));
+    int transactions = 0;
+    while (!fixture.commits.empty()) {
+        ++transactions;
+        const bool refuse = names_row(fixture.written.back(), work_row_key(job_id(jobs[2])));
+        fixture.answer_commit(refuse ? absl::StatusOr<table_commit>(rejected()) : committed(2));
+    }
+    cr_assert(fixture.answers.size() == 5, "%zu answers", fixture.answers.size());
+    for (const std::string& job : jobs) {
+        cr_assert(fixture.refused_for_good(job) == (job == jobs[2]), "%s", job.c_str());
+    }
+    cr_assert(transactions == 5, "%d transactions", transactions);
+}
+
+// Guards against a workflow that is accepted although its rows can exceed the limit of the table.
+Test(rejected_writes, workflows_whose_rows_can_exceed_the_limit_are_refused_at_once) {
+    service_fixture fixture;
+    fixture.submit("wide", one_step(20000));
+    fixture.submit("attempts", one_step(1000), 100);
+    workflow_spec long_text = one_step(1);
+    long_text.payload.assign(default_row_bytes, 'x');
+    fixture.submit("text", long_text);
+    for (const char* job : {"wide", "attempts", "text"}) {
+        cr_assert(fixture.refused_for_good(job), "%s", job);
+    }
+    cr_assert(fixture.commits.empty());
+    fixture.submit("usual", one_step(5000));
+    cr_assert(fixture.commits.size() == 1);
+}
+
+// Guards against transactions above the limit of the table: only the texts of workflows were
+// counted, not their steps.
+Test(rejected_writes, submissions_are_split_into_transactions_by_size) {
+    service_fixture fixture;
+    workflow_spec spec;
+    workflow_step step;
+    step.tasks = 1;
+    step.required_label.assign(200, 'x');
+    spec.steps.assign(200, step);
+    const std::vector<std::string> jobs = jobs_of_one_part(40);
+    for (const std::string& job : jobs) {
+        fixture.submit(job, spec);
+    }
+    while (!fixture.commits.empty()) {
+        std::size_t bytes = 0;
+        for (const table_write& write : fixture.written.back()) {
+            bytes += write.value->size();
+        }
+        cr_assert(bytes <= max_transaction_bytes, "%zu bytes", bytes);
+        fixture.answer_commit(committed(1));
+    }
+    cr_assert(fixture.answers.size() == jobs.size());
+}
+
 // Guards against an order to cancel that is repeated although the table rejects it.
 Test(rejected_writes, cancel_is_not_repeated) {
     service_fixture fixture;
