Keep only the last failure of a long-running task

Only the number of the last one is needed, since no limit applies.

dispatcher_test, keeps_only_the_last_failure_of_a_long_running_task: fails on the code before.

--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -249,16 +249,22 @@
                                                std::uint32_t number, backend_entry& server) {
     workflow_entry& entry = *location.workflow;
     task_record& record = *location.record;
-    if (record.has_failed_in(number)) {
+    const bool superseded = entry.step(key.step).long_running && !record.failed_runs.empty() &&
+                            number < record.failed_runs.back();
+    if (superseded || record.has_failed_in(number)) {
         // A server that was deregistered and came back reports its last completions again.
         return;
     }
-    record.failed_runs.push_back(number);
-    record.failed_on = server.registration.id;
-    mark_changed(entry);
     const queue_definition* queue = catalog_->queue(entry.row.queue);
     // Without its queue there is no limit: the tasks are retried until done or cancelled.
     const bool limited = queue != nullptr && !entry.step(key.step).long_running;
+    if (entry.step(key.step).long_running) {
+        // These tasks have no limit, so only the last number is needed; a list would never end.
+        record.failed_runs.clear();
+    }
+    record.failed_runs.push_back(number);
+    record.failed_on = server.registration.id;
+    mark_changed(entry);
     log("task_failed", key.job, server.registration.id,
         "task=" + std::to_string(key.step) + "." + std::to_string(key.index) +
             " failures=" + std::to_string(record.failed_runs.size()));
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -237,3 +237,39 @@
     fixture.tick(seconds(6));
     cr_assert(fixture.saving && fixture.saved.size() == 1 && fixture.saved[0].job == job);
 }
+
+// Guards against progress that grows with each failure of a long-running task, which is restarted
+// without limit.
+Test(dispatcher, keeps_only_the_last_failure_of_a_long_running_task) {
+    dispatch_fixture fixture;
+    fixture.register_backend(first);
+    fixture.finish_loading();
+    fixture.tick();
+    fixture.answer_poll(first, {}, {});
+    accepted_workflow row;
+    row.id = job;
+    row.queue = queue;
+    row.pool = pool;
+    workflow_step step;
+    step.tasks = 1;
+    step.size = {1000, 10, 0};
+    step.long_running = true;
+    row.spec.steps = {step};
+    fixture.handle(workflow_found{row, {}, false});
+    for (std::uint64_t failure = 1; failure <= 20; ++failure) {
+        for (int round = 0; round < 400 && fixture.starts.size() < failure; ++round) {
+            fixture.tick();
+            fixture.answer_poll(first, {}, {});
+            fixture.confirm_save();
+        }
+        cr_assert(fixture.starts.size() == failure, "not restarted");
+        const send_start start = fixture.starts.back();
+        fixture.handle(start_answered{start.run, command_accepted{1000}});
+        fixture.answer_poll(first, {},
+                            {completion_of(failure, start.command.run, completion_kind::failed)});
+        fixture.tick();
+    }
+    cr_assert(fixture.saved.back().progress.failures.size() == 1);
+    cr_assert(fixture.saved.back().progress.failures[0].runs.size() == 1);
+    cr_assert(fixture.saved.back().progress.state == workflow_state::running);
+}
