Reserve a server only for a task that it would start when empty

A team had reached its limit, its further long-running tasks waited, and each pass kept the server with the most free CPU clear for them.

A server is now reserved only for a task within the limit of its team, and only where the task fits beside the long-running tasks of the server, which do not end. backend_reserved is logged once while a workflow waits.

--- a/include/citronford/resources.h
+++ b/include/citronford/resources.h
@@ -25,6 +25,9 @@
     }
     friend resources operator+(resources left, const resources& right) { return left += right; }
     friend resources operator-(resources left, const resources& right) { return left -= right; }
+    friend resources operator*(const resources& size, std::int64_t count) {
+        return {size.millicores * count, size.memory_mb * count, size.accelerators * count};
+    }
     friend bool operator==(const resources&, const resources&) = default;
 
     /// Whether `size` can be taken from these resources. A resource that `size` does not need may
--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <compare>
 #include <tuple>
+#include <utility>
 
 namespace citronford {
 
@@ -21,6 +22,17 @@
     expired,
 };
 
+/// What is left of a server once all its other runs have ended.
+resources capacity_beside_long_running(const backend_entry& server) {
+    resources left = server.registration.capacity;
+    for (const task_run* run : server.runs) {
+        if (run->workflow->step(run->step).long_running) {
+            left -= run->reserved;
+        }
+    }
+    return left;
+}
+
 } // namespace
 
 /// A step with waiting tasks.
@@ -189,21 +201,37 @@
     for (task_run* run : started) {
         emit_start(*run);
     }
-    if (!complete && definition.long_running) {
-        // Keeps the server with the most free CPU clear of other work until the task fits.
-        const backend_entry* best = nullptr;
-        for (const backend_entry* server : pass.servers.with_cpu(0)) {
-            if (meets_constraints(*server, *item.workflow, item.occurrence->number, item.step) &&
-                (best == nullptr ||
-                 server->free_capacity().millicores > best->free_capacity().millicores)) {
-                best = server;
-            }
+    if (complete) {
+        item.workflow->waits_for_server = false;
+    } else if (definition.long_running) {
+        reserve_server(item, pass);
+    }
+    return complete && !skipped;
+}
+
+/// Keeps the server with the most free CPU clear of other work until a long-running task fits that
+/// waits for capacity. Nothing is kept for a task that a free server would not start, either.
+void dispatcher::implementation::reserve_server(const candidate& item, placement_pass& pass) {
+    if (!within_team_limit(item.workflow->row.team, item.definition().size)) {
+        return;
+    }
+    const resources reserved = item.reserved();
+    const backend_entry* best = nullptr;
+    for (const backend_entry* server : pass.servers.with_cpu(0)) {
+        if (meets_constraints(*server, *item.workflow, item.occurrence->number, item.step) &&
+            capacity_beside_long_running(*server).holds(reserved) &&
+            (best == nullptr ||
+             server->free_capacity().millicores > best->free_capacity().millicores)) {
+            best = server;
         }
-        if (best != nullptr) {
-            pass.reserved_servers.insert(best);
+    }
+    if (best != nullptr) {
+        if (!std::exchange(item.workflow->waits_for_server, true)) {
+            log("backend_reserved", item.workflow->row.id, best->registration.id,
+                "step=" + std::to_string(item.step));
         }
+        pass.reserved_servers.insert(best);
     }
-    return complete && !skipped;
 }
 
 dispatcher::implementation::backend_entry*
@@ -280,23 +308,36 @@
     return present < static_cast<std::ptrdiff_t>(definition.max_per_server);
 }
 
-bool dispatcher::implementation::within_team_limit(const team_id& team,
-                                                   const resources& size) const {
+std::int64_t dispatcher::implementation::tasks_within_limit(const team_id& team,
+                                                            const resources& size,
+                                                            std::int64_t tasks,
+                                                            const resources& planned) const {
     const catalog_team* known = catalog_->team(team);
     if (known == nullptr || fault_planted("workflow-limits")) {
-        return true;
+        return tasks;
     }
     const auto found = team_usage_.find(team);
     const auto unknown = unknown_usage_.find(team);
-    const resources total = (found == team_usage_.end() ? resources{} : found->second) +
-                            (unknown == unknown_usage_.end() ? resources{} : unknown->second) +
-                            size;
-    const auto fits = [](std::int64_t amount, std::int64_t limit) {
-        return limit == 0 || amount <= limit;
+    const resources used = (found == team_usage_.end() ? resources{} : found->second) +
+                           (unknown == unknown_usage_.end() ? resources{} : unknown->second) +
+                           planned;
+    std::int64_t allowed = tasks;
+    const auto apply = [&](std::int64_t limit, std::int64_t amount, std::int64_t needed) {
+        if (limit != 0 && amount + needed > limit) {
+            allowed = 0;
+        } else if (limit != 0 && needed > 0) {
+            allowed = std::min(allowed, (limit - amount) / needed);
+        }
     };
-    return fits(total.millicores, known->limit.millicores) &&
-           fits(total.memory_mb, known->limit.memory_mb) &&
-           fits(total.accelerators, known->limit.accelerators);
+    apply(known->limit.millicores, used.millicores, size.millicores);
+    apply(known->limit.memory_mb, used.memory_mb, size.memory_mb);
+    apply(known->limit.accelerators, used.accelerators, size.accelerators);
+    return allowed;
+}
+
+bool dispatcher::implementation::within_team_limit(const team_id& team,
+                                                   const resources& size) const {
+    return tasks_within_limit(team, size, 1, {}) == 1;
 }
 
 } // namespace citronford
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -201,6 +201,11 @@
     [[nodiscard]] bool accepts_tasks(const backend_entry& server) const;
     [[nodiscard]] bool meets_constraints(const backend_entry& server, const workflow_entry& entry,
                                          std::uint32_t occurrence, std::uint32_t step) const;
+    void reserve_server(const candidate& item, placement_pass& pass);
+    /// How many of `tasks` more tasks of `size` the limit of `team` allows beside `planned`.
+    [[nodiscard]] std::int64_t tasks_within_limit(const team_id& team, const resources& size,
+                                                  std::int64_t tasks,
+                                                  const resources& planned) const;
     [[nodiscard]] bool within_team_limit(const team_id& team, const resources& size) const;
 
     void log(std::string_view event, const job_id& job, const backend_id& backend,
--- a/src/decide/dispatch/dispatcher_takeover.cpp
+++ b/src/decide/dispatch/dispatcher_takeover.cpp
@@ -187,8 +187,7 @@
                             return record.is_waiting() && entry->may_have_unknown_run(record);
                         });
                     const resources& size = entry->step(step).size;
-                    possible[entry->row.team] += {size.millicores * tasks, size.memory_mb * tasks,
-                                                  size.accelerators * tasks};
+                    possible[entry->row.team] += size * tasks;
                 }
             }
         }
