--- a/src/decide/dispatch/dispatcher_figures.cpp
+++ b/src/decide/dispatch/dispatcher_figures.cpp
@@ -35,6 +35,7 @@
 
 std::vector<pool_workload> dispatcher::implementation::pool_workloads() const {
     std::vector<pool_workload> all;
+    std::map<team_id, resources> planned_usage;
     for (const auto& [name, pool] : pools_) {
         pool_workload demand{name, pool.arrived_core_s};
         for (const workflow_entry* entry : pool.active_workflows) {
@@ -43,9 +44,13 @@
             for (const auto& [number, occurrence] : entry->occurrences) {
                 for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                     constexpr double millicores_per_core = 1000;
-                    const auto tasks =
-                        static_cast<std::int64_t>(occurrence.steps[step].waiting_tasks());
                     const workflow_step& definition = entry->step(step);
+                    // More VMs would not start what exceeds the limit of the team.
+                    resources& planned = planned_usage[entry->row.team];
+                    const std::int64_t tasks = tasks_within_limit(
+                        entry->row.team, definition.size,
+                        static_cast<std::int64_t>(occurrence.steps[step].waiting_tasks()), planned);
+                    planned += definition.size * tasks;
                     if (definition.long_running) {
                         demand.waiting_long_running += tasks;
                     } else if (counts) {
--- a/tests/reservations_test.cpp
+++ b/tests/reservations_test.cpp
@@ -256,3 +256,23 @@
     }
     cr_assert(placed <= 1, "both gaps were filled while the long-running task waits");
 }
+
+// Guards against VMs that are kept in a pool for tasks that the limit of their team does not allow.
+Test(reservations, no_demand_for_vms_above_the_limit_of_a_team) {
+    reservation_fixture fixture;
+    fixture.add(lasting_job, lasting_step(9, 1000), limited_team);
+    const auto waiting = [&] { return fixture.decisions->pool_workloads().at(0); };
+    cr_assert(waiting().waiting_long_running == 2);
+    fixture.tick();
+    fixture.answer_running();
+    cr_assert(fixture.started(lasting_job) == 2);
+    cr_assert(waiting().waiting_long_running == 0);
+    workflow_step step;
+    step.tasks = 5;
+    step.size = {1000, 10, 0};
+    step.estimate = seconds(1);
+    fixture.add(short_job, step, limited_team);
+    cr_assert(waiting().waiting_cores == 0);
+    fixture.add(job_id("unlimited"), step);
+    cr_assert(waiting().waiting_cores == 5);
+}
