--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -245,9 +245,10 @@
     if (saving_) {
         return;
     }
-    const auto deferred = std::ranges::stable_partition(
-        changed_, [this](const workflow_entry* entry) { return now_ >= entry->save_not_before; });
-    const std::size_t due = changed_.size() - deferred.size();
+    const auto deferred = std::stable_partition(
+        changed_.begin(), changed_.end(),
+        [this](const workflow_entry* entry) { return now_ >= entry->save_not_before; });
+    const auto due = static_cast<std::size_t>(deferred - changed_.begin());
     const std::size_t rows = std::min(max_transaction_rows, due);
     if (rows == 0) {
         note_saved_completions();
