Bound the demand for VMs in each pool on its own

 shared what the limit of a team allows among the pools in the order of their names, so that a pool could show no demand although its work was the next to start. reservations_test, demand_of_one_pool_does_not_depend_on_another: fails on the code before.

--- a/src/decide/dispatch/dispatcher_figures.cpp
+++ b/src/decide/dispatch/dispatcher_figures.cpp
@@ -35,8 +35,9 @@
 
 std::vector<pool_workload> dispatcher::implementation::pool_workloads() const {
     std::vector<pool_workload> all;
-    std::map<team_id, resources> planned_usage;
     for (const auto& [name, pool] : pools_) {
+        // Of this pool alone, since any pool may be the one where the team uses its limit.
+        std::map<team_id, resources> planned_usage;
         pool_workload demand{name, pool.arrived_core_s};
         for (const workflow_entry* entry : pool.active_workflows) {
             // Work that misses its objective in any case does not count as demand for more VMs.
--- a/tests/reservations_test.cpp
+++ b/tests/reservations_test.cpp
@@ -276,3 +276,26 @@
     fixture.add(job_id("unlimited"), step);
     cr_assert(waiting().waiting_cores == 5);
 }
+
+// Guards against a pool without VMs: work of the same team that waits in another pool must not use
+// up what the limit of the team allows here.
+Test(reservations, demand_of_one_pool_does_not_depend_on_another) {
+    reservation_fixture fixture;
+    const pool_id other_pool("other-pool");
+    workflow_step step;
+    step.tasks = 5;
+    step.size = {1000, 10, 0};
+    step.estimate = seconds(1);
+    fixture.add(short_job, step, limited_team);
+    accepted_workflow elsewhere;
+    elsewhere.id = job_id("elsewhere");
+    elsewhere.queue = queue;
+    elsewhere.pool = other_pool;
+    elsewhere.team = limited_team;
+    elsewhere.spec.steps = {step};
+    fixture.handle(workflow_found{elsewhere, {}, false});
+    for (const pool_workload& workload : fixture.decisions->pool_workloads()) {
+        cr_assert(workload.waiting_cores == 2, "%s: %f", workload.pool.str().c_str(),
+                  workload.waiting_cores);
+    }
+}
