--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -267,9 +267,9 @@
 }
 
 void dispatcher::implementation::process(const progress_saved& input) {
-    // A row that the table rejects is written again with a later change of the workflow, which may
-    // make it smaller. Completions are acknowledged all the same: servers list a limited number, so
-    // that those of other workflows would not be seen behind them.
+    // A row that the table rejects is written again after a pause, with the progress of that time.
+    // Its completions are acknowledged all the same: servers list a limited number, so that those
+    // of other workflows would not be seen behind them.
     constexpr duration rejected_row_pause = seconds(5);
     for (const job_id& job : input.rejected) {
         const auto found = workflows_.find(job);
--- a/tests/submission_batcher_test.cpp
+++ b/tests/submission_batcher_test.cpp
@@ -105,3 +105,18 @@
     cr_assert(fixture.answers.at(1) == submission_result::unknown,
               "wrong answer while a write is under way");
 }
+
+// Guards against a caller that is told that its workflow is not stored, while an unanswered write
+// of it may still be carried out.
+Test(submission_batcher, answers_unknown_when_a_row_is_rejected_after_an_unanswered_write) {
+    batcher_fixture fixture;
+    fixture.submit(1, "a");
+    fixture.handle(batch_in_doubt{0});
+    fixture.handle(submission_tick{}, start + milliseconds(200));
+    cr_assert(fixture.batches.size() == 2);
+    fixture.handle(batch_rejected{0}, start + milliseconds(210));
+    cr_assert(fixture.answers.at(1) == submission_result::unknown);
+    fixture.submit(2, "b");
+    fixture.handle(batch_rejected{0});
+    cr_assert(fixture.answers.at(2) == submission_result::rejected);
+}
