--- a/tests/dispatcher_recovery_test.cpp
+++ b/tests/dispatcher_recovery_test.cpp
@@ -172,6 +172,33 @@
     cr_assert(fixture.decisions->counts().runs == 1);
 }
 
+// Guards against two runs of a task when two owners are lost in a row: the registration of the
+// server expires under the first one, and the next one finds it in the VM list only.
+Test(dispatcher_recovery, waits_for_the_server_when_the_owner_is_lost_again) {
+    recovery_fixture lost_owner;
+    lost_owner.handle(backend_deregistered{second});
+    lost_owner.tick();
+    dispatch_options options;
+    options.has_vm_lists = true;
+    dispatch_fixture fixture(options);
+    fixture.register_backend(first);
+    fixture.add_workflow(job, true);
+    fixture.handle(present_backends{{{first, pool, {}}, {second, pool, {}}}});
+    fixture.finish_loading();
+    fixture.tick();
+    fixture.answer_poll(first, {}, {});
+    fixture.tick(seconds(2));
+    fixture.answer_poll(first, {}, {});
+    fixture.tick();
+    cr_assert(fixture.starts.empty(), "started while the server that expired may run the task");
+    fixture.register_backend(second);
+    fixture.tick();
+    fixture.answer_poll(second, {reported_run(1)}, {});
+    fixture.tick();
+    cr_assert(fixture.starts.empty());
+    cr_assert(fixture.decisions->counts().runs == 1);
+}
+
 // Guards against two runs of a task: only this owner cannot reach the server, which stays
 // registered and runs on under the leases of the earlier owner.
 Test(dispatcher_recovery, waits_for_the_leases_on_a_server_that_only_this_owner_cannot_reach) {
--- a/tests/fleet_drivers_test.cpp
+++ b/tests/fleet_drivers_test.cpp
@@ -13,6 +13,7 @@
 #include "node/fleet/workflow_service.h"
 
 #include <optional>
+#include <set>
 
 using namespace citronford;
 using trompeloeil::_;
@@ -119,6 +120,27 @@
     cr_assert(fixture.moved.size() == 2, "%zu moves", fixture.moved.size());
 }
 
+// Guards against rows of a wave that are written again and again although the table rejects them.
+Test(vm_driver, does_not_repeat_a_row_that_the_table_rejects) {
+    vm_fixture fixture;
+    ALLOW_CALL(fixture.rows, wave_status_write(_, _))
+        .RETURN(table_write{"status//1", _2 ? "completed" : "running"});
+    ALLOW_CALL(fixture.fleet, maintain(_, _, _, _)).SIDE_EFFECT(_4(vm_order_result::carried_out));
+    fixture.driver->set_wave(wave_order{1, {vm_id("m0")}, seconds(60), 1});
+    for (int round = 0; round < 100; ++round) {
+        fixture.timers.advance(milliseconds(100));
+        while (!fixture.commits.empty()) {
+            fixture.answer_commit(rejected());
+        }
+    }
+    cr_assert(!fixture.written.empty(), "nothing was written");
+    std::set<std::string> seen;
+    for (const std::vector<table_write>& writes : fixture.written) {
+        cr_assert(seen.insert(writes[0].key + '=' + *writes[0].value).second, "%s is repeated",
+                  writes[0].key.c_str());
+    }
+}
+
 // Guards against progress that is written twice, or an ownership that ends, because the reply to a
 // committed write was lost.
 Test(progress_writer, recognises_its_own_write_by_the_fence) {
