Process changes of work in their order after a late lease

Callers saw tasks of a cancelled job start (UNASKED). While the lease of the owner was not renewed, it kept the row of a new workflow for later; the order to cancel it came after the renewal and before the next tick, was processed first, named no known workflow and was dropped. Rows now wait behind those that were kept.

--- a/src/node/fleet/dispatch_driver.cpp
+++ b/src/node/fleet/dispatch_driver.cpp
@@ -133,9 +133,11 @@
 }
 
 void dispatch_driver::process_work_rows(std::span<const table_row> rows, bool stored_before) {
-    if (!stored_before && services_.timers.now() >= on_.authority().accepts_work_until) {
+    const bool lease_is_late = services_.timers.now() >= on_.authority().accepts_work_until;
+    if (!stored_before && (lease_is_late || !deferred_work_.empty())) {
         // Another node may be the owner by now and would not know of runs of new work that this
-        // node starts.
+        // node starts. Rows that come later wait as well: an order to cancel must not be processed
+        // before its workflow.
         deferred_work_.insert(deferred_work_.end(), rows.begin(), rows.end());
         return;
     }
--- a/tests/mocks.h
+++ b/tests/mocks.h
@@ -2,6 +2,7 @@
 
 #include "test_support.h"
 
+#include "citronford/backend_link.h"
 #include "citronford/fleet_rows.h"
 #include "citronford/manual_timer_service.h"
 #include "citronford/vm_fleet.h"
@@ -46,6 +47,19 @@
     MAKE_MOCK4(sync, void(const endpoint&, const sync_request&, duration, sync_callback), override);
 };
 
+struct mock_backend_link final : backend_link {
+    MAKE_MOCK4(start,
+               void(const backend_address&, const start_command&, duration, command_callback),
+               override);
+    MAKE_MOCK4(stop, void(const backend_address&, const stop_command&, duration, command_callback),
+               override);
+    MAKE_MOCK4(throttle,
+               void(const backend_address&, const throttle_command&, duration, command_callback),
+               override);
+    MAKE_MOCK4(poll, void(const backend_address&, const poll_request&, duration, poll_callback),
+               override);
+};
+
 struct mock_vm_fleet final : vm_fleet {
     MAKE_MOCK1(list, void(list_callback), override);
     MAKE_MOCK4(move, void(const vm_id&, const pool_id&, const vm_order_origin&, order_callback),
