Log and export what keeps the servers of a pool from waiting work

A job that waited left no line between workflow_found and its end, so a quarantined pool, a team at its limit and a takeover that waits for servers looked the same. work_stalled says so, at most once in 2 s for each pool; the metrics count stalled workflows and quarantined servers. No decision changes.

--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -175,8 +175,10 @@
 /// Counters of a dispatcher for metrics and the state page.
 struct dispatch_counts {
     std::size_t workflows = 0; ///< Not ended, or ended with runs that are being stopped.
+    std::size_t stalled = 0;   ///< Workflows that could run, but have had no run for 2 s.
     std::size_t runs = 0;
     std::size_t backends = 0;
+    std::size_t quarantined = 0; ///< Servers, because of failed runs.
     std::uint64_t starts = 0;
     std::uint64_t runs_done = 0;
     std::uint64_t runs_failed = 0;
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -103,6 +103,7 @@
     entry.accepted_at = now_ - milliseconds(age_ms);
     entry.over_quota = !input.stored_before && !consume_quota(entry.row.team);
     entry.restore(input.progress, now_);
+    entry.idle_since = now_;
     workflows_.emplace(entry.row.id, std::move(added));
     pool_state& pool = pool_named(entry.row.pool);
     pool.active_workflows.insert(&entry);
--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -126,6 +126,7 @@
         collect_candidates(*entry, candidates);
     }
     pool.limit_reached = false;
+    pool.stalled_workflows = 0;
     if (candidates.empty()) {
         return;
     }
@@ -140,12 +141,17 @@
     placement_pass pass{pool,
                         open_servers(std::move(servers)),
                         {may_have_unknown_runs(pool), may_have_unread_completions(pool)}};
+    std::vector<const workflow_entry*> stalled;
     for (const candidate& item : candidates) {
         if (!place_step(item, pass)) {
             // Some task waits for capacity, the team limit or an unread server: retry next tick.
             pool.placement_due = true;
+            if (is_stalled(*item.workflow)) {
+                stalled.push_back(item.workflow);
+            }
         }
     }
+    report_stalled(pool, pass.unread, stalled);
     for (backend_entry* server : stale) {
         server->poll_wanted = server->poll_wanted || pool.placement_due;
     }
@@ -277,10 +283,13 @@
     return best;
 }
 
+bool dispatcher::implementation::is_withdrawn(const backend_entry& server) const {
+    return !server.registered || server.registration.leaving || server.drain_requested ||
+           orders_.removed_zones.contains(server.registration.zone);
+}
+
 bool dispatcher::implementation::accepts_tasks(const backend_entry& server) const {
-    return contact_is(server, "current") && server.registered && !server.registration.leaving &&
-           !server.drain_requested && server.clock &&
-           !orders_.removed_zones.contains(server.registration.zone) &&
+    return contact_is(server, "current") && !is_withdrawn(server) && server.clock &&
            now_ >= server.start_backoff_until && now_ >= server.quarantined_until;
 }
 
--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -146,6 +146,7 @@
         --state.active;
     }
     --entry.runs;
+    entry.idle_since = now_;
     run.server->used -= run.reserved;
     count_run(run, -1);
     std::erase(run.server->runs, &run);
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -74,6 +74,15 @@
     };
     struct candidate;
     struct placement_pass;
+    /// Servers of one pool, by what keeps them from new tasks.
+    struct server_availability {
+        std::int64_t open = 0;
+        std::int64_t quarantined = 0;
+        std::int64_t in_backoff = 0;      ///< After a refused start.
+        std::int64_t out_of_contact = 0;  ///< The last call failed, or none was answered yet.
+        std::int64_t withdrawn = 0;       ///< Leaving, draining, unregistered or in a removed zone.
+        std::int64_t free_millicores = 0; ///< Of the open ones.
+    };
     /// What servers that have not answered yet may hold of an earlier owner.
     struct unknown_state {
         bool runs = false;
@@ -199,6 +208,12 @@
     backend_entry* select_server(const candidate& item, const task_record& record,
                                  placement_pass& pass);
     [[nodiscard]] bool accepts_tasks(const backend_entry& server) const;
+    [[nodiscard]] bool is_withdrawn(const backend_entry& server) const;
+    /// Whether a workflow with ready tasks has had no run for long.
+    [[nodiscard]] bool is_stalled(const workflow_entry& entry) const;
+    void report_stalled(pool_state& pool, const unknown_state& unread,
+                        std::span<const workflow_entry* const> stalled);
+    [[nodiscard]] server_availability availability_in(const pool_state& pool) const;
     [[nodiscard]] bool meets_constraints(const backend_entry& server, const workflow_entry& entry,
                                          std::uint32_t occurrence, std::uint32_t step) const;
     void reserve_server(const candidate& item, placement_pass& pass);
--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -175,7 +175,9 @@
     const dispatch_counts counts = dispatch_ ? dispatch_->state().counts() : dispatch_counts{};
     gauge("citronford_workflows", static_cast<double>(counts.workflows));
     gauge("citronford_runs", static_cast<double>(counts.runs));
+    gauge("citronford_stalled_workflows", static_cast<double>(counts.stalled));
     gauge("citronford_backends", static_cast<double>(counts.backends));
+    gauge("citronford_quarantined_backends", static_cast<double>(counts.quarantined));
     const std::pair<std::string_view, std::uint64_t> totals[] = {
         {"citronford_starts_total", counts.starts},
         {"citronford_tasks_done_total", counts.runs_done},
--- a/tests/dispatch_fixture.h
+++ b/tests/dispatch_fixture.h
@@ -34,6 +34,7 @@
     std::vector<send_stop> stops;
     std::vector<send_poll> polls;
     std::vector<progress_row> saved;
+    std::vector<log_decision> log;
     bool saving = false;
 
     explicit dispatch_fixture(dispatch_options options = {}) {
@@ -65,6 +66,8 @@
             } else if (const auto* save = std::get_if<save_progress>(&effect)) {
                 saved = save->rows;
                 saving = true;
+            } else if (const auto* line = std::get_if<log_decision>(&effect)) {
+                log.push_back(*line);
             }
         }
     }
