--- a/tests/failing_work_test.cpp
+++ b/tests/failing_work_test.cpp
@@ -120,6 +120,15 @@
 
     [[nodiscard]] backend_clock_ms clock() const { return to_ms(now.time_since_epoch()); }
 
+    /// Hands in jobs that cannot be done, one of four tasks every 100 ms, until all servers have
+    /// failed many of them.
+    void flood_with_hopeless_jobs(int jobs) {
+        for (int number = 0; number < jobs; ++number) {
+            add(job_id("hopeless-" + std::to_string(number)), 4);
+            pass(milliseconds(100));
+        }
+    }
+
     [[nodiscard]] std::string logged(std::string_view event) const {
         const auto found = std::ranges::find(log.rbegin(), log.rend(), event, &log_decision::event);
         return found == log.rend() ? std::string() : found->detail;
@@ -128,6 +137,38 @@
 
 } // namespace
 
+Test(failing_work, starts_a_job_that_can_be_done_while_others_fail_on_all_servers) {
+    failing_work_fixture fixture(4);
+    fixture.flood_with_hopeless_jobs(20);
+    const job_id sound("sound");
+    const instant handed_in = fixture.now;
+    fixture.add(sound, 1);
+    fixture.pass(seconds(3));
+    cr_assert(fixture.started_at.contains(sound), "not started within 3 s; %s",
+              fixture.logged("work_stalled").c_str());
+    cr_assert(fixture.started_at.at(sound) - handed_in < seconds(1));
+}
+
+Test(failing_work, ends_jobs_that_cannot_be_done_soon_after_the_last_one) {
+    failing_work_fixture fixture(4);
+    fixture.flood_with_hopeless_jobs(20);
+    fixture.pass(seconds(3));
+    cr_assert(fixture.decisions->counts().workflows == 0, "%zu workflows have not ended; %s",
+              fixture.decisions->counts().workflows, fixture.logged("work_stalled").c_str());
+}
+
+Test(failing_work, keeps_tasks_off_a_server_that_fails_what_others_can_do) {
+    failing_work_fixture fixture(4);
+    server_model& broken = fixture.servers.at(backend_id("i-1"));
+    broken.fails_all = true;
+    for (int number = 0; number < 100; ++number) {
+        fixture.add(job_id("sound-" + std::to_string(number)), 4);
+        fixture.pass(milliseconds(40));
+    }
+    cr_assert(broken.starts > 0);
+    cr_assert(broken.starts < 40, "%zu tasks were started on it", broken.starts);
+}
+
 Test(failing_work, logs_what_keeps_the_servers_from_a_job_that_waits) {
     failing_work_fixture fixture(1);
     fixture.handle(backends_to_drain{{backend_id("i-1")}, {}});
