Suspend the quarantine of a pool that would close more than a third of it

Three failed runs in a row quarantine a server for 4 s, and one more does so again after that, also when the jobs fail by themselves. Enough such jobs quarantined every server of their pool nearly all the time: work_stalled shows open=0 quarantined=3 with 55 to 107 workflows waiting.

A quarantine now counts only while it closes at most a third of the servers that would accept tasks. Beyond that the work is more likely at fault, and quarantined servers get the tasks that no other has room for. The drain of a VM or a removed zone counts, too, since the share is taken at each pass.

failing_work_test failed before (three of four servers quarantined, 18 workflows left) and passes.

--- a/src/decide/dispatch/dispatcher_figures.cpp
+++ b/src/decide/dispatch/dispatcher_figures.cpp
@@ -114,7 +114,7 @@
             ++sums.withdrawn;
         } else if (!contact_is(*server, "current") || !server->clock) {
             ++sums.out_of_contact;
-        } else if (now_ < server->quarantined_until) {
+        } else if (is_quarantined(*server)) {
             ++sums.quarantined;
         } else if (now_ < server->start_backoff_until) {
             ++sums.in_backoff;
--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -131,10 +131,11 @@
         return;
     }
     std::ranges::stable_sort(candidates, {}, &candidate::key);
+    update_quarantine(pool);
     std::vector<backend_entry*> servers;
     std::vector<backend_entry*> stale;
     for (const auto& [id, server] : pool.servers) {
-        if (accepts_tasks(*server)) {
+        if (accepts_tasks(*server) && (pool.quarantine_suspended || !is_quarantined(*server))) {
             (server->has_recent_contact(now_) ? servers : stale).push_back(server);
         }
     }
@@ -253,7 +254,7 @@
         return nullptr;
     }
     backend_entry* best = nullptr;
-    std::tuple<bool, bool, bool, bool> best_score;
+    std::tuple<bool, bool, bool, bool, bool> best_score;
     for (backend_entry* server : pass.servers.with_cpu(reserved.millicores)) {
         ++counts_.servers_examined;
         if (!server->free_capacity().holds(reserved) || pass.reserved_servers.contains(server) ||
@@ -266,14 +267,15 @@
         // Packs tasks, and above all long-running ones, on few servers, so that empty VMs can be
         // moved to pools with waiting work.
         const bool joins_long_running = !definition.long_running || server->long_running_runs > 0;
-        const std::tuple score(server->registration.id != record.failed_on, not_draining, near,
+        const std::tuple score(!is_quarantined(*server),
+                               server->registration.id != record.failed_on, not_draining, near,
                                joins_long_running);
         // Servers come in the order of their free CPU, so the first of equal ones is the best fit.
         if (best == nullptr || score > best_score) {
             best = server;
             best_score = score;
         }
-        if (score == std::tuple(true, true, true, true)) {
+        if (score == std::tuple(true, true, true, true, true)) {
             break;
         }
     }
@@ -290,7 +292,27 @@
 
 bool dispatcher::implementation::accepts_tasks(const backend_entry& server) const {
     return contact_is(server, "current") && !is_withdrawn(server) && server.clock &&
-           now_ >= server.start_backoff_until && now_ >= server.quarantined_until;
+           now_ >= server.start_backoff_until;
+}
+
+/// Suspends the quarantine of a pool while it would close more than a third of the servers: then
+/// the work is more likely at fault than the servers. Others are still preferred.
+void dispatcher::implementation::update_quarantine(pool_state& pool) {
+    constexpr std::size_t servers_per_quarantined = 3;
+    std::size_t accepting = 0;
+    std::size_t quarantined = 0;
+    for (const auto& [id, server] : pool.servers) {
+        if (accepts_tasks(*server)) {
+            ++accepting;
+            quarantined += is_quarantined(*server) ? 1 : 0;
+        }
+    }
+    const bool suspended = quarantined * servers_per_quarantined > accepting;
+    if (std::exchange(pool.quarantine_suspended, suspended) != suspended) {
+        log(suspended ? "quarantine_suspended" : "quarantine_resumed", {}, {},
+            "pool=" + std::string(pool.name.view()) + " quarantined=" +
+                std::to_string(quarantined) + " servers=" + std::to_string(accepting));
+    }
 }
 
 bool dispatcher::implementation::meets_constraints(const backend_entry& server,
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -208,6 +208,10 @@
     backend_entry* select_server(const candidate& item, const task_record& record,
                                  placement_pass& pass);
     [[nodiscard]] bool accepts_tasks(const backend_entry& server) const;
+    [[nodiscard]] bool is_quarantined(const backend_entry& server) const {
+        return now_ < server.quarantined_until;
+    }
+    void update_quarantine(pool_state& pool);
     [[nodiscard]] bool is_withdrawn(const backend_entry& server) const;
     /// Whether a workflow with ready tasks has had no run for long.
     [[nodiscard]] bool is_stalled(const workflow_entry& entry) const;
--- a/src/decide/dispatch/pool_state.h
+++ b/src/decide/dispatch/pool_state.h
@@ -14,8 +14,9 @@
 struct pool_state {
     pool_id name;
     std::map<backend_id, backend_entry*> servers;
-    bool recovered = false;     ///< The runs of the earlier owner have been adopted.
-    bool placement_due = false; ///< Tasks may have become placeable since the last pass.
+    bool recovered = false;            ///< The runs of the earlier owner have been adopted.
+    bool placement_due = false;        ///< Tasks may have become placeable since the last pass.
+    bool quarantine_suspended = false; ///< Quarantined servers may be used, after the others.
     bool limit_reached = false; ///< In the last pass, a task waited for the limit of its team.
     std::set<workflow_entry*> active_workflows; ///< Workflows that have not ended.
     double arrived_core_s = 0;                  ///< Estimated work submitted under this ownership.
