Stop series: a share of the jobs can never be done

A job that can be done and of which nothing was started within 3 s of its acceptance counts as stalled; jobs that cannot be done have to be shown as failed. The checks of jobs at the end of a series move to a file of their own.

--- a/tools/stop_series/backend_model.cpp
+++ b/tools/stop_series/backend_model.cpp
@@ -1,5 +1,7 @@
 #include "stop_series/backend_model.h"
 
+#include "stop_series/kept_caller.h"
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -17,13 +19,17 @@
 /// Time that the server takes to stop a task.
 constexpr duration stop_time = milliseconds(50);
 
+/// Time after which a task that cannot be done fails.
+constexpr duration failure_time = milliseconds(50);
+
 /// Most ends in the reply to one poll.
 constexpr std::size_t max_listed_ends = 500;
 
 } // namespace
 
-void run_ledger::note_start(const std::string& task) {
+void run_ledger::note_start(const std::string& task, instant now) {
     task_history& history = tasks_[task];
+    history.first_start = std::min(history.first_start, now);
     if (history.done || history.running > 0) {
         doubled_.push_back(task);
     }
@@ -41,6 +47,15 @@
     return found != tasks_.end() && found->first.starts_with(id);
 }
 
+std::optional<instant> run_ledger::first_start(const std::string& id) const {
+    std::optional<instant> first;
+    for (auto task = tasks_.lower_bound(id); task != tasks_.end() && task->first.starts_with(id);
+         ++task) {
+        first = std::min(first.value_or(instant::max()), task->second.first_start);
+    }
+    return first;
+}
+
 backend_model::backend_model(std::string id, duration task_time, timer_service& timers,
                              run_ledger& ledger)
     : id_(std::move(id)), task_time_(task_time), timers_(timers), ledger_(ledger),
@@ -116,10 +131,13 @@
         refuse(responder, "old");
         return;
     }
-    ledger_.note_start(task);
-    running_.insert_or_assign(
-        task,
-        active_run{run, timers_.after(task_time_, [this, task](instant) { end(task, "done"); })});
+    ledger_.note_start(task, timers_.now());
+    const bool fails = call.value("Spec", "") == hopeless_spec;
+    running_.insert_or_assign(task, active_run{run, timers_.after(fails ? failure_time : task_time_,
+                                                                  [this, task, fails](instant) {
+                                                                      end(task, fails ? "failed"
+                                                                                      : "done");
+                                                                  })});
     responder.send({200, {}, reply_document().dump()});
 }
 
--- a/tools/stop_series/backend_model.h
+++ b/tools/stop_series/backend_model.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,12 +18,15 @@
 /// What all backend servers have run, by task.
 class run_ledger {
   public:
-    void note_start(const std::string& task);
+    void note_start(const std::string& task, instant now);
     void note_end(const std::string& task, bool done);
 
     /// Whether a task of the job `id` was started.
     [[nodiscard]] bool has_run(const std::string& id) const;
 
+    /// When the first task of the job `id` was started; none if nothing was.
+    [[nodiscard]] std::optional<instant> first_start(const std::string& id) const;
+
     /// Tasks that ran twice at the same time, or were started again after they were done.
     [[nodiscard]] std::size_t doubled() const { return doubled_.size(); }
 
@@ -30,13 +34,14 @@
     struct task_history {
         int running = 0;
         bool done = false;
+        instant first_start = instant::max();
     };
     std::map<std::string, task_history> tasks_;
     std::vector<std::string> doubled_;
 };
 
 /// Stand-in for a backend server that runs tasks under leases. Each task ends `done` after
-/// `task_time`.
+/// `task_time`, or `failed` soon if its text is `hopeless_spec`.
 class backend_model {
   public:
     backend_model(std::string id, duration task_time, timer_service& timers, run_ledger& ledger);
--- a/tools/stop_series/kept_caller.cpp
+++ b/tools/stop_series/kept_caller.cpp
@@ -57,6 +57,13 @@
     return status;
 }
 
+/// A job of one task, or one of three tasks that always fail.
+std::string job_body(bool hopeless) {
+    const std::string spec(hopeless ? hopeless_spec : "text");
+    return R"({"Spec":")" + spec + R"(","Steps":[{"Count":)" + (hopeless ? "3" : "1") +
+           R"(,"Cpu":1000,"MemMb":64,"EstimateMs":400}]})";
+}
+
 } // namespace
 
 std::string job_name(std::uint64_t number) {
@@ -88,11 +95,10 @@
 };
 
 kept_caller::kept_caller(uv_loop_t* loop, timer_service& timers, const entry_vms& fleet,
-                         caller_target target, duration max_pause, std::uint64_t number,
+                         caller_target target, caller_options options, std::uint64_t number,
                          std::uint64_t seed, outcome_callback done)
-    : loop_(loop), timers_(timers), fleet_(fleet), target_(std::move(target)),
-      max_pause_(max_pause), number_(number), random_(seed * 100003 + number),
-      done_(std::move(done)) {}
+    : loop_(loop), timers_(timers), fleet_(fleet), target_(std::move(target)), options_(options),
+      number_(number), random_(seed * 100003 + number), done_(std::move(done)) {}
 
 std::int64_t kept_caller::below(std::int64_t limit) {
     return std::uniform_int_distribution<std::int64_t>(0, std::max<std::int64_t>(limit - 1, 0))(
@@ -100,8 +106,8 @@
 }
 
 void kept_caller::start() {
-    pause_ =
-        timers_.after(milliseconds(below(to_ms(max_pause_) + 1)), [this](instant) { send_next(); });
+    pause_ = timers_.after(milliseconds(below(to_ms(options_.max_pause) + 1)),
+                           [this](instant) { send_next(); });
 }
 
 void kept_caller::send_next() {
@@ -145,10 +151,7 @@
             jobs_.accepted.erase(jobs_.accepted.begin() + static_cast<std::ptrdiff_t>(index));
         }
     }
-    const std::string body =
-        request_.method == "POST"
-            ? R"({"Spec":"text","Steps":[{"Count":1,"Cpu":1000,"MemMb":64,"EstimateMs":400}]})"
-            : "";
+    const std::string body = request_.method == "POST" ? job_body(submission_.hopeless) : "";
     request_.text = std::string(request_.method) + " " + target_.prefix + request_.job +
                     " HTTP/1.1\r\nhost: " + target_.host + "\r\nauthorization: Token " +
                     target_.key + "\r\ncontent-type: application/json\r\ndeadline-ms: " +
@@ -159,7 +162,11 @@
 void kept_caller::choose_submission() {
     if (submission_.job.empty()) {
         constexpr std::uint64_t jobs_of_caller = 1000000;
-        submission_ = {job_name(number_ * jobs_of_caller + ++last_job_), 0, false};
+        constexpr std::int64_t percent = 100;
+        // Nothing is drawn without such jobs, so that seeds keep their meaning.
+        const bool hopeless =
+            options_.hopeless_percent > 0 && below(percent) < options_.hopeless_percent;
+        submission_ = {job_name(number_ * jobs_of_caller + ++last_job_), 0, false, hopeless};
     }
     ++submission_.attempts;
     request_ = {"POST", submission_.job, "", {}};
@@ -269,13 +276,14 @@
     if (end != request_end::answered) {
         drop_connection();
     }
-    pause_ =
-        timers_.after(milliseconds(below(to_ms(max_pause_) + 1)), [this](instant) { send_next(); });
+    pause_ = timers_.after(milliseconds(below(to_ms(options_.max_pause) + 1)),
+                           [this](instant) { send_next(); });
 }
 
 void kept_caller::note_submission(request_end end, int status) {
     if (end == request_end::answered && status == ok) {
-        jobs_.accepted.push_back(submission_.job);
+        (submission_.hopeless ? jobs_.hopeless : jobs_.accepted).push_back(submission_.job);
+        jobs_.accepted_at.emplace(submission_.job, timers_.now());
         submission_ = {};
         return;
     }
--- a/tools/stop_series/kept_caller.h
+++ b/tools/stop_series/kept_caller.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -36,6 +37,8 @@
 /// What became of the jobs that a caller has handed in.
 struct submitted_jobs {
     std::vector<std::string> accepted;
+    std::map<std::string, instant> accepted_at;
+    std::vector<std::string> hopeless;  ///< Accepted; their tasks always fail.
     std::vector<std::string> cancelled; ///< Accepted before; an order to cancel them was sent.
     std::vector<std::string> refused;   ///< Every attempt was answered with a refusal.
 };
@@ -47,6 +50,15 @@
     std::string key;
 };
 
+/// Text of a task that always fails.
+inline constexpr std::string_view hopeless_spec = "hopeless";
+
+/// How a caller behaves.
+struct caller_options {
+    duration max_pause{};              ///< Between an answer and the next request.
+    std::int64_t hopeless_percent = 0; ///< Of its jobs, those that can never be done.
+};
+
 /// Deadline that callers give with each request.
 inline constexpr duration caller_deadline = milliseconds(3000);
 
@@ -58,11 +70,10 @@
   public:
     using outcome_callback = std::function<void(const request_outcome&)>;
 
-    /// Pauses up to `max_pause` between an answer and the next request. `number` and `seed` decide
-    /// what the caller sends.
+    /// `number` and `seed` decide what the caller sends.
     kept_caller(uv_loop_t* loop, timer_service& timers, const entry_vms& fleet,
-                caller_target target, duration max_pause, std::uint64_t number, std::uint64_t seed,
-                outcome_callback done);
+                caller_target target, caller_options options, std::uint64_t number,
+                std::uint64_t seed, outcome_callback done);
     kept_caller(const kept_caller&) = delete;
     kept_caller& operator=(const kept_caller&) = delete;
     kept_caller(kept_caller&&) = delete;
@@ -90,6 +101,7 @@
         std::string job;
         int attempts = 0;
         bool in_doubt = false; ///< An attempt ended without an answer that tells its result.
+        bool hopeless = false;
     };
 
     void send_next();
@@ -109,7 +121,7 @@
     timer_service& timers_;
     const entry_vms& fleet_;
     caller_target target_;
-    duration max_pause_;
+    caller_options options_;
     std::uint64_t number_;
     std::mt19937_64 random_;
     outcome_callback done_;
--- a/tools/stop_series/main.cpp
+++ b/tools/stop_series/main.cpp
@@ -43,6 +43,8 @@
         "tasks handed in before the first stop");
     add("max-pause-ms", po::value(&chosen.max_pause_ms)->default_value(600),
         "longest pause of a caller between an answer and its next request");
+    add("hopeless-percent", po::value(&scenario.caller.hopeless_percent)->default_value(0),
+        "share of the jobs whose tasks always fail");
     add("faults", po::value(&chosen.faults)->default_value(""),
         "any of overlap,owner,pauses,silences,kills,reloads,changes");
     return description;
@@ -70,8 +72,8 @@
 
 bool held(const stop_scenario_result& result) {
     return result.requests > 0 && result.cut == 0 && result.stale == 0 && result.unanswered == 0 &&
-           result.wrong_ends == 0 && result.unfinished_jobs == 0 && result.refused_jobs_run == 0 &&
-           result.doubled_tasks == 0;
+           result.wrong_ends == 0 && result.unfinished_jobs == 0 && result.stalled_jobs == 0 &&
+           result.refused_jobs_run == 0 && result.doubled_tasks == 0;
 }
 
 void print(const stop_scenario_options& scenario, const stop_scenario_result& result) {
@@ -84,6 +86,7 @@
               << " longest_stop_ms=" << to_ms(result.longest_stop)
               << " accepted_jobs=" << result.accepted_jobs
               << " unfinished_jobs=" << result.unfinished_jobs
+              << " stalled_jobs=" << result.stalled_jobs
               << " refused_jobs_run=" << result.refused_jobs_run
               << " doubled_tasks=" << result.doubled_tasks << '\n';
 }
@@ -142,7 +145,7 @@
         return EXIT_FAILURE;
     }
     constexpr duration stop_grace = seconds(6);
-    chosen.scenario.max_pause = milliseconds(chosen.max_pause_ms);
+    chosen.scenario.caller.max_pause = milliseconds(chosen.max_pause_ms);
     chosen.daemons.stop_grace = stop_grace;
     leave(play(chosen));
 }
--- a/tools/stop_series/stop_scenario.cpp
+++ b/tools/stop_series/stop_scenario.cpp
@@ -27,12 +27,6 @@
 /// Time that the platform takes to start an ended process again.
 constexpr duration restart_delay = milliseconds(700);
 
-/// Connections through which the states of jobs are read at the end.
-constexpr std::size_t check_connections = 16;
-
-/// Time after the last request within which every accepted job has to be completed.
-constexpr duration completion_time = seconds(60);
-
 constexpr int ok = 200;
 
 const caller_target target{"jobs.example", "/queue/", "key-of-a"};
@@ -57,7 +51,7 @@
                              std::function<void(const stop_scenario_result&)> done)
     : loop_(loop), timers_(timers), options_(options), stop_grace_(stop_grace),
       done_(std::move(done)), random_(options.seed), store_(timers),
-      checks_(loop, timers, {check_connections}), stops_left_(options.stops) {}
+      calls_(loop, timers, {job_checks::connections}), stops_left_(options.stops) {}
 
 absl::Status stop_scenario::open_platform(entry_vm_options daemons) {
     for (std::size_t number = 1; number <= backend_count; ++number) {
@@ -187,7 +181,7 @@
     submit_waiting_tasks();
     for (std::size_t number = 1; number <= options_.callers; ++number) {
         callers_.push_back(std::make_unique<kept_caller>(
-            loop_, timers_, *fleet_, target, options_.max_pause, number, options_.seed,
+            loop_, timers_, *fleet_, target, options_.caller, number, options_.seed,
             [this](const request_outcome& outcome) { note(outcome); }));
         callers_.back()->start();
     }
@@ -214,7 +208,7 @@
             {"host", target.host},
             {"authorization", "Token key-of-a"},
             {"content-type", "application/json"}};
-        checks_.call(
+        calls_.call(
             fleet_->callers(0),
             {"POST", target.prefix + job_name(first_job + job), headers, body.dump(), seconds(5)},
             [](const http_result& result) {
@@ -259,16 +253,16 @@
         find_owner(vm + 1);
         return;
     }
-    checks_.call(fleet_->metrics(vm), {"GET", "/metrics", {}, {}, seconds(2)},
-                 [this, vm](const http_result& result) {
-                     const auto* reply = std::get_if<http_reply>(&result);
-                     if (reply != nullptr &&
-                         reply->body.find("citronford_owner 1") != std::string::npos) {
-                         stop_vm(vm);
-                     } else {
-                         find_owner(vm + 1);
-                     }
-                 });
+    calls_.call(fleet_->metrics(vm), {"GET", "/metrics", {}, {}, seconds(2)},
+                [this, vm](const http_result& result) {
+                    const auto* reply = std::get_if<http_reply>(&result);
+                    if (reply != nullptr &&
+                        reply->body.find("citronford_owner 1") != std::string::npos) {
+                        stop_vm(vm);
+                    } else {
+                        find_owner(vm + 1);
+                    }
+                });
 }
 
 void stop_scenario::stop_vm(std::size_t vm) {
@@ -415,45 +409,41 @@
 }
 
 void stop_scenario::check_jobs() {
+    std::vector<expected_job> jobs;
     for (const auto& caller : callers_) {
-        const submitted_jobs& jobs = caller->jobs();
-        result_.accepted_jobs += jobs.accepted.size() + jobs.cancelled.size();
-        unchecked_jobs_.insert(unchecked_jobs_.end(), jobs.accepted.begin(), jobs.accepted.end());
+        const submitted_jobs& submitted = caller->jobs();
+        result_.accepted_jobs += submitted.accepted_at.size();
+        for (const std::string& job : submitted.accepted) {
+            jobs.push_back({job, "completed"});
+        }
+        for (const std::string& job : submitted.hopeless) {
+            jobs.push_back({job, "failed"});
+        }
+        // Without the store, or after the loss of the owner, starts can take longer.
+        if (!options_.silences && !options_.kills) {
+            result_.stalled_jobs += stalled(submitted);
+        }
         result_.refused_jobs_run += static_cast<std::uint64_t>(std::ranges::count_if(
-            jobs.refused, [this](const std::string& job) { return ledger_.has_run(job); }));
-    }
-    result_.unfinished_jobs = unchecked_jobs_.size();
-    checks_end_ = timers_.now() + completion_time;
-    for (std::size_t count = 0; count < check_connections; ++count) {
-        check_next_job();
-    }
+            submitted.refused, [this](const std::string& job) { return ledger_.has_run(job); }));
+    }
+    checks_ = std::make_unique<job_checks>(calls_, timers_, *fleet_, target, std::move(jobs),
+                                           [this](std::size_t unfinished) {
+                                               result_.unfinished_jobs = unfinished;
+                                               conclude();
+                                           });
+    checks_->start();
 }
 
-void stop_scenario::check_next_job() {
-    if (unchecked_jobs_.empty() || timers_.now() > checks_end_) {
-        if (open_checks_ == 0) {
-            conclude();
-        }
-        return;
+std::uint64_t stop_scenario::stalled(const submitted_jobs& jobs) const {
+    // The servers have room for all jobs, and the next owner of the scheduler starts work earlier.
+    constexpr duration longest_wait = seconds(3);
+    std::uint64_t count = 0;
+    for (const std::string& job : jobs.accepted) {
+        const instant due = jobs.accepted_at.at(job) + longest_wait;
+        const std::optional<instant> started = ledger_.first_start(job);
+        count += timers_.now() >= due && (!started || *started > due) ? 1 : 0;
     }
-    std::string job = std::move(unchecked_jobs_.back());
-    unchecked_jobs_.pop_back();
-    ++open_checks_;
-    const std::pair<std::string_view, std::string_view> headers[] = {
-        {"host", target.host}, {"authorization", "Token key-of-a"}};
-    const std::size_t vm = open_checks_ % fleet_->size();
-    checks_.call(fleet_->callers(vm), {"GET", target.prefix + job, headers, {}, seconds(3)},
-                 [this, job](const http_result& result) {
-                     --open_checks_;
-                     const auto* reply = std::get_if<http_reply>(&result);
-                     if (reply != nullptr && reply->body.find("completed") != std::string::npos) {
-                         --result_.unfinished_jobs;
-                     } else {
-                         // Read again after the other jobs.
-                         unchecked_jobs_.insert(unchecked_jobs_.begin(), job);
-                     }
-                     check_next_job();
-                 });
+    return count;
 }
 
 void stop_scenario::conclude() {
--- a/tools/stop_series/stop_scenario.h
+++ b/tools/stop_series/stop_scenario.h
@@ -5,6 +5,7 @@
 #include "io/http_server.h"
 #include "stop_series/backend_model.h"
 #include "stop_series/entry_vms.h"
+#include "stop_series/job_checks.h"
 #include "stop_series/kept_caller.h"
 #include "stop_series/platform_store.h"
 
@@ -27,8 +28,8 @@
     std::size_t vms = 3;
     std::size_t stops = 6;
     std::size_t waiting_tasks =
-        0;                      ///< Handed in before the first stop, more than the fleet can run.
-    duration max_pause{};       ///< Of a caller between an answer and its next request.
+        0; ///< Handed in before the first stop, more than the fleet can run.
+    caller_options caller;
     bool stops_overlap = false; ///< The next stop does not wait until the VM is back.
     bool owner_only = false;    ///< Stops the owner each time.
     bool pauses = false;        ///< Holds each daemon up while it stops, as a busy VM does.
@@ -52,7 +53,8 @@
     std::uint64_t wrong_ends =
         0; ///< Processes that ended unasked, by force after the grace, or with a failure.
     std::uint64_t accepted_jobs = 0;
-    std::uint64_t unfinished_jobs = 0; ///< Accepted, not cancelled, and not shown as completed.
+    std::uint64_t unfinished_jobs = 0; ///< Accepted, not cancelled, and not shown as ended rightly.
+    std::uint64_t stalled_jobs = 0;    ///< Of which no task was started in time.
     std::uint64_t refused_jobs_run = 0;
     std::uint64_t doubled_tasks = 0;
     duration longest_cut{};
@@ -103,7 +105,7 @@
     void note(const request_outcome& outcome);
     void finish_callers();
     void check_jobs();
-    void check_next_job();
+    [[nodiscard]] std::uint64_t stalled(const submitted_jobs& jobs) const;
     void conclude();
     [[nodiscard]] duration between(duration least, duration most);
 
@@ -120,10 +122,8 @@
     std::vector<std::uint16_t> backend_ports_;
     std::unique_ptr<entry_vms> fleet_;
     std::vector<std::unique_ptr<kept_caller>> callers_;
-    http_client checks_;
-    std::vector<std::string> unchecked_jobs_;
-    std::size_t open_checks_ = 0;
-    instant checks_end_;
+    http_client calls_;
+    std::unique_ptr<job_checks> checks_;
     std::size_t stops_left_ = 0;
     std::int64_t version_ = 3;
     std::uint64_t sequence_ = 0;
