Use all workers while more than half of them are quarantined

Peers did not help, as their counts of all time hide a storm. While more than half of the workers are quarantined, the tasks are taken to be at fault, and all workers are used. worker_health uses_all_workers_while_most_are_quarantined fails before ("worker 0 is closed") and passes; 54 of 54 unit tests pass.

--- a/include/citronford/worker_health.h
+++ b/include/citronford/worker_health.h
@@ -65,8 +65,13 @@
 
     [[nodiscard]] bool quarantined(std::size_t worker) const;
 
+    /// Whether more than half of the workers are quarantined. Then the tasks are more likely at
+    /// fault than the workers, and all workers may be given tasks.
+    [[nodiscard]] bool quarantine_suspended() const { return 2 * quarantined_ > present_; }
+
   private:
     struct record {
+        bool present = false; ///< Added, and not removed.
         chart_position position{};
         double successes = 0;
         double failures = 0;
@@ -83,12 +88,17 @@
 
     worker_health(machine life_cycle, health_options options);
 
+    /// Adds `change` for `entry` to the numbers of workers.
+    void count(const record& entry, int change);
+    [[nodiscard]] bool is_healthy(const record& entry) const;
     void decay(record& entry, instant now) const;
     [[nodiscard]] bool is_failure_outlier(const record& entry) const;
 
     machine machine_;
     health_options options_;
     std::vector<record> workers_;
+    int present_ = 0;
+    int quarantined_ = 0;  ///< Of those present.
     double successes_ = 0; ///< Of all workers, without decay.
     double failures_ = 0;
 };
--- a/src/decide/task_scheduler_workers.cpp
+++ b/src/decide/task_scheduler_workers.cpp
@@ -97,7 +97,7 @@
         (is_restricted(index) && !job.urgent && !job.restartable)) {
         return false;
     }
-    if (health_.quarantined(index) && !job.restartable) {
+    if (health_.quarantined(index) && !health_.quarantine_suspended() && !job.restartable) {
         return false;
     }
     // A start is sent only after the message in flight is answered; a slow worker would delay it.
--- a/src/decide/worker_health.cpp
+++ b/src/decide/worker_health.cpp
@@ -46,8 +46,21 @@
     if (worker >= workers_.size()) {
         workers_.resize(worker + 1);
     }
-    workers_[worker] = {};
-    workers_[worker].position = machine_.initial();
+    count(workers_[worker], -1);
+    workers_[worker] = {.present = true, .position = machine_.initial()};
+    count(workers_[worker], 1);
+}
+
+void worker_health::count(const record& entry, int change) {
+    if (!entry.present) {
+        return;
+    }
+    present_ += change;
+    quarantined_ += is_healthy(entry) ? 0 : change;
+}
+
+bool worker_health::is_healthy(const record& entry) const {
+    return machine_.name_of(entry.position) == "healthy";
 }
 
 void worker_health::handle(std::size_t worker, const health_input& input, instant now) {
@@ -61,17 +74,21 @@
         ++failures_;
     }
     step_context context{*this, entry, now};
+    count(entry, -1);
     machine_.step(entry.position, context, input);
+    entry.present = entry.present && !machine_.is_final(entry.position);
+    count(entry, 1);
 }
 
 bool worker_health::usable(std::size_t worker, instant now) const {
     const record& entry = workers_[worker];
     const std::string_view state = machine_.name_of(entry.position);
-    return state == "healthy" || (state == "quarantined" && entry.probe_at <= now);
+    return state == "healthy" || (state == "quarantined" && entry.probe_at <= now) ||
+           (entry.present && quarantine_suspended());
 }
 
 bool worker_health::quarantined(std::size_t worker) const {
-    return machine_.name_of(workers_[worker].position) != "healthy";
+    return !is_healthy(workers_[worker]);
 }
 
 void worker_health::decay(record& entry, instant now) const {
--- a/tests/task_scheduler_test.cpp
+++ b/tests/task_scheduler_test.cpp
@@ -387,6 +387,41 @@
     cr_assert(!health->quarantined(0));
 }
 
+// Guards against tasks that fail by themselves on every worker and so close the fleet for others.
+Test(worker_health, uses_all_workers_while_most_are_quarantined) {
+    auto health = worker_health::create(installed_chart("worker_health"), {});
+    cr_assert(health.ok());
+    constexpr std::size_t workers = 4;
+    const instant start{};
+    for (std::size_t worker = 0; worker < workers; ++worker) {
+        health->add(worker);
+        for (int count = 0; count < 20; ++count) {
+            health->handle(worker, attempt_succeeded{}, start);
+        }
+    }
+    const instant later = start + seconds(300);
+    const auto fail_often = [&](std::size_t worker) {
+        for (int count = 0; count < 20; ++count) {
+            health->handle(worker, attempt_failed{}, later);
+        }
+    };
+    fail_often(0);
+    fail_often(1);
+    cr_assert(!health->usable(0, later) && !health->usable(1, later));
+    fail_often(2);
+    for (std::size_t worker = 0; worker < workers; ++worker) {
+        cr_assert(health->usable(worker, later), "worker %zu is closed", worker);
+    }
+    health->handle(3, worker_removed{}, later);
+    health->handle(0, attempt_started{}, later);
+    health->handle(0, attempt_succeeded{}, later);
+    cr_assert(!health->quarantined(0));
+    cr_assert(health->usable(1, later), "two of three are quarantined");
+    health->handle(1, attempt_started{}, later);
+    health->handle(1, attempt_succeeded{}, later);
+    cr_assert(!health->usable(2, later), "one of three is quarantined");
+}
+
 // Guards against tasks that keep running on units already given to other nodes, when this node is
 // cut off from the table and its peers for longer than its registration lasts.
 Test(task_scheduler, stops_renewing_leases_before_its_units_return_to_the_fleet) {
