--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -147,6 +147,9 @@
             return;
         }
         entry.add_occurrence(entry.next_occurrence, now_ - milliseconds(unix_ms_ - due_unix_ms));
+        if (entry.runs == 0) {
+            entry.idle_since = now_;
+        }
         ++entry.next_occurrence;
         pool_named(entry.row.pool).placement_due = true;
     }
--- a/src/decide/dispatch/dispatcher_polling.cpp
+++ b/src/decide/dispatch/dispatcher_polling.cpp
@@ -363,9 +363,11 @@
     if (failed && server.failure_ratio > max_failure_ratio) {
         // Keeps the ratio at the limit, so that one failure after the quarantine starts the next.
         server.failure_ratio = max_failure_ratio;
+        if (!is_quarantined(server)) {
+            log("backend_quarantined", {}, server.registration.id,
+                "quarantine_ms=" + std::to_string(to_ms(quarantine)));
+        }
         server.quarantined_until = now_ + quarantine;
-        log("backend_quarantined", {}, server.registration.id,
-            "quarantine_ms=" + std::to_string(to_ms(quarantine)));
     }
 }
 
--- a/src/decide/dispatch/workflow_entry.h
+++ b/src/decide/dispatch/workflow_entry.h
@@ -72,8 +72,8 @@
     std::uint32_t occurrences_done = 0;
     std::uint32_t next_occurrence = 0; ///< First one that is not due yet.
     std::size_t runs = 0;              ///< Runs that may exist.
-    instant idle_since{};              ///< Since when it has had no run.
-    bool waits_for_server = false;     ///< A server is kept clear for a long-running task.
+    instant idle_since{};          ///< Since when it has had no run, though an occurrence is due.
+    bool waits_for_server = false; ///< A server is kept clear for a long-running task.
 
     [[nodiscard]] const workflow_step& step(std::uint32_t number) const {
         return row.spec.steps[number];
