--- a/tests/failing_work_test.cpp
+++ b/tests/failing_work_test.cpp
@@ -46,7 +46,7 @@
         pass(milliseconds(100));
     }
 
-    static bool can_be_done(const job_id& id) { return !id.view().starts_with("hopeless"); }
+    static bool can_be_done(const job_id& id) { return !id.view().starts_with("failing"); }
 
     void add(const job_id& id, std::uint32_t tasks) {
         accepted_workflow row;
@@ -122,9 +122,9 @@
 
     /// Hands in jobs that cannot be done, one of four tasks every 100 ms, until all servers have
     /// failed many of them.
-    void flood_with_hopeless_jobs(int jobs) {
+    void submit_failing_jobs(int jobs) {
         for (int number = 0; number < jobs; ++number) {
-            add(job_id("hopeless-" + std::to_string(number)), 4);
+            add(job_id("failing-" + std::to_string(number)), 4);
             pass(milliseconds(100));
         }
     }
@@ -139,7 +139,7 @@
 
 Test(failing_work, starts_a_job_that_can_be_done_while_others_fail_on_all_servers) {
     failing_work_fixture fixture(4);
-    fixture.flood_with_hopeless_jobs(20);
+    fixture.submit_failing_jobs(20);
     const job_id sound("sound");
     const instant handed_in = fixture.now;
     fixture.add(sound, 1);
@@ -151,7 +151,7 @@
 
 Test(failing_work, ends_jobs_that_cannot_be_done_soon_after_the_last_one) {
     failing_work_fixture fixture(4);
-    fixture.flood_with_hopeless_jobs(20);
+    fixture.submit_failing_jobs(20);
     fixture.pass(seconds(3));
     cr_assert(fixture.decisions->counts().workflows == 0, "%zu workflows have not ended; %s",
               fixture.decisions->counts().workflows, fixture.logged("work_stalled").c_str());
--- a/tests/process/hopeless_jobs.sh
+++ b/tests/process/failing_jobs.sh
@@ -9,5 +9,5 @@
 
 "$bin/citronford_stop_series" --program "$bin/citronford_fleetd" --charts "$charts" \
     --template "$root/deploy/settings.ini.template" --directory "$work" --seed 51 \
-    --callers 40 --stops 3 --max-pause-ms 1500 --hopeless-percent 80 --faults overlap,reloads,changes \
+    --callers 40 --stops 3 --max-pause-ms 1500 --failing-percent 80 --faults overlap,reloads,changes \
     2>"$work/series.log"
--- a/tools/stop_series/backend_model.cpp
+++ b/tools/stop_series/backend_model.cpp
@@ -132,7 +132,7 @@
         return;
     }
     ledger_.note_start(task, timers_.now());
-    const bool fails = call.value("Spec", "") == hopeless_spec;
+    const bool fails = call.value("Spec", "") == failing_spec;
     running_.insert_or_assign(task, active_run{run, timers_.after(fails ? failure_time : task_time_,
                                                                   [this, task, fails](instant) {
                                                                       end(task, fails ? "failed"
--- a/tools/stop_series/backend_model.h
+++ b/tools/stop_series/backend_model.h
@@ -41,7 +41,7 @@
 };
 
 /// Stand-in for a backend server that runs tasks under leases. Each task ends `done` after
-/// `task_time`, or `failed` soon if its text is `hopeless_spec`.
+/// `task_time`, or `failed` soon if its text is `failing_spec`.
 class backend_model {
   public:
     backend_model(std::string id, duration task_time, timer_service& timers, run_ledger& ledger);
--- a/tools/stop_series/kept_caller.h
+++ b/tools/stop_series/kept_caller.h
@@ -38,7 +38,7 @@
 struct submitted_jobs {
     std::vector<std::string> accepted;
     std::map<std::string, instant> accepted_at;
-    std::vector<std::string> hopeless;  ///< Accepted; their tasks always fail.
+    std::vector<std::string> failing;   ///< Accepted; their tasks always fail.
     std::vector<std::string> cancelled; ///< Accepted before; an order to cancel them was sent.
     std::vector<std::string> refused;   ///< Every attempt was answered with a refusal.
 };
@@ -51,12 +51,12 @@
 };
 
 /// Text of a task that always fails.
-inline constexpr std::string_view hopeless_spec = "hopeless";
+inline constexpr std::string_view failing_spec = "fails";
 
 /// How a caller behaves.
 struct caller_options {
-    duration max_pause{};              ///< Between an answer and the next request.
-    std::int64_t hopeless_percent = 0; ///< Of its jobs, those that can never be done.
+    duration max_pause{};             ///< Between an answer and the next request.
+    std::int64_t failing_percent = 0; ///< Of its jobs, those that can never be done.
 };
 
 /// Deadline that callers give with each request.
@@ -101,7 +101,7 @@
         std::string job;
         int attempts = 0;
         bool in_doubt = false; ///< An attempt ended without an answer that tells its result.
-        bool hopeless = false;
+        bool failing = false;
     };
 
     void send_next();
--- a/tools/stop_series/main.cpp
+++ b/tools/stop_series/main.cpp
@@ -43,7 +43,7 @@
         "tasks handed in before the first stop");
     add("max-pause-ms", po::value(&chosen.max_pause_ms)->default_value(600),
         "longest pause of a caller between an answer and its next request");
-    add("hopeless-percent", po::value(&scenario.caller.hopeless_percent)->default_value(0),
+    add("failing-percent", po::value(&scenario.caller.failing_percent)->default_value(0),
         "share of the jobs whose tasks always fail");
     add("faults", po::value(&chosen.faults)->default_value(""),
         "any of overlap,owner,pauses,silences,kills,reloads,changes");
--- a/tools/stop_series/stop_scenario.cpp
+++ b/tools/stop_series/stop_scenario.cpp
@@ -416,7 +416,7 @@
         for (const std::string& job : submitted.accepted) {
             jobs.push_back({job, "completed"});
         }
-        for (const std::string& job : submitted.hopeless) {
+        for (const std::string& job : submitted.failing) {
             jobs.push_back({job, "failed"});
         }
         // Without the store, or after the loss of the owner, starts can take longer.
