Add the switches of the decisions under load to the settings

Section [load] with five keys, all off by default: admission, overload_order, fair_shares, burst_capacity, slow_servers.

--- a/include/citronford/capacity_planner.h
+++ b/include/citronford/capacity_planner.h
@@ -27,6 +27,7 @@
 
 struct capacity_options {
     duration move_time = milliseconds(1500); ///< From an order to service in the new pool.
+    bool burst_capacity = false;             ///< As in `load_settings`.
 };
 
 /// The state of the fleet as the planner sees it.
--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -149,6 +149,9 @@
     duration registration_delay{};
     /// VM lists are passed in; a new owner waits for the first one before it starts tasks.
     bool has_vm_lists = false;
+    bool overload_order = false; ///< As in `load_settings`.
+    bool fair_shares = false;    ///< As in `load_settings`.
+    bool slow_servers = false;   ///< As in `load_settings`.
 };
 
 /// Resource use of one backend server.
--- a/include/citronford/fleet_settings.h
+++ b/include/citronford/fleet_settings.h
@@ -15,6 +15,15 @@
 
 namespace citronford {
 
+/// Which decisions under load are in use; each is off by default.
+struct load_settings {
+    bool admission = false;      ///< Refuse work that cannot be done within its useful time.
+    bool overload_order = false; ///< With too little room, delay the work that costs callers least.
+    bool fair_shares = false;    ///< Divide a full fleet between the teams by their weights.
+    bool burst_capacity = false; ///< Keep VMs for the bursts that a pool has had.
+    bool slow_servers = false;   ///< Avoid slow servers, and start copies of tasks held up there.
+};
+
 /// Settings of a scheduler daemon on one entry VM, from an INI file.
 struct fleet_settings {
     node_id node;
@@ -38,6 +47,7 @@
     milliseconds vm_order_interval{3000};     ///< Minimum between orders of two owners to one VM.
     milliseconds move_time{1500};             ///< From a move order to service in the new pool.
     milliseconds maintenance_time{2000};      ///< From a maintenance order to the VM's return.
+    load_settings load;                       ///< Decisions under load that are in use.
     std::vector<replaced_setting> replaced;   ///< Values that were not allowed.
 };
 
--- a/src/io/fleet_settings.cpp
+++ b/src/io/fleet_settings.cpp
@@ -72,6 +72,17 @@
     };
 }
 
+/// A switch of a decision under load.
+setting_assignment<fleet_settings> load_switch(bool load_settings::*field) {
+    return [field](fleet_settings& target, const std::string& text) -> std::string {
+        if (text != "on" && text != "off") {
+            return "on or off";
+        }
+        target.load.*field = text == "on";
+        return {};
+    };
+}
+
 std::vector<rule> make_rules() {
     constexpr double longest_s = 86400;
     constexpr double longest_ms = 86400000;
@@ -145,6 +156,23 @@
         {{"timing", "maintenance_s", "seconds up to 86400", "2", false,
           "Until a maintained VM is back.", replaces_invalid},
          seconds_up_to(longest_s, &fleet_settings::maintenance_time)},
+        {{"load", "admission", "on or off", "off", false,
+          "Refuse work at once that cannot be done within its useful time.", replaces_invalid},
+         load_switch(&load_settings::admission)},
+        {{"load", "overload_order", "on or off", "off", false,
+          "With too little room, delay the work whose delay costs callers least.",
+          replaces_invalid},
+         load_switch(&load_settings::overload_order)},
+        {{"load", "fair_shares", "on or off", "off", false,
+          "Divide a full fleet between the teams by their weights.", replaces_invalid},
+         load_switch(&load_settings::fair_shares)},
+        {{"load", "burst_capacity", "on or off", "off", false,
+          "Keep VMs for the bursts that a pool has had.", replaces_invalid},
+         load_switch(&load_settings::burst_capacity)},
+        {{"load", "slow_servers", "on or off", "off", false,
+          "Avoid slow backend servers, and start copies of tasks that are held up there.",
+          replaces_invalid},
+         load_switch(&load_settings::slow_servers)},
     };
 }
 
--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -198,6 +198,9 @@
     options.max_lease = own_settings_.longest_backend_lease;
     options.stop_time = own_settings_.backend_stop_time;
     options.has_vm_lists = own_settings_.vms.port != 0;
+    options.overload_order = own_settings_.load.overload_order;
+    options.fair_shares = own_settings_.load.fair_shares;
+    options.slow_servers = own_settings_.load.slow_servers;
     // Registrations that expired during an outage of the table return within two seconds after it;
     // a table failure within the last 6 s may have been such an outage.
     constexpr duration outage_window = seconds(6);
@@ -236,7 +239,8 @@
                   {{"reason", message_of(waves.status())}});
         return;
     }
-    auto capacity = capacity_planner::create(charts_.vm_order, {own_settings_.move_time});
+    auto capacity = capacity_planner::create(
+        charts_.vm_order, {own_settings_.move_time, own_settings_.load.burst_capacity});
     if (!capacity.ok()) {
         log_event(log_level::error, "capacity_planner_failed",
                   {{"reason", message_of(capacity.status())}});
