--- a/src/decide/dispatch/dispatcher_polling.cpp
+++ b/src/decide/dispatch/dispatcher_polling.cpp
@@ -110,8 +110,10 @@
                    },
                    [&](const backend_replaced&) { process_contact_event(server, replaced{}); },
                    [&](const auto&) {
+                       // A single poll may have been lost, so the first one is repeated at once.
+                       const bool first_failure = contact_is(server, "current");
                        mark_contact_failed(server);
-                       server.next_poll_at = now_ + retry;
+                       server.next_poll_at = first_failure ? now_ : now_ + retry;
                    },
                },
                input.result);
@@ -285,8 +287,26 @@
            now_ >= server.poll_sent_at + unsaved_pause;
 }
 
+/// How long a server may hold a poll: until its next run should have ended. A poll or reply that is
+/// lost is noticed only when its time is over, and hides the completions of the server until then.
+duration dispatcher::implementation::longest_poll(const backend_entry& server) const {
+    constexpr duration longest = milliseconds(1200);
+    constexpr duration shortest = milliseconds(200);
+    // Runs end somewhat later than estimated as often as earlier.
+    constexpr duration margin = milliseconds(50);
+    duration wait = longest;
+    for (const task_run* run : server.runs) {
+        const workflow_step& definition = run->workflow->step(run->step);
+        if (definition.long_running || definition.estimate == milliseconds::zero()) {
+            continue;
+        }
+        const instant begun = std::min(run->first_seen_at, now_);
+        wait = std::min(wait, begun + definition.estimate + margin - now_);
+    }
+    return std::max(wait, shortest);
+}
+
 void dispatcher::implementation::emit_poll(backend_entry& server) {
-    constexpr duration long_poll_time = milliseconds(1200);
     if (!server.has_recent_contact(now_)) {
         // The server may have restarted unseen; a new incarnation numbers its completions from 1.
         server.incarnation_confirmed = false;
@@ -296,7 +316,7 @@
     poll_request request;
     request.token = options_.token;
     request.acknowledged_completion = server.incarnation_confirmed ? server.completions.saved() : 0;
-    request.max_wait = long_poll ? long_poll_time : duration::zero();
+    request.max_wait = long_poll ? longest_poll(server) : duration::zero();
     // An incarnation that was not seen yet has another clock, by which the lease could be too long.
     if (server.clock && server.incarnation_confirmed && server.registered &&
         now_ < commands_until_) {
@@ -355,20 +375,4 @@
     unsaved_.erase(id);
 }
 
-void dispatcher::implementation::record_run_result(backend_entry& server, bool failed) {
-    constexpr double weight = 0.3;
-    constexpr double max_failure_ratio = 0.6;
-    constexpr duration quarantine = seconds(4);
-    server.failure_ratio = server.failure_ratio * (1 - weight) + (failed ? weight : 0);
-    if (failed && server.failure_ratio > max_failure_ratio) {
-        // Keeps the ratio at the limit, so that one failure after the quarantine starts the next.
-        server.failure_ratio = max_failure_ratio;
-        if (!is_quarantined(server)) {
-            log("backend_quarantined", {}, server.registration.id,
-                "quarantine_ms=" + std::to_string(to_ms(quarantine)));
-        }
-        server.quarantined_until = now_ + quarantine;
-    }
-}
-
 } // namespace citronford
--- a/src/decide/dispatch/dispatcher_servers.cpp
+++ b/src/decide/dispatch/dispatcher_servers.cpp
@@ -119,4 +119,20 @@
     }
 }
 
+void dispatcher::implementation::record_run_result(backend_entry& server, bool failed) {
+    constexpr double weight = 0.3;
+    constexpr double max_failure_ratio = 0.6;
+    constexpr duration quarantine = seconds(4);
+    server.failure_ratio = server.failure_ratio * (1 - weight) + (failed ? weight : 0);
+    if (failed && server.failure_ratio > max_failure_ratio) {
+        // Keeps the ratio at the limit, so that one failure after the quarantine starts the next.
+        server.failure_ratio = max_failure_ratio;
+        if (!is_quarantined(server)) {
+            log("backend_quarantined", {}, server.registration.id,
+                "quarantine_ms=" + std::to_string(to_ms(quarantine)));
+        }
+        server.quarantined_until = now_ + quarantine;
+    }
+}
+
 } // namespace citronford
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -177,6 +177,7 @@
     void send_polls();
     [[nodiscard]] bool needs_poll(const backend_entry& server) const;
     void emit_poll(backend_entry& server);
+    [[nodiscard]] duration longest_poll(const backend_entry& server) const;
     void update_contacts();
     /// Keeps `unsettled_` and `leaving_` in line with the state of `server`.
     void update_watch_lists(backend_entry& server);
--- a/src/node/fleet/dispatch_driver.cpp
+++ b/src/node/fleet/dispatch_driver.cpp
@@ -18,11 +18,12 @@
 /// New work within this time is fetched in one batch.
 constexpr duration work_pause = milliseconds(20);
 
-/// Timeout of a command to a backend server. Servers answer within milliseconds.
-constexpr duration command_timeout = milliseconds(1000);
+/// Timeout of a command to a backend server. Servers answer within milliseconds. A command that is
+/// lost holds up its task until then; one that is only late costs a poll.
+constexpr duration command_timeout = milliseconds(300);
 
 /// Timeout of a poll, added to the time that the server may delay its reply.
-constexpr duration poll_timeout = milliseconds(1000);
+constexpr duration poll_timeout = milliseconds(300);
 
 follow_options work_options() {
     follow_options options;
