Sum the work of pools by tier and by time of acceptance

Running tasks of late and expired workflows counted like those on time, and arrivals counted when the owner read them, so that a delayed read looked like a burst (a forecast of 54,004 cores). pool_workload now has running and waiting cores by tier and the work of the last 4 s by time of acceptance. The fields that the planner uses are as before; nothing reads the new ones yet. dispatcher_test and reservations_test pass.

--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -4,6 +4,7 @@
 #include "citronford/backend_link.h"
 #include "citronford/chart.h"
 #include "citronford/instant.h"
+#include "citronford/pool_workload.h"
 #include "citronford/queue_catalog.h"
 #include "citronford/workflow.h"
 #include "citronford/workflow_progress.h"
@@ -166,15 +167,6 @@
     bool unschedulable = false; ///< Accepts no new task: it is being drained or is leaving.
 };
 
-/// Submitted and waiting work of one pool.
-struct pool_workload {
-    pool_id pool;
-    /// Estimated work submitted under this ownership, without long-running tasks.
-    double arrived_core_s = 0;
-    double waiting_cores = 0;              ///< Of ready tasks that can still meet their objective.
-    std::int64_t waiting_long_running = 0; ///< Tasks; each may need a server of its own.
-};
-
 /// Counters of a dispatcher for metrics and the state page.
 struct dispatch_counts {
     std::size_t workflows = 0; ///< Not ended, or ended with runs that are being stopped.
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -113,6 +113,7 @@
             pool.arrived_core_s += core_seconds(step, step.tasks);
         }
     }
+    note_arrival(pool, entry);
     if (entry.row.spec.occurrences == 0) {
         entry.add_occurrence(0, entry.accepted_at);
         entry.next_occurrence = 1;
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -29,6 +29,7 @@
 /// - dispatcher_runs.cpp: the life cycle of runs
 /// - dispatcher_stops.cpp: stops of runs, and moves off leaving servers
 /// - dispatcher_figures.cpp: sums for planners and reports
+/// - dispatcher_demand.cpp: running, waiting and arriving work of pools by tier
 class dispatcher::implementation {
   public:
     using workflow_entry = dispatch::workflow_entry;
@@ -125,6 +126,17 @@
     pool_state& pool_named(const pool_id& name);
     void note_unregistered(const present_backends& input);
 
+    // Sums for planners.
+    void note_arrival(pool_state& pool, const workflow_entry& entry);
+    /// The tier of the work of one occurrence at present.
+    [[nodiscard]] work_tier tier_of(const workflow_entry& entry,
+                                    const occurrence_state& occurrence) const;
+    [[nodiscard]] bool is_urgent(const workflow_entry& entry) const;
+    /// Adds the running and waiting cores of one occurrence. `waiting_tasks` has an item for each
+    /// step, as far as the limit of the team allows the tasks.
+    void add_tier_cores(const workflow_entry& entry, const occurrence_state& occurrence,
+                        std::span<const std::int64_t> waiting_tasks, pool_workload& demand) const;
+
     // Workflows.
     void begin_due_occurrences(workflow_entry& entry);
     [[nodiscard]] bool consume_quota(const team_id& team);
--- a/src/decide/dispatch/pool_state.h
+++ b/src/decide/dispatch/pool_state.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "decide/dispatch/arrival_log.h"
+
 #include "citronford/backend.h"
 
 #include <map>
@@ -20,7 +22,8 @@
     bool limit_reached = false; ///< In the last pass, a task waited for the limit of its team.
     std::set<workflow_entry*> active_workflows; ///< Workflows that have not ended.
     double arrived_core_s = 0;                  ///< Estimated work submitted under this ownership.
-    std::size_t stalled_workflows = 0;          ///< Found in the last pass; see `is_stalled`.
+    arrival_log arrivals;
+    std::size_t stalled_workflows = 0; ///< Found in the last pass; see `is_stalled`.
     instant stall_logged_at = instant::min();
 };
 
