--- /dev/null
+++ b/src/decide/maintenance/vm_division.cpp
@@ -0,0 +1,81 @@
+#include "citronford/vm_division.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace citronford {
+namespace {
+
+/// The need as a number of VMs from 0 to `available`.
+std::int64_t whole_vms(double need, std::int64_t available) {
+    // The comparison is also false for what is not a number.
+    if (!(need > 0)) {
+        return 0;
+    }
+    return need >= static_cast<double>(available) ? available
+                                                  : static_cast<std::int64_t>(std::ceil(need));
+}
+
+/// A pool in a tier that cannot be served in full.
+struct scarce_part {
+    std::size_t index = 0; ///< Of the claim.
+    std::int64_t vms = 0;  ///< Part, rounded down.
+    double remainder = 0;  ///< What the rounding took.
+};
+
+/// Divides `left` VMs in proportion to `needs`, which sum up to `total`, more than `left`.
+void divide_scarce(std::span<const vm_claim> claims, std::span<const std::int64_t> needs,
+                   std::int64_t total, std::int64_t left, std::size_t tier,
+                   std::vector<vm_part>& parts) {
+    std::vector<scarce_part> scarce;
+    std::int64_t rest = left;
+    for (std::size_t index = 0; index < claims.size(); ++index) {
+        const double exact = static_cast<double>(left) * static_cast<double>(needs[index]) /
+                             static_cast<double>(total);
+        const auto vms = static_cast<std::int64_t>(std::floor(exact));
+        scarce.push_back({index, vms, exact - static_cast<double>(vms)});
+        rest -= vms;
+    }
+    std::ranges::sort(scarce, {}, [&](const scarce_part& item) {
+        const vm_claim& claim = claims[item.index];
+        return std::tuple(-item.remainder, -claim.present, claim.pool);
+    });
+    for (const scarce_part& item : scarce) {
+        const bool more = rest > 0 && item.vms < needs[item.index];
+        rest -= more ? 1 : 0;
+        vm_part& part = parts[item.index];
+        part.by_tier[tier] = item.vms + (more ? 1 : 0);
+        part.vms += part.by_tier[tier];
+    }
+}
+
+} // namespace
+
+std::vector<vm_part> divide_vms(std::span<const vm_claim> claims, std::int64_t available) {
+    std::vector<vm_part> parts;
+    for (const vm_claim& claim : claims) {
+        parts.push_back({claim.pool, 0, {}});
+    }
+    std::int64_t left = std::max<std::int64_t>(available, 0);
+    for (std::size_t tier = 0; tier < need_tier_count && left > 0; ++tier) {
+        std::vector<std::int64_t> needs;
+        std::int64_t total = 0;
+        for (const vm_claim& claim : claims) {
+            needs.push_back(whole_vms(claim.needs[tier], std::max<std::int64_t>(available, 0)));
+            total += needs.back();
+        }
+        if (total > left) {
+            divide_scarce(claims, needs, total, left, tier, parts);
+            break;
+        }
+        for (std::size_t index = 0; index < claims.size(); ++index) {
+            parts[index].by_tier[tier] = needs[index];
+            parts[index].vms += needs[index];
+        }
+        left -= total;
+    }
+    return parts;
+}
+
+} // namespace citronford
