Capacity planner: divide the fleet in tiers when burst_capacity is on

Late work kept 200 servers while urgent work of another pool waited for 9,800 cores. With the switch on, the planner uses pool_demand and divide_vms: a pool above its part gives up VMs also when tasks run there, empty ones first; no task is stopped.

--- a/include/citronford/capacity_planner.h
+++ b/include/citronford/capacity_planner.h
@@ -3,12 +3,16 @@
 #include "citronford/dispatcher.h"
 #include "citronford/fleet_index.h"
 #include "citronford/instant.h"
+#include "citronford/pool_demand.h"
+#include "citronford/pool_plan.h"
 #include "citronford/queue_catalog.h"
+#include "citronford/vm_division.h"
 #include "citronford/vm_fleet.h"
 #include "citronford/vm_order_cycle.h"
 
 #include <absl/status/statusor.h>
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -44,6 +48,10 @@
 /// Moves idle VMs to the pools where work arrives. Demand comes in bursts that exceed one pool
 /// while the other pools are nearly idle, and moves from queue to queue. VMs that no pool needs go
 /// to the standby pool, where they cost nothing.
+///
+/// With `capacity_options::burst_capacity`, `pool_demand` gives the needs of each pool in tiers and
+/// `divide_vms` the number of VMs that each pool should have; a pool above its number gives up VMs
+/// also when work runs on them, which ends first.
 class capacity_planner {
   public:
     /// `life_cycle` is the chart `vm_order`.
@@ -58,6 +66,9 @@
         return servers_to_drain_;
     }
 
+    /// The needs and the division of the last plan; empty without `burst_capacity`.
+    [[nodiscard]] std::span<const pool_plan> pool_plans() const { return pool_plans_; }
+
     /// Whether any VM is being moved.
     [[nodiscard]] bool active() const { return !moves_.empty(); }
 
@@ -90,6 +101,9 @@
         std::int64_t capacity_millicores = 0;
         std::int64_t used_millicores = 0; ///< By tasks that are not long-running.
         bool standby = false;
+        std::array<std::int64_t, need_tier_count> by_tier{}; ///< Of `needed`, with a division.
+        /// First tier in which the pool needs more than its part; `need_tier_count` for none.
+        std::size_t short_tier = need_tier_count;
 
         [[nodiscard]] std::int64_t surplus() const { return present + incoming - needed; }
     };
@@ -97,8 +111,16 @@
     struct donor {
         const fleet_vm* vm = nullptr;
         std::size_t runs = 0; ///< Runs that must end before the VM can be moved.
+        std::int64_t used_millicores = 0;
+        bool resting = false; ///< See `rests_`.
+    };
+    /// A VM that is not to be moved again for a while.
+    struct rest {
+        instant until{};
+        bool after_drain = false; ///< Its tasks did not end in time; otherwise it has arrived.
     };
-    /// Ordered by the number of runs.
+    /// With a division, those that rest last, then by the work that runs; else by the number of
+    /// runs.
     using donor_pools = std::map<pool_id, std::deque<donor>>;
 
     capacity_planner(vm_order_cycle cycle, capacity_options options)
@@ -121,9 +143,30 @@
                                                               const capacity_view& view) const;
     void begin_move(const fleet_vm& vm, const pool_id& target, pool_counts& counts, instant now);
 
+    // With `burst_capacity`; in capacity_planner_division.cpp.
+    /// Sets the needs of all pools to the division of the fleet.
+    void divide_fleet(const capacity_view& view, pool_counts& counts, instant now);
+    void record_pool_plans(const capacity_view& view, const pool_counts& counts);
+    void cancel_needless_moves(const capacity_view& view, pool_counts& counts, instant now);
+    void fill_division(pool_counts& counts, donor_pools& donors, instant now);
+    /// The pool that gives the next VM to `target`; null when none does.
+    [[nodiscard]] static const pool_id* choose_division_donor(const pool_counts& counts,
+                                                              const donor_pools& donors,
+                                                              const pool_id& target);
+    /// Puts the VMs that are to be moved first to the front.
+    void sort_donors(std::deque<donor>& vms, const capacity_view& view) const;
+    /// How long a surplus must last before its VMs are released: `usual`, or less after a burst.
+    [[nodiscard]] duration release_time(const pool_id& pool, instant surplus_since,
+                                        duration usual) const;
+
     vm_order_cycle cycle_;
     capacity_options options_;
     std::map<pool_id, pool_history> histories_;
+    std::map<pool_id, pool_demand> demands_;
+    std::vector<pool_plan> pool_plans_;
+    std::map<vm_id, rest> rests_;
+    std::uint64_t workflows_read_ = 0; ///< By all pools, as of `read_at_`.
+    instant read_at_{};                ///< When the last plan with newly read workflows was made.
     std::map<vm_id, vm_move> moves_;
     std::vector<backend_id> servers_to_drain_;
 };
--- a/src/decide/maintenance/capacity_planner.cpp
+++ b/src/decide/maintenance/capacity_planner.cpp
@@ -44,6 +44,14 @@
 /// A VM that has not arrived after this time is no longer counted for its new pool.
 constexpr duration arrival_timeout = seconds(8);
 
+/// With a division, a VM that has arrived stays for this time unless urgent work needs it: a move
+/// costs about as much as keeping the VM for 1.2 s.
+constexpr duration arrival_rest = milliseconds(2000);
+
+/// With a division, a VM whose tasks did not end within `drain_timeout` is not drained again for
+/// this time, since a long task would keep it from new work again.
+constexpr duration drain_rest = milliseconds(5000);
+
 } // namespace
 
 absl::StatusOr<capacity_planner> capacity_planner::create(const chart& life_cycle,
@@ -59,10 +67,21 @@
     std::vector<move_vm> orders;
     advance_moves(view, now, orders);
     pool_counts counts = count_servers(view);
-    estimate_needs(view, counts, now);
+    if (options_.burst_capacity) {
+        divide_fleet(view, counts, now);
+    } else {
+        estimate_needs(view, counts, now);
+    }
     if (view.may_order) {
+        if (options_.burst_capacity) {
+            cancel_needless_moves(view, counts, now);
+        }
         donor_pools donors = find_donors(view);
-        fill_deficits(counts, donors, now);
+        if (options_.burst_capacity) {
+            fill_division(counts, donors, now);
+        } else {
+            fill_deficits(counts, donors, now);
+        }
         move_surplus_to_standby(counts, donors, now);
     }
     servers_to_drain_.clear();
@@ -99,6 +118,7 @@
                                  view.listed_at >= entry.recorded_at + options_.move_time;
             if (arrived) {
                 cycle_.step(entry, vm_returned{}, now);
+                rests_[id] = {now + arrival_rest, false};
             } else if (now >= entry.recorded_at + arrival_timeout) {
                 cycle_.step(entry, vm_absent{}, now);
             }
@@ -120,9 +140,11 @@
                 }
             } else if (now >= entry.recorded_at + drain_timeout) {
                 cycle_.step(entry, vm_order_cancelled{}, now);
+                rests_[id] = {now + drain_rest, true};
             }
         }
     }
+    std::erase_if(rests_, [now](const auto& item) { return now >= item.second.until; });
     std::erase_if(moves_, [this](const auto& id_and_move) {
         return cycle_.has_ended(id_and_move.second.entry) ||
                cycle_.in_state(id_and_move.second.entry, "waiting");
@@ -240,11 +262,15 @@
     for (const fleet_vm& vm : view.fleet.vms()) {
         const std::optional<std::size_t> runs = runs_to_wait_for(vm, view);
         if (runs && !excluded.contains(vm.id)) {
-            donors[vm.pool].push_back({&vm, *runs});
+            donors[vm.pool].push_back({&vm, *runs, 0, false});
         }
     }
     for (auto& [name, vms] : donors) {
-        std::ranges::stable_sort(vms, {}, &donor::runs);
+        if (options_.burst_capacity) {
+            sort_donors(vms, view);
+        } else {
+            std::ranges::stable_sort(vms, {}, &donor::runs);
+        }
     }
     return donors;
 }
@@ -327,12 +353,14 @@
             continue;
         }
         since = std::min(since, now);
-        if (now - since < surplus_time) {
+        const duration wait =
+            options_.burst_capacity ? release_time(name, since, surplus_time) : surplus_time;
+        if (now - since < wait) {
             continue;
         }
         std::deque<donor>& vms = donors[name];
-        while (!vms.empty() && vms.front().runs == 0 && pool.surplus() > spare_servers &&
-               pool.present > pool.long_running_hosts) {
+        while (!vms.empty() && vms.front().runs == 0 && !vms.front().resting &&
+               pool.surplus() > spare_servers && pool.present > pool.long_running_hosts) {
             begin_move(*vms.front().vm, target, counts, now);
             vms.pop_front();
         }
--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -248,7 +248,7 @@
     }
     vms_ = std::make_unique<vm_driver>(
         *std::move(waves), *std::move(capacity), vm_order_origin{own_settings_.node, token},
-        vm_links{links_.timers, table_, links_.vms, links_.rows},
+        vm_links{links_.timers, table_, links_.vms, links_.rows, &registry_},
         vm_order_timing{
             owner_since_, own_settings_.vm_order_interval,
             std::min<duration>(own_settings_.move_time, own_settings_.maintenance_time)},
--- a/src/node/fleet/vm_driver.cpp
+++ b/src/node/fleet/vm_driver.cpp
@@ -26,6 +26,38 @@
 /// Attempts to write a row; after that it is written with the next change only.
 constexpr int max_attempts = 20;
 
+constexpr std::string_view need_metric = "citronford_pool_need_vms";
+constexpr std::string_view division_metric = "citronford_pool_division_vms";
+constexpr std::array<std::string_view, need_tier_count> tier_names = {"base", "urgent", "on_time",
+                                                                      "late", "leftover"};
+
+void publish(const pool_plan& plan, metrics& registry) {
+    for (std::size_t tier = 0; tier < need_tier_count; ++tier) {
+        const std::array labels = {metric_label{"pool", plan.pool.view()},
+                                   metric_label{"tier", tier_names[tier]}};
+        registry.set(need_metric, labels, plan.needs[tier]);
+    }
+    const std::array labels = {metric_label{"pool", plan.pool.view()}};
+    registry.set(division_metric, labels, static_cast<double>(plan.division));
+}
+
+void log_plan(const pool_plan& plan) {
+    const auto need = [&](need_tier tier) {
+        return static_cast<std::int64_t>(plan.needs[static_cast<std::size_t>(tier)]);
+    };
+    log_event(log_level::info, "pool_demand",
+              {{"pool", plan.pool.view()},
+               {"base", need(need_tier::base)},
+               {"urgent", need(need_tier::urgent)},
+               {"on_time", need(need_tier::on_time)},
+               {"late", need(need_tier::late)},
+               {"leftover", need(need_tier::leftover)},
+               {"division", plan.division},
+               {"present", plan.present},
+               {"incoming", plan.incoming},
+               {"waiting_cores", static_cast<std::int64_t>(plan.waiting_cores)}});
+}
+
 } // namespace
 
 vm_driver::vm_driver(wave_planner waves, capacity_planner capacity, vm_order_origin origin,
@@ -41,6 +73,11 @@
 void vm_driver::stop() {
     ticks_.cancel();
     alive_.reset();
+    if (links_.registry != nullptr) {
+        // Plans of an ownership that is over would look like present ones.
+        links_.registry->clear(need_metric);
+        links_.registry->clear(division_metric);
+    }
 }
 
 void vm_driver::read_records() {
@@ -140,6 +177,18 @@
     for (const move_vm& order : capacity_.plan(view, now)) {
         perform(order);
     }
+    report_plans(now);
+}
+
+void vm_driver::report_plans(instant now) {
+    for (const pool_plan& plan : capacity_.pool_plans()) {
+        if (links_.registry != nullptr) {
+            publish(plan, *links_.registry);
+        }
+        if (plan_filter_.is_due(plan, now)) {
+            log_plan(plan);
+        }
+    }
 }
 
 void vm_driver::perform(const move_vm& effect) {
--- a/src/node/fleet/vm_driver.h
+++ b/src/node/fleet/vm_driver.h
@@ -7,6 +7,7 @@
 #include "citronford/timer_service.h"
 #include "citronford/vm_fleet.h"
 #include "citronford/wave_planner.h"
+#include "io/metrics.h"
 
 #include <functional>
 #include <memory>
@@ -21,6 +22,7 @@
     table_service& table;
     vm_fleet& vms;
     const fleet_rows& rows;
+    metrics* registry = nullptr; ///< For the plans of pools; null for none.
 };
 
 /// Limits for the first orders of an owner, which may follow orders of the previous owner.
@@ -69,6 +71,7 @@
     [[nodiscard]] std::vector<vm_id> blocked_vms(instant now) const;
     void perform(std::span<const wave_effect> effects);
     void plan_capacity(const fleet_index& fleet, std::span<const vm_id> blocked, instant now);
+    void report_plans(instant now);
     void perform(const move_vm& effect);
     void perform(const maintain_vm& effect);
     void perform(const save_wave& effect);
@@ -81,6 +84,7 @@
     vm_links links_;
     vm_order_timing timing_;
     callbacks on_;
+    pool_plan_filter plan_filter_;
     std::set<vm_id> initially_up_vms_; ///< Up in all lists of this ownership.
     timer_subscription ticks_;
     bool records_read_ = false;
--- a/tests/capacity_planner_test.cpp
+++ b/tests/capacity_planner_test.cpp
@@ -187,3 +187,91 @@
     fixture.plan_for(seconds(2), 0);
     cr_assert(fixture.moves.empty() && !fixture.planner.active());
 }
+
+namespace {
+
+/// With `burst_capacity`.
+struct division_fixture : capacity_fixture {
+    division_fixture() {
+        auto created =
+            capacity_planner::create(installed_chart("vm_order"), {milliseconds(1500), true});
+        cr_assert(created.ok(), "%s", created.status().ToString().c_str());
+        planner = *std::move(created);
+    }
+
+    tier_cores& tier(std::size_t pool, work_tier rank) {
+        return demands[pool].tiers[static_cast<std::size_t>(rank)];
+    }
+};
+
+} // namespace
+
+// Guards against a pool that keeps VMs for late work while urgent work of another pool waits: the
+// VMs are drained, and none is moved while tasks run on it.
+Test(capacity_planner, drains_vms_of_late_work_for_urgent_work) {
+    division_fixture fixture;
+    for (backend_load& load : fixture.loads) {
+        load.runs = load.pool == idle ? 4 : 0;
+        load.used.millicores = load.pool == idle ? 10000 : 0;
+    }
+    fixture.tier(1, work_tier::late).running = 60;
+    fixture.tier(0, work_tier::urgent).waiting = 200;
+    fixture.plan_for(seconds(1), 0);
+    cr_assert(fixture.moves_to(busy) == 2, "%td moves", fixture.moves_to(busy));
+    // Of four VMs above the part of the pool; it keeps one, since parts vary from plan to plan.
+    cr_assert(fixture.planner.servers_to_drain().size() == 3);
+}
+
+// Guards against a host of long-running tasks that is drained for urgent work.
+Test(capacity_planner, drains_no_host_of_long_running_tasks) {
+    division_fixture fixture;
+    for (backend_load& load : fixture.loads) {
+        load.runs = 1;
+        load.long_running = load.pool == idle ? 1 : 0;
+    }
+    fixture.tier(0, work_tier::urgent).waiting = 500;
+    fixture.plan_for(seconds(2), 0);
+    cr_assert(fixture.moves_to(busy) == 2 && fixture.planner.servers_to_drain().empty());
+}
+
+// Guards against a long task that keeps its VM from new tasks in one attempt to drain it after the
+// other.
+Test(capacity_planner, does_not_drain_a_vm_again_at_once) {
+    division_fixture fixture;
+    std::erase_if(fixture.vms, [](const fleet_vm& vm) { return vm.pool == standby; });
+    for (backend_load& load : fixture.loads) {
+        load.runs = 1;
+        load.used.millicores = 1000;
+    }
+    fixture.tier(0, work_tier::urgent).waiting = 500;
+    fixture.plan_for(seconds(2), 0);
+    const std::vector<backend_id> first = fixture.planner.servers_to_drain();
+    cr_assert(first.size() == 3);
+    fixture.plan_for(milliseconds(1500), 0);
+    for (const backend_id& server : fixture.planner.servers_to_drain()) {
+        cr_assert(std::ranges::find(first, server) == first.end(), "%s", server.str().c_str());
+    }
+    cr_assert(fixture.moves.empty());
+}
+
+// Guards against moves that bring next to nothing: one VM for work that is worth little.
+Test(capacity_planner, moves_no_single_vm_for_late_work) {
+    division_fixture fixture;
+    fixture.tier(0, work_tier::late).running = 61;
+    fixture.tier(1, work_tier::on_time).running = 60;
+    fixture.plan_for(seconds(2), 0);
+    cr_assert(fixture.moves.empty(), "%zu moves", fixture.moves.size());
+    fixture.tier(0, work_tier::late).running = 75;
+    fixture.plan_for(seconds(1), 0);
+    cr_assert(fixture.moves_to(busy) == 2);
+}
+
+// Guards against a division among pools that only a registration of another writer names.
+Test(capacity_planner, divides_nothing_to_an_unknown_pool) {
+    division_fixture fixture;
+    fixture.demands.push_back({pool_id("unknown")});
+    fixture.demands.back().tiers[0].waiting = 500;
+    fixture.plan_for(seconds(2), 0);
+    cr_assert(fixture.moves.empty() && !fixture.planner.active());
+    cr_assert(fixture.planner.pool_plans().size() == 2);
+}
