--- a/include/citronford/capacity_planner.h
+++ b/include/citronford/capacity_planner.h
@@ -49,9 +49,9 @@
 /// while the other pools are nearly idle, and moves from queue to queue. VMs that no pool needs go
 /// to the standby pool, where they cost nothing.
 ///
-/// With `capacity_options::burst_capacity`, `pool_demand` gives the needs of each pool in tiers and
-/// `divide_vms` the number of VMs that each pool should have; a pool above its number gives up VMs
-/// also when work runs on them, which ends first.
+/// With `capacity_options::burst_capacity`, `pool_demand_tracker` gives the needs of each pool in
+/// tiers and `divide_vms` the number of VMs that each pool should have; a pool above its number
+/// gives up VMs also when work runs on them, which ends first.
 class capacity_planner {
   public:
     /// `life_cycle` is the chart `vm_order`.
@@ -162,7 +162,7 @@
     vm_order_cycle cycle_;
     capacity_options options_;
     std::map<pool_id, pool_history> histories_;
-    std::map<pool_id, pool_demand> demands_;
+    std::map<pool_id, pool_demand_tracker> demands_;
     std::vector<pool_plan> pool_plans_;
     std::map<vm_id, rest> rests_;
     std::uint64_t workflows_read_ = 0; ///< By all pools, as of `read_at_`.
--- a/include/citronford/pool_demand.h
+++ b/include/citronford/pool_demand.h
@@ -36,7 +36,7 @@
     instant memory_at_{};
 };
 
-/// Servers of one pool, for `pool_demand`.
+/// Servers of one pool, for `pool_demand_tracker`.
 struct pool_servers {
     double server_cores = 0; ///< Mean; one core when it is not a positive finite number.
     std::int64_t long_running_hosts = 0; ///< Servers that run long-running tasks.
@@ -46,7 +46,7 @@
 
 /// How many VMs one pool needs in each tier. State of one ownership: a new owner has no memory of
 /// earlier bursts.
-class pool_demand {
+class pool_demand_tracker {
   public:
     /// The needs at `now`, which must not go backwards.
     const vm_needs& update(const pool_workload& work, const pool_servers& servers, instant now);
--- a/src/decide/maintenance/pool_demand.cpp
+++ b/src/decide/maintenance/pool_demand.cpp
@@ -166,8 +166,8 @@
     return within(expected, room_cores);
 }
 
-std::array<double, work_tier_count> pool_demand::cores_by_tier(const pool_workload& work,
-                                                               double room_cores, instant now) {
+std::array<double, work_tier_count>
+pool_demand_tracker::cores_by_tier(const pool_workload& work, double room_cores, instant now) {
     std::array<double, work_tier_count> cores{};
     for (std::size_t tier = 0; tier < work_tier_count; ++tier) {
         double busy = within(work.tiers[tier].running, room_cores);
@@ -180,8 +180,8 @@
     return cores;
 }
 
-const vm_needs& pool_demand::update(const pool_workload& work, const pool_servers& servers,
-                                    instant now) {
+const vm_needs& pool_demand_tracker::update(const pool_workload& work, const pool_servers& servers,
+                                            instant now) {
     const std::int64_t fleet_vms = std::max<std::int64_t>(servers.fleet_vms, 0);
     const auto fleet = static_cast<double>(fleet_vms);
     const bool size_known = servers.server_cores > 0 && std::isfinite(servers.server_cores);
@@ -213,7 +213,7 @@
     return needs_;
 }
 
-void pool_demand::apply_hold(const vm_needs& present, instant now) {
+void pool_demand_tracker::apply_hold(const vm_needs& present, instant now) {
     recent_.push_back({now, present});
     while (recent_.front().at < now - hold_time) {
         recent_.pop_front();
--- a/tests/pool_demand_test.cpp
+++ b/tests/pool_demand_test.cpp
@@ -27,7 +27,7 @@
 struct demand_fixture {
     instant now{seconds(100)};
     dispatch::arrival_log arrivals;
-    pool_demand demand;
+    pool_demand_tracker demand;
     pool_workload work{pool_id("pool")};
     pool_servers servers{32, 0, 0, 349};
     std::vector<instant> unread; ///< Times of acceptance.
