--- a/tests/capacity_division_test.cpp
+++ b/tests/capacity_division_test.cpp
@@ -54,6 +54,21 @@
               to_ms(fleet.shortest_stay));
 }
 
+// Guards against a VM that arrives and leaves at once for work of another pool that is not urgent:
+// the burst it was ordered for is over when it arrives.
+Test(capacity_division, a_vm_that_has_arrived_stays_unless_urgent_work_needs_it) {
+    simulated_fleet fleet;
+    fleet.works[0].rate = burst_cores;
+    fleet.run_for(milliseconds(1800));
+    fleet.works[0].rate = 0;
+    fleet.works[1].endless = true;
+    fleet.works[1].backlog_core_s[static_cast<std::size_t>(work_tier::on_time)] = 900;
+    fleet.run_for(seconds(6));
+    cr_assert(fleet.shortest_use >= milliseconds(1900), "taken %ld ms after its arrival",
+              to_ms(fleet.shortest_use));
+    cr_assert(fleet.up_in(simulated_fleet::pool_at(1)) >= 30);
+}
+
 // Guards against steady work whose small changes move VMs.
 Test(capacity_division, steady_work_moves_no_vm) {
     simulated_fleet fleet;
--- a/tests/simulated_fleet.h
+++ b/tests/simulated_fleet.h
@@ -49,6 +49,7 @@
     std::map<vm_id, int> moves;             ///< Of each VM.
     std::map<vm_id, instant> arrived_at;    ///< In its pool.
     duration shortest_stay = seconds(1000); ///< Of a VM, before it was released to standby.
+    duration shortest_use = seconds(1000);  ///< Of a VM in a pool, before another pool took it.
     double paid_vm_s = 0;                   ///< VMs that are not in the standby pool.
     std::vector<pool_workload> demands;
 
@@ -205,8 +206,9 @@
         const auto load = std::ranges::find(loads, vm->backend, &backend_load::backend);
         cr_assert(load == loads.end() || load->runs == 0, "%s runs tasks", move.vm.str().c_str());
         const auto arrived = arrived_at.find(move.vm);
-        if (arrived != arrived_at.end() && move.target == standby()) {
-            shortest_stay = std::min(shortest_stay, duration(now - arrived->second));
+        if (arrived != arrived_at.end() && vm->pool != standby()) {
+            duration& shortest = move.target == standby() ? shortest_stay : shortest_use;
+            shortest = std::min(shortest, duration(now - arrived->second));
         }
         vm->state = fleet_vm::condition::moving;
         ++moves[move.vm];
