Order the waiting work of a full pool by what its delay costs

Cause: with the least slack first, a queue that gets more than its pool can do becomes late as a whole (docs/load_control.md, section 1).

Change: order_waiting_work selects the work that can be in time, leaves out what costs least for each core-second, and gives a tenth of the starts to work that has waited for 5 s or more. The dispatcher uses it with the switch overload_order; without the switch the order is unchanged.

Without the aging step, starts_old_work_within_the_bound fails, as it should.

--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -4,6 +4,7 @@
 #include "citronford/backend_link.h"
 #include "citronford/chart.h"
 #include "citronford/instant.h"
+#include "citronford/overload_order.h"
 #include "citronford/queue_catalog.h"
 #include "citronford/workflow.h"
 #include "citronford/workflow_progress.h"
@@ -175,6 +176,12 @@
     std::int64_t waiting_long_running = 0; ///< Tasks; each may need a server of its own.
 };
 
+/// Waiting work of one pool after the last pass, without long-running tasks.
+struct pool_waiting {
+    pool_id pool;
+    rank_table ranks{};
+};
+
 /// Counters of a dispatcher for metrics and the state page.
 struct dispatch_counts {
     std::size_t workflows = 0; ///< Not ended, or ended with runs that are being stopped.
@@ -189,6 +196,7 @@
     std::uint64_t starts_refused = 0; ///< Starts that were refused or not delivered.
     /// Servers that were considered for a task. With `starts`, shows the cost of placement.
     std::uint64_t servers_examined = 0;
+    std::vector<pool_waiting> waiting; ///< All pools; empty without `overload_order`.
 };
 
 /// Decides on which backend servers the tasks of all workflows run, on the one node that owns the
--- a/src/decide/dispatch/dispatcher_figures.cpp
+++ b/src/decide/dispatch/dispatcher_figures.cpp
@@ -134,6 +134,9 @@
     for (const auto& [name, pool] : pools_) {
         numbers.stalled += pool.stalled_workflows;
         numbers.quarantined += static_cast<std::size_t>(availability_in(pool).quarantined);
+        if (options_.overload_order) {
+            numbers.waiting.push_back({name, pool.order.waiting});
+        }
     }
     return numbers;
 }
--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -1,4 +1,4 @@
-#include "decide/dispatch/dispatcher_state.h"
+#include "decide/dispatch/placement_candidate.h"
 
 #include "citronford/planted_fault.h"
 
@@ -13,15 +13,6 @@
 
 namespace {
 
-/// Waiting work is placed in the order of these classes.
-enum class urgency {
-    long_running, ///< Serves users and must be restarted soon after a loss.
-    on_time,      ///< Can still meet its objective.
-    over_quota,   ///< On time, but exceeds the submission rate of its team.
-    late,         ///< Will miss its objective, but is still useful.
-    expired,
-};
-
 /// What is left of a server once all its other runs have ended.
 resources capacity_beside_long_running(const backend_entry& server) {
     resources left = server.registration.capacity;
@@ -35,27 +26,6 @@
 
 } // namespace
 
-/// A step with waiting tasks.
-struct dispatcher::implementation::candidate {
-    workflow_entry* workflow = nullptr;
-    occurrence_state* occurrence = nullptr;
-    std::uint32_t step = 0;
-    urgency rank = urgency::on_time;
-    int priority = 0;
-    duration slack{}; ///< Time left to the latest start that meets the objective.
-
-    [[nodiscard]] const workflow_step& definition() const { return workflow->step(step); }
-    /// What each task takes from the free capacity of its server.
-    [[nodiscard]] resources reserved() const {
-        resources size = definition().size;
-        if (definition().best_effort_cpu) {
-            size.millicores = 0;
-        }
-        return size;
-    }
-    [[nodiscard]] auto key() const { return std::tuple(rank, priority, slack); }
-};
-
 /// One pass over the waiting steps of a pool.
 struct dispatcher::implementation::placement_pass {
     pool_state& pool;
@@ -111,6 +81,8 @@
             if (occurrence.steps[step].waiting_tasks() > 0) {
                 candidate item{
                     &entry, &occurrence, step, rank, queue == nullptr ? 0 : queue->priority, slack};
+                item.critical_path = critical_path;
+                item.active_before = occurrence.steps[step].active;
                 if (item.definition().long_running) {
                     item.rank = urgency::long_running;
                 }
@@ -127,10 +99,10 @@
     }
     pool.limit_reached = false;
     pool.stalled_workflows = 0;
+    pool.order.waiting = {};
     if (candidates.empty()) {
         return;
     }
-    std::ranges::stable_sort(candidates, {}, &candidate::key);
     update_quarantine(pool);
     std::vector<backend_entry*> servers;
     std::vector<backend_entry*> stale;
@@ -139,6 +111,10 @@
             (server->has_recent_contact(now_) ? servers : stale).push_back(server);
         }
     }
+    if (options_.overload_order) {
+        order_by_cost(pool, servers, candidates);
+    }
+    std::ranges::stable_sort(candidates, {}, &candidate::key);
     placement_pass pass{pool,
                         open_servers(std::move(servers)),
                         {may_have_unknown_runs(pool), may_have_unread_completions(pool)}};
@@ -152,6 +128,9 @@
             }
         }
     }
+    if (options_.overload_order) {
+        note_order(pool, candidates);
+    }
     report_stalled(pool, pass.unread, stalled);
     for (backend_entry* server : stale) {
         server->poll_wanted = server->poll_wanted || pool.placement_due;
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -26,6 +26,7 @@
 /// - dispatcher_polling.cpp: the contact with servers
 /// - dispatcher_takeover.cpp: the recovery when an ownership begins
 /// - dispatcher_placement.cpp: which tasks to start where
+/// - dispatcher_order.cpp: in which order, with `dispatch_options::overload_order`
 /// - dispatcher_runs.cpp: the life cycle of runs
 /// - dispatcher_stops.cpp: stops of runs, and moves off leaving servers
 /// - dispatcher_figures.cpp: sums for planners and reports
@@ -204,6 +205,16 @@
     void place_tasks();
     void place_pool(pool_state& pool);
     void collect_candidates(workflow_entry& entry, std::vector<candidate>& candidates);
+    /// Gives the candidates their places by `order_waiting_work`; `servers` accept tasks.
+    void order_by_cost(pool_state& pool, std::span<backend_entry* const> servers,
+                       std::vector<candidate>& candidates);
+    [[nodiscard]] waiting_work waiting_work_of(const candidate& item,
+                                               const dispatch::pool_order& order) const;
+    [[nodiscard]] pool_room room_of(const pool_state& pool,
+                                    std::span<backend_entry* const> servers) const;
+    /// Updates the aging account and the figures of `pool` after a pass, and logs deferred work.
+    void note_order(pool_state& pool, std::span<const candidate> candidates);
+    void log_deferred(pool_state& pool, std::span<const candidate> candidates);
     bool place_step(const candidate& item, placement_pass& pass);
     backend_entry* select_server(const candidate& item, const task_record& record,
                                  placement_pass& pass);
--- a/src/decide/dispatch/pool_state.h
+++ b/src/decide/dispatch/pool_state.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "decide/dispatch/pool_order.h"
+
 #include "citronford/backend.h"
 
 #include <map>
@@ -22,6 +24,7 @@
     double arrived_core_s = 0;                  ///< Estimated work submitted under this ownership.
     std::size_t stalled_workflows = 0;          ///< Found in the last pass; see `is_stalled`.
     instant stall_logged_at = instant::min();
+    pool_order order;
 };
 
 } // namespace citronford::dispatch
--- a/src/decide/dispatch/workflow_entry.h
+++ b/src/decide/dispatch/workflow_entry.h
@@ -74,6 +74,7 @@
     std::size_t runs = 0;              ///< Runs that may exist.
     instant idle_since{};          ///< Since when it has had no run, though an occurrence is due.
     bool waits_for_server = false; ///< A server is kept clear for a long-running task.
+    double core_s = 0;             ///< Of one occurrence; zero until its pool is first ordered.
 
     [[nodiscard]] const workflow_step& step(std::uint32_t number) const {
         return row.spec.steps[number];
--- /dev/null
+++ b/src/node/fleet/dispatch_figures.cpp
@@ -0,0 +1,52 @@
+#include "node/fleet/dispatch_figures.h"
+
+#include <array>
+#include <string_view>
+#include <utility>
+
+namespace citronford {
+
+namespace {
+
+/// One series for each pool and rank; none without `dispatch_options::overload_order`.
+void set_waiting_figures(metrics& registry, const dispatch_counts& counts) {
+    // The series of an ownership that is over would otherwise stay.
+    registry.clear("citronford_waiting_workflows");
+    registry.clear("citronford_waiting_cores");
+    for (const pool_waiting& pool : counts.waiting) {
+        for (std::size_t rank = 0; rank < work_ranks; ++rank) {
+            const std::array labels = {metric_label{"pool", pool.pool.view()},
+                                       metric_label{"rank", name_of(static_cast<work_rank>(rank))}};
+            const rank_figures& figures = pool.ranks.at(rank);
+            registry.set("citronford_waiting_workflows", labels,
+                         static_cast<double>(figures.workflows));
+            registry.set("citronford_waiting_cores", labels, figures.cores);
+        }
+    }
+}
+
+} // namespace
+
+void set_dispatch_figures(metrics& registry, const dispatch_counts& counts) {
+    const std::pair<std::string_view, std::size_t> gauges[] = {
+        {"citronford_workflows", counts.workflows},
+        {"citronford_runs", counts.runs},
+        {"citronford_stalled_workflows", counts.stalled},
+        {"citronford_backends", counts.backends},
+        {"citronford_quarantined_backends", counts.quarantined}};
+    for (const auto& [name, value] : gauges) {
+        registry.set(name, {}, static_cast<double>(value));
+    }
+    const std::pair<std::string_view, std::uint64_t> totals[] = {
+        {"citronford_starts_total", counts.starts},
+        {"citronford_tasks_done_total", counts.runs_done},
+        {"citronford_tasks_failed_total", counts.runs_failed},
+        {"citronford_runs_lost_total", counts.runs_lost},
+        {"citronford_starts_refused_total", counts.starts_refused}};
+    for (const auto& [name, value] : totals) {
+        registry.set_total(name, {}, static_cast<double>(value));
+    }
+    set_waiting_figures(registry, counts);
+}
+
+} // namespace citronford
