--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -4,6 +4,7 @@
 #include "citronford/backend_link.h"
 #include "citronford/chart.h"
 #include "citronford/instant.h"
+#include "citronford/overload_order.h"
 #include "citronford/pool_workload.h"
 #include "citronford/queue_catalog.h"
 #include "citronford/workflow.h"
@@ -167,6 +168,12 @@
     bool unschedulable = false; ///< Accepts no new task: it is being drained or is leaving.
 };
 
+/// Waiting work of one pool after the last pass, without long-running tasks.
+struct pool_waiting {
+    pool_id pool;
+    rank_table ranks{};
+};
+
 /// Counters of a dispatcher for metrics and the state page.
 struct dispatch_counts {
     std::size_t workflows = 0; ///< Not ended, or ended with runs that are being stopped.
@@ -181,6 +188,7 @@
     std::uint64_t starts_refused = 0; ///< Starts that were refused or not delivered.
     /// Servers that were considered for a task. With `starts`, shows the cost of placement.
     std::uint64_t servers_examined = 0;
+    std::vector<pool_waiting> waiting; ///< All pools; empty without `overload_order`.
 };
 
 /// Decides on which backend servers the tasks of all workflows run, on the one node that owns the
--- a/src/decide/dispatch/pool_state.h
+++ b/src/decide/dispatch/pool_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decide/dispatch/arrival_log.h"
+#include "decide/dispatch/pool_order.h"
 
 #include "citronford/backend.h"
 
@@ -25,6 +26,7 @@
     arrival_log arrivals;
     std::size_t stalled_workflows = 0; ///< Found in the last pass; see `is_stalled`.
     instant stall_logged_at = instant::min();
+    pool_order order;
 };
 
 } // namespace citronford::dispatch
