Place work beyond the share of its team after that of other teams

Cause: a team that sends many times its usual work fills the pools, and the others wait with it. Weights are large, so no work was found beyond a rate; cores are what runs out.

Change, with load.fair_shares only: the owner divides the cores that running and waiting work can use at most every 100 ms while work waits (dispatcher_shares.cpp). A workflow for which the part of its team has no room gets the rank over_quota. Rates follow the stored acceptance times, also of what is read at a takeover. teams_over_share for reports; log lines team_over_share, team_within_share, team_weight_replaced; metrics of use and part by team.

Result: dispatcher_shares_test 8 of 8, over two pools and a takeover; with the switch off the earliest work goes first as before. dispatcher_test, dispatcher_recovery_test, dispatcher_takeover_test, failing_work_test, reservations_test, placement_test and dispatch_driver_test pass.

--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -175,6 +175,16 @@
     std::int64_t waiting_long_running = 0; ///< Tasks; each may need a server of its own.
 };
 
+/// Use and share of one team, for metrics.
+struct team_share_figure {
+    team_id team;
+    std::int64_t used_millicores = 0;
+    double part_millicores = 0; ///< Zero while nothing waits.
+};
+
+/// With more teams, `dispatch_counts` names none, so that the metrics stay short.
+inline constexpr std::size_t max_team_figures = 64;
+
 /// Counters of a dispatcher for metrics and the state page.
 struct dispatch_counts {
     std::size_t workflows = 0; ///< Not ended, or ended with runs that are being stopped.
@@ -189,6 +199,8 @@
     std::uint64_t starts_refused = 0; ///< Starts that were refused or not delivered.
     /// Servers that were considered for a task. With `starts`, shows the cost of placement.
     std::uint64_t servers_examined = 0;
+    std::size_t teams_over_share = 0;
+    std::vector<team_share_figure> team_shares; ///< Of the teams that had work.
 };
 
 /// Decides on which backend servers the tasks of all workflows run, on the one node that owns the
@@ -223,6 +235,10 @@
 
     [[nodiscard]] dispatch_counts counts() const;
 
+    /// Teams that use more than their part of the fleet while another team waits below its own.
+    /// Empty without `dispatch_options::fair_shares`.
+    [[nodiscard]] std::vector<team_id> teams_over_share() const;
+
     class implementation;
 
   private:
--- a/include/citronford/queue_catalog.h
+++ b/include/citronford/queue_catalog.h
@@ -74,6 +74,7 @@
 
     [[nodiscard]] const std::map<queue_id, queue_definition>& queues() const { return queues_; }
     [[nodiscard]] const std::map<pool_id, catalog_pool>& pools() const { return pools_; }
+    [[nodiscard]] const std::map<team_id, catalog_team>& teams() const { return teams_; }
 
   private:
     std::int64_t version_ = 0;
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -61,6 +61,7 @@
 
 void dispatcher::implementation::process(const catalog_applied& input) {
     catalog_ = input.catalog;
+    apply_team_weights();
     for (auto& [name, pool] : pools_) {
         pool.placement_due = true;
     }
@@ -78,6 +79,7 @@
         return;
     }
     if (ended(input.progress.state)) {
+        note_submission(input.row);
         recently_ended_.emplace(input.row.id, now_);
         return;
     }
@@ -101,7 +103,10 @@
             ? 0
             : std::clamp<std::int64_t>(unix_ms_ - entry.row.accepted_unix_ms, 0, max_age_ms);
     entry.accepted_at = now_ - milliseconds(age_ms);
-    entry.over_quota = !input.stored_before && !consume_quota(entry.row.team);
+    entry.over_quota = exceeds_rate(input);
+    entry.share = share_of(entry.row.team);
+    // Until the next division, new work comes after what waits of its team.
+    entry.ahead_millicores = entry.share == nullptr ? 0 : entry.share->waiting_millicores;
     entry.restore(input.progress, now_);
     entry.idle_since = now_;
     workflows_.emplace(entry.row.id, std::move(added));
@@ -312,6 +317,7 @@
     retry_stops();
     recover_pools();
     drain_servers();
+    update_shares();
     place_tasks();
     save_changes();
     send_polls();
@@ -352,4 +358,8 @@
     return body_->counts();
 }
 
+std::vector<team_id> dispatcher::teams_over_share() const {
+    return body_->teams_over_share();
+}
+
 } // namespace citronford
--- a/src/decide/dispatch/dispatcher_figures.cpp
+++ b/src/decide/dispatch/dispatcher_figures.cpp
@@ -131,6 +131,8 @@
     numbers.workflows = workflows_.size();
     numbers.runs = runs_.size();
     numbers.backends = servers_.size();
+    numbers.teams_over_share = teams_over_share().size();
+    numbers.team_shares = team_shares();
     for (const auto& [name, pool] : pools_) {
         numbers.stalled += pool.stalled_workflows;
         numbers.quarantined += static_cast<std::size_t>(availability_in(pool).quarantined);
--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -17,7 +17,7 @@
 enum class urgency {
     long_running, ///< Serves users and must be restarted soon after a loss.
     on_time,      ///< Can still meet its objective.
-    over_quota,   ///< On time, but exceeds the submission rate of its team.
+    over_quota,   ///< On time, but exceeds the submission rate of its team, or its team its share.
     late,         ///< Will miss its objective, but is still useful.
     expired,
 };
@@ -101,7 +101,8 @@
         const duration slack = objective_start + entry.objective - now_ - critical_path;
         // Work that ends within three times its objective is still useful.
         const duration late_slack = slack + 2 * entry.objective;
-        urgency rank = entry.over_quota ? urgency::over_quota : urgency::on_time;
+        const bool postponed = entry.over_quota || is_over_share(entry);
+        urgency rank = postponed ? urgency::over_quota : urgency::on_time;
         if (late_slack < duration::zero()) {
             rank = urgency::expired;
         } else if (slack < -critical_path / 10) {
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -4,9 +4,11 @@
 #include "decide/dispatch/open_servers.h"
 #include "decide/dispatch/pool_state.h"
 #include "decide/dispatch/task_run.h"
+#include "decide/dispatch/team_share.h"
 #include "decide/dispatch/workflow_entry.h"
 
 #include "citronford/dispatcher.h"
+#include "citronford/submission_rates.h"
 
 #include <functional>
 #include <map>
@@ -28,6 +30,7 @@
 /// - dispatcher_placement.cpp: which tasks to start where
 /// - dispatcher_runs.cpp: the life cycle of runs
 /// - dispatcher_stops.cpp: stops of runs, and moves off leaving servers
+/// - dispatcher_shares.cpp: the shares and rates of teams
 /// - dispatcher_figures.cpp: sums for planners and reports
 class dispatcher::implementation {
   public:
@@ -64,6 +67,7 @@
     [[nodiscard]] std::vector<backend_load> backend_loads() const;
     [[nodiscard]] std::vector<pool_workload> pool_workloads() const;
     [[nodiscard]] dispatch_counts counts() const;
+    [[nodiscard]] std::vector<team_id> teams_over_share() const;
 
   private:
     /// All null when the task is unknown.
@@ -88,7 +92,7 @@
         bool runs = false;
         bool completions = false;
     };
-    /// Detects when a team submits more than `weight` workflows a second.
+    /// Detects when a team submits more than `weight` workflows a second. Used without fair shares.
     struct token_bucket {
         double tokens = 0;
         instant refilled_at{};
@@ -141,6 +145,33 @@
     [[nodiscard]] task_location find_task(const task_key& key);
     void for_each_run(workflow_entry& entry, const std::function<void(task_run&)>& visit);
 
+    // Shares of teams.
+    void apply_team_weights();
+    void log_replaced_weight(const team_id& team, std::string_view weight, double used);
+    /// The share of `team`, which is created when it is new; null without fair shares or a team.
+    dispatch::team_share* share_of(const team_id& team);
+    void note_submission(const accepted_workflow& row);
+    /// Counts a workflow against the rate of its team; returns whether it exceeds the rate.
+    [[nodiscard]] bool exceeds_rate(const workflow_found& input);
+    void apply_rate_verdicts();
+    void update_shares();
+    void divide_fleet();
+    bool add_waiting_work(const pool_state& pool);
+    bool add_waiting_work(workflow_entry& entry);
+    static void order_waiting_work(dispatch::team_share& share);
+    [[nodiscard]] std::int64_t usable_millicores(const pool_state& pool, bool tasks_wait) const;
+    [[nodiscard]] team_demand demand_of(dispatch::team_share& share);
+    [[nodiscard]] std::int64_t used_millicores(const team_id& team) const;
+    void log_share(dispatch::team_share& share);
+    [[nodiscard]] std::vector<team_share_figure> team_shares() const;
+    /// Whether the workflow comes after those of other teams: its team uses its part of the fleet,
+    /// or will with the work placed before this workflow, and another team waits.
+    [[nodiscard]] bool is_over_share(const workflow_entry& entry) const {
+        return entry.share != nullptr &&
+               exceeds_part(entry.share->division, entry.share->used_millicores,
+                            entry.ahead_millicores);
+    }
+
     // Runs.
     task_run& add_run(workflow_entry& entry, occurrence_state& occurrence, std::uint32_t step,
                       std::uint32_t index, std::uint32_t number, backend_entry& server);
@@ -265,6 +296,10 @@
     std::map<team_id, resources> team_usage_;    ///< Charged by all runs that may exist.
     std::map<team_id, resources> unknown_usage_; ///< Upper bound for unread servers.
     std::map<team_id, token_bucket> team_buckets_;
+    submission_rates rates_;
+    std::map<team_id, dispatch::team_share> shares_;
+    std::optional<std::int64_t> weights_version_; ///< Of the catalogue whose weights are applied.
+    instant next_division_at_ = instant::min();
     std::vector<workflow_entry*> changed_; ///< To be saved.
     std::vector<job_id> awaiting_removal_; ///< Ended, but unsaved or with runs left.
     /// Ended workflows, kept for a while because their rows can be delivered again.
--- a/src/decide/dispatch/workflow_entry.h
+++ b/src/decide/dispatch/workflow_entry.h
@@ -17,6 +17,7 @@
 namespace citronford::dispatch {
 
 struct task_run;
+struct team_share;
 struct workflow_entry;
 
 /// One task of one occurrence.
@@ -59,11 +60,14 @@
     chart_position position{};
     workflow_state state = workflow_state::pending;
     bool stored_before = false;
-    bool changed = false;      ///< Waits to be saved.
-    save_ticket ticket = 0;    ///< Of the change that waits to be saved.
-    instant save_not_before{}; ///< After the table has rejected the row.
-    bool over_quota = false;   ///< Exceeded the submission rate of its team.
-    duration critical_path{};  ///< Estimated time of the longest chain of steps.
+    bool changed = false;        ///< Waits to be saved.
+    save_ticket ticket = 0;      ///< Of the change that waits to be saved.
+    instant save_not_before{};   ///< After the table has rejected the row.
+    bool over_quota = false;     ///< Exceeded the submission rate of its team.
+    team_share* share = nullptr; ///< Of its team; null without fair shares or a team.
+    /// Of waiting tasks of its team that are placed before, as of the last division.
+    std::int64_t ahead_millicores = 0;
+    duration critical_path{}; ///< Estimated time of the longest chain of steps.
     /// Time within which an occurrence should end: from the acceptance of the workflow, or from the
     /// due time of a scheduled occurrence.
     duration objective{};
--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -173,20 +173,7 @@
     gauge("citronford_catalog_version", catalog_ ? static_cast<double>(catalog_->version()) : 0.0);
     gauge("citronford_table_failures_in_row", table_.consecutive_failures());
     const dispatch_counts counts = dispatch_ ? dispatch_->state().counts() : dispatch_counts{};
-    gauge("citronford_workflows", static_cast<double>(counts.workflows));
-    gauge("citronford_runs", static_cast<double>(counts.runs));
-    gauge("citronford_stalled_workflows", static_cast<double>(counts.stalled));
-    gauge("citronford_backends", static_cast<double>(counts.backends));
-    gauge("citronford_quarantined_backends", static_cast<double>(counts.quarantined));
-    const std::pair<std::string_view, std::uint64_t> totals[] = {
-        {"citronford_starts_total", counts.starts},
-        {"citronford_tasks_done_total", counts.runs_done},
-        {"citronford_tasks_failed_total", counts.runs_failed},
-        {"citronford_runs_lost_total", counts.runs_lost},
-        {"citronford_starts_refused_total", counts.starts_refused}};
-    for (const auto& [name, value] : totals) {
-        registry_.set_total(name, {}, static_cast<double>(value));
-    }
+    set_dispatch_figures(counts);
     return registry_.text();
 }
 
--- a/src/node/fleet/fleet_node.h
+++ b/src/node/fleet/fleet_node.h
@@ -19,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -96,6 +97,8 @@
     void begin_vm_orders(fencing_token token);
     [[nodiscard]] bool may_order_vms() const;
     void end_dispatching();
+    void set_dispatch_figures(const dispatch_counts& counts);
+    void set_team_figures(std::span<const team_share_figure> teams);
     void apply_order_rows(std::span<const table_row> rows, bool is_snapshot);
     void apply_order_row(const table_row& row);
     void apply(const std::shared_ptr<const queue_catalog>& catalog);
--- /dev/null
+++ b/tests/dispatcher_shares_test.cpp
@@ -0,0 +1,349 @@
+#include "dispatch_fixture.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+// Shares of teams in the dispatcher: one team fills two pools, and another one has less than its
+// part of the fleet.
+
+using namespace citronford;
+
+namespace {
+
+constexpr std::int64_t day_begin_ms = 1'800'000'000'000;
+const team_id flooding("flooding");
+const team_id modest("modest");
+
+catalog_team team_of(const team_id& name, double weight) {
+    catalog_team team;
+    team.name = name;
+    team.weight = weight;
+    return team;
+}
+
+/// A workflow of one step with tasks of one core and 500 ms.
+accepted_workflow work_of(const team_id& team, const std::string& pool_name,
+                          const std::string& suffix, std::uint32_t tasks,
+                          std::int64_t accepted_ms) {
+    accepted_workflow row;
+    row.id = job_id(team.str() + "-" + suffix);
+    row.queue = queue_id("queue-" + pool_name);
+    row.pool = pool_id(pool_name);
+    row.team = team;
+    row.accepted_unix_ms = day_begin_ms + accepted_ms;
+    workflow_step step;
+    step.tasks = tasks;
+    step.size = {1000, 10, 0};
+    step.estimate = milliseconds(500);
+    row.spec.steps = {step};
+    return row;
+}
+
+/// An owner of the pools `a` and `b`, each with one server of eight cores, and of two teams of
+/// equal weight.
+struct shares_fixture : dispatch_fixture {
+    struct backend_state {
+        std::vector<running_task> running;
+        std::vector<run_completion> ended;
+        std::uint64_t last_end = 0;
+    };
+
+    std::map<backend_id, backend_state> servers{{backend_id("server-a"), {}},
+                                                {backend_id("server-b"), {}}};
+    std::size_t starts_seen = 0;
+    std::int64_t unix_ms = day_begin_ms;
+
+    explicit shares_fixture(bool fair) : dispatch_fixture(options_with(fair)) {
+        apply_weights(2, 100, 100);
+        // Registered before the first tick, so that both pools are read at once.
+        for (const auto& [id, server] : servers) {
+            register_server(id);
+        }
+    }
+
+    static dispatch_options options_with(bool fair) {
+        dispatch_options options;
+        options.fair_shares = fair;
+        return options;
+    }
+
+    void apply_weights(std::int64_t version, double flooding_weight, double modest_weight) {
+        std::vector<queue_definition> queues;
+        std::vector<catalog_pool> pools;
+        for (const std::string name : {"a", "b"}) {
+            queue_definition definition;
+            definition.name = queue_id("queue-" + name);
+            definition.pool = pool_id(name);
+            definition.max_attempts = 3;
+            definition.stretch = 20;
+            queues.push_back(definition);
+            pools.push_back({pool_id(name), true, false});
+        }
+        handle(catalog_applied{std::make_shared<queue_catalog>(
+            version, queues, pools,
+            std::vector{team_of(flooding, flooding_weight), team_of(modest, modest_weight)})});
+    }
+
+    void register_server(const backend_id& id) {
+        backend_registration registration;
+        registration.id = id;
+        registration.pool = pool_id(id.str().substr(id.str().size() - 1));
+        registration.capacity = {8000, 8000, 0};
+        handle(backend_registered{registration});
+    }
+
+    void add(const accepted_workflow& row, bool stored_before = false) {
+        handle(workflow_found{row, {}, stored_before});
+    }
+
+    /// Ticks once and answers all polls with what the servers run.
+    void step() {
+        now += milliseconds(20);
+        unix_ms += 20;
+        renew_ownership();
+        handle(dispatch_tick{unix_ms});
+        for (; starts_seen < starts.size(); ++starts_seen) {
+            const send_start& start = starts[starts_seen];
+            servers.at(start.to.id)
+                .running.push_back({start.command.task, start.command.run, "", 100, 0});
+        }
+        for (auto& [id, server] : servers) {
+            answer_poll(id, server.running, server.ended);
+        }
+        confirm_save();
+    }
+
+    /// Ends `count` tasks of the server, the oldest first.
+    void end_tasks(const std::string& server_name, std::size_t count) {
+        backend_state& server = servers.at(backend_id(server_name));
+        cr_assert(count <= server.running.size());
+        for (; count > 0; --count) {
+            const running_task ended = server.running.front();
+            server.running.erase(server.running.begin());
+            server.ended.push_back(
+                {++server.last_end, ended.task, ended.run, completion_kind::done, ""});
+        }
+    }
+
+    [[nodiscard]] std::ptrdiff_t running(const team_id& team) const {
+        std::ptrdiff_t sum = 0;
+        for (const auto& [id, server] : servers) {
+            sum += std::ranges::count_if(server.running, [&](const running_task& task) {
+                return task.task.job.view().starts_with(team.view());
+            });
+        }
+        return sum;
+    }
+
+    [[nodiscard]] std::ptrdiff_t logged(std::string_view event) const {
+        return std::ranges::count(log, event, &log_decision::event);
+    }
+
+    /// Twenty workflows of four tasks, for two pools of eight cores.
+    static std::vector<accepted_workflow> flood_rows() {
+        std::vector<accepted_workflow> rows;
+        for (int number = 0; number < 10; ++number) {
+            for (const std::string name : {"a", "b"}) {
+                rows.push_back(work_of(flooding, name, name + std::to_string(number), 4, number));
+            }
+        }
+        return rows;
+    }
+
+    /// The flooding team fills both pools, then the other team sends `tasks` to each.
+    void flood(std::uint32_t tasks = 6) {
+        finish_loading();
+        step();
+        for (const accepted_workflow& row : flood_rows()) {
+            add(row);
+        }
+        step();
+        cr_assert(running(flooding) == 16);
+        step();
+        add(work_of(modest, "a", "a", tasks, 40));
+        add(work_of(modest, "b", "b", tasks, 40));
+        for (int round = 0; round < 6; ++round) {
+            step();
+        }
+    }
+};
+
+} // namespace
+
+// Guards against a team that fills all pools and goes on filling them while another team waits with
+// less than its part of the fleet: the cores that become free must go to the other team, up to half
+// of the fleet and no further.
+Test(dispatcher_shares, return_lent_cores_of_two_pools) {
+    shares_fixture fixture(true);
+    fixture.flood();
+    cr_assert(fixture.decisions->teams_over_share() == std::vector{flooding});
+    cr_assert(fixture.logged("team_over_share") == 1);
+    const dispatch_counts counts = fixture.decisions->counts();
+    cr_assert(counts.teams_over_share == 1);
+    cr_assert(counts.team_shares.size() == 2);
+    cr_assert(counts.team_shares.front().used_millicores == 16000);
+    cr_assert(std::abs(counts.team_shares.front().part_millicores - 8000) < 1);
+
+    fixture.end_tasks("server-a", 3);
+    fixture.end_tasks("server-b", 3);
+    fixture.step();
+    fixture.step();
+    cr_assert(fixture.running(modest) == 6, "%td", fixture.running(modest));
+    fixture.end_tasks("server-a", 2);
+    fixture.step();
+    fixture.step();
+    cr_assert(fixture.running(modest) == 8);
+    // Both teams have their part now, so the earliest work goes first again.
+    for (int round = 0; round < 6; ++round) {
+        fixture.step();
+    }
+    cr_assert(fixture.decisions->teams_over_share().empty());
+    cr_assert(fixture.running(flooding) == 8);
+}
+
+// Guards against a change of placement with the switch off: the earliest work goes first.
+Test(dispatcher_shares, do_nothing_when_switched_off) {
+    shares_fixture fixture(false);
+    fixture.flood();
+    fixture.end_tasks("server-a", 3);
+    fixture.end_tasks("server-b", 3);
+    fixture.step();
+    fixture.step();
+    cr_assert(fixture.running(modest) == 0);
+    cr_assert(fixture.decisions->teams_over_share().empty());
+    cr_assert(fixture.decisions->counts().team_shares.empty());
+    cr_assert(fixture.logged("team_over_share") == 0);
+}
+
+// Guards against a team that stays over its share after the work of the other team is done: what is
+// not used is lent again, and the log says so.
+Test(dispatcher_shares, lend_again_when_nobody_waits) {
+    shares_fixture fixture(true);
+    fixture.flood(3);
+    cr_assert(fixture.decisions->teams_over_share() == std::vector{flooding});
+    fixture.end_tasks("server-a", 3);
+    fixture.end_tasks("server-b", 3);
+    for (int round = 0; round < 60; ++round) {
+        fixture.step();
+    }
+    cr_assert(fixture.running(modest) == 6);
+    cr_assert(fixture.running(flooding) == 10);
+    cr_assert(fixture.decisions->teams_over_share().empty());
+    cr_assert(fixture.logged("team_within_share") == 1);
+}
+
+// Guards against a new owner that does not know who uses more than its part: it finds the runs on
+// the servers.
+Test(dispatcher_shares, hold_after_a_takeover) {
+    shares_fixture before(true);
+    before.flood();
+    shares_fixture after(true);
+    after.servers = before.servers;
+    after.unix_ms = before.unix_ms;
+    for (const accepted_workflow& row : shares_fixture::flood_rows()) {
+        after.add(row, true);
+    }
+    after.add(work_of(modest, "a", "a", 6, 40), true);
+    after.add(work_of(modest, "b", "b", 6, 40), true);
+    after.finish_loading();
+    for (int round = 0; round < 10; ++round) {
+        after.step();
+    }
+    cr_assert(after.running(flooding) == 16);
+    cr_assert(after.decisions->teams_over_share() == std::vector{flooding});
+    after.end_tasks("server-a", 3);
+    after.end_tasks("server-b", 3);
+    after.step();
+    after.step();
+    cr_assert(after.running(modest) == 6);
+}
+
+// Guards against a takeover after which all waiting work counts as within the rate of its team: of
+// ten workflows of one moment, two are within the rate, so a later one of another team goes before
+// the rest.
+Test(dispatcher_shares, judge_rates_of_stored_workflows) {
+    for (const bool fair : {true, false}) {
+        shares_fixture fixture(fair);
+        fixture.apply_weights(3, 2, 2);
+        fixture.unix_ms += 1000;
+        fixture.step();
+        for (int number = 0; number < 10; ++number) {
+            fixture.add(work_of(flooding, "a", std::to_string(number), 1, 0), true);
+        }
+        fixture.add(work_of(modest, "a", "0", 1, 500), true);
+        fixture.finish_loading();
+        for (int round = 0; round < 5; ++round) {
+            fixture.step();
+        }
+        const auto place =
+            std::ranges::find(fixture.starts, job_id("modest-0"),
+                              [](const auto& item) { return item.command.task.job; });
+        const auto earlier = place - fixture.starts.begin();
+        cr_assert(fixture.starts.size() == 8);
+        cr_assert(earlier == (fair ? 2 : 8), "%td", earlier);
+    }
+}
+
+// Guards against weights that change during a flood and take effect only for later work.
+Test(dispatcher_shares, follow_weights_that_change) {
+    shares_fixture fixture(true);
+    fixture.flood();
+    fixture.apply_weights(3, 300, 100);
+    for (int round = 0; round < 6; ++round) {
+        fixture.step();
+    }
+    const dispatch_counts counts = fixture.decisions->counts();
+    cr_assert(std::abs(counts.team_shares.front().part_millicores - 12000) < 1);
+}
+
+// Guards against work without a team, or with a limit reached, by which other teams are held back
+// though it cannot use what they leave.
+Test(dispatcher_shares, favour_no_team_that_cannot_start) {
+    shares_fixture fixture(true);
+    fixture.finish_loading();
+    fixture.step();
+    catalog_team limited = team_of(modest, 100);
+    limited.limit = {1000, 0, 0};
+    queue_definition definition;
+    definition.name = queue_id("queue-a");
+    definition.pool = pool_id("a");
+    definition.stretch = 20;
+    fixture.handle(catalog_applied{std::make_shared<queue_catalog>(
+        3, std::vector{definition}, std::vector{catalog_pool{pool_id("a"), true, false}},
+        std::vector{team_of(flooding, 100), limited})});
+    fixture.add(work_of(modest, "a", "a", 4, 0));
+    fixture.step();
+    cr_assert(fixture.running(modest) == 1);
+    fixture.add(work_of(flooding, "a", "a", 40, 0));
+    fixture.add(work_of({}, "a", "open", 40, 0));
+    for (int round = 0; round < 10; ++round) {
+        fixture.step();
+    }
+    cr_assert(fixture.running(modest) == 1);
+    cr_assert(fixture.decisions->teams_over_share().empty());
+}
+
+// Guards against bad weights that stop the owner or are used unnoticed: one line for each team and
+// version of the catalogue.
+Test(dispatcher_shares, log_replaced_weights_once) {
+    shares_fixture fixture(true);
+    fixture.apply_weights(3, std::numeric_limits<double>::quiet_NaN(), -4);
+    cr_assert(fixture.logged("team_weight_replaced") == 2);
+    fixture.apply_weights(3, std::numeric_limits<double>::quiet_NaN(), -4);
+    cr_assert(fixture.logged("team_weight_replaced") == 2);
+    fixture.apply_weights(4, 0, 1e300);
+    cr_assert(fixture.logged("team_weight_replaced") == 4);
+    // Weights 1 and 1,000,000: one team gets the 12 cores that it asks for, and the other the rest.
+    fixture.flood();
+    cr_assert(fixture.decisions->teams_over_share() == std::vector{flooding});
+    const dispatch_counts counts = fixture.decisions->counts();
+    cr_assert(std::abs(counts.team_shares.front().part_millicores - 4000) < 1);
+
+    shares_fixture off(false);
+    off.apply_weights(3, 0, -4);
+    cr_assert(off.logged("team_weight_replaced") == 0);
+}
