--- a/src/decide/dispatch/placement_candidate.h
+++ b/src/decide/dispatch/placement_candidate.h
@@ -15,7 +15,7 @@
 enum class urgency {
     long_running, ///< Serves users and must be restarted soon after a loss.
     on_time,      ///< Can still meet its objective. With `overload_order`, all other work.
-    over_quota,   ///< On time, but exceeds the submission rate of its team.
+    over_quota,   ///< On time, but beyond the submission rate or the share of its team.
     late,         ///< Will miss its objective, but is still useful.
     expired,
 };
--- a/src/node/fleet/dispatch_figures.cpp
+++ b/src/node/fleet/dispatch_figures.cpp
@@ -1,6 +1,7 @@
 #include "node/fleet/dispatch_figures.h"
 
 #include <array>
+#include <span>
 #include <string_view>
 #include <utility>
 
@@ -25,6 +26,20 @@
     }
 }
 
+void set_team_figures(metrics& registry, std::span<const team_share_figure> teams) {
+    constexpr double millicores_per_core = 1000;
+    // Series of a previous ownership would otherwise remain.
+    registry.clear("citronford_team_used_cores");
+    registry.clear("citronford_team_part_cores");
+    for (const team_share_figure& figure : teams) {
+        const std::array labels = {metric_label{"team", figure.team.view()}};
+        registry.set("citronford_team_used_cores", labels,
+                     static_cast<double>(figure.used_millicores) / millicores_per_core);
+        registry.set("citronford_team_part_cores", labels,
+                     figure.part_millicores / millicores_per_core);
+    }
+}
+
 } // namespace
 
 void set_dispatch_figures(metrics& registry, const dispatch_counts& counts) {
@@ -33,7 +48,8 @@
         {"citronford_runs", counts.runs},
         {"citronford_stalled_workflows", counts.stalled},
         {"citronford_backends", counts.backends},
-        {"citronford_quarantined_backends", counts.quarantined}};
+        {"citronford_quarantined_backends", counts.quarantined},
+        {"citronford_teams_over_share", counts.teams_over_share}};
     for (const auto& [name, value] : gauges) {
         registry.set(name, {}, static_cast<double>(value));
     }
@@ -47,6 +63,7 @@
         registry.set_total(name, {}, static_cast<double>(value));
     }
     set_waiting_figures(registry, counts);
+    set_team_figures(registry, counts.team_shares);
 }
 
 } // namespace citronford
