Settings: name the type of the switches under load explicitly

The function load_settings of settings.h hides the struct of that name, so that fleet_settings.h did not compile since the switches were added. The member now names the struct with its class key; no other use is affected.

--- a/include/citronford/fleet_settings.h
+++ b/include/citronford/fleet_settings.h
@@ -47,7 +47,7 @@
     milliseconds vm_order_interval{3000};     ///< Minimum between orders of two owners to one VM.
     milliseconds move_time{1500};             ///< From a move order to service in the new pool.
     milliseconds maintenance_time{2000};      ///< From a maintenance order to the VM's return.
-    load_settings load;                       ///< Decisions under load that are in use.
+    struct load_settings load;                ///< Decisions under load that are in use.
     std::vector<replaced_setting> replaced;   ///< Values that were not allowed.
 };
 
