Dispatcher: report the load of the pools under pressure

Entry VMs accept work that a pool cannot do within its useful time, since they know nothing of its load: of 1,827 workflows of one queue, 652 were accepted and not done. report_load() sums for each pool the cores, the running and waiting work by priority (on time, beyond a share, late), the pace of the last second and the cores that may arrive: servers out of contact, VMs on their way, and what other pools and the standby pool can spare during the first 4 s of pressure. Runs that end done are counted by their estimate; VM lists also pass on the VMs without a server. Nothing calls it yet.

--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -4,6 +4,7 @@
 #include "citronford/backend_link.h"
 #include "citronford/chart.h"
 #include "citronford/instant.h"
+#include "citronford/load_report.h"
 #include "citronford/queue_catalog.h"
 #include "citronford/workflow.h"
 #include "citronford/workflow_progress.h"
@@ -55,11 +56,18 @@
     pool_id pool;
     resources capacity;
 };
+/// A listed VM on which no backend server runs: it is in a standby pool or on its way to its pool.
+struct idle_vm {
+    pool_id pool;
+    zone_id zone;
+    resources capacity;
+};
 /// The backend servers in the platform's list of VMs. A server that has been replaced stays
 /// registered for some seconds, but is missing from the list. One whose registration expired in a
 /// partition is only in the list, and may run tasks under leases of an earlier owner.
 struct present_backends {
     std::vector<present_backend> backends;
+    std::vector<idle_vm> without_backend{}; ///< VMs of which the list names no backend server.
 };
 /// All backend servers that were registered when the ownership began have been passed in.
 struct backends_loaded {};
@@ -151,6 +159,7 @@
     bool has_vm_lists = false;
     bool overload_order = false; ///< As in `load_settings`.
     bool fair_shares = false;    ///< As in `load_settings`.
+    bool admission = false;      ///< As in `load_settings`; the load is published.
     bool slow_servers = false;   ///< As in `load_settings`.
 };
 
@@ -223,6 +232,10 @@
 
     [[nodiscard]] dispatch_counts counts() const;
 
+    /// The pools under pressure. Also measures their pace and the begin of their pressure, so it is
+    /// called about twice a second. The caller sets the sequence.
+    [[nodiscard]] load_report report_load(instant now);
+
     class implementation;
 
   private:
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -348,6 +348,10 @@
     return body_->backend_loads();
 }
 
+load_report dispatcher::report_load(instant now) {
+    return body_->report_load(now);
+}
+
 dispatch_counts dispatcher::counts() const {
     return body_->counts();
 }
--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -211,6 +211,7 @@
     case completion_kind::done:
         ++counts_.runs_done;
         record_run_result(server, false);
+        count_finished_work(*location.workflow, key.step);
         complete(location, key);
         return;
     case completion_kind::failed:
--- a/src/decide/dispatch/dispatcher_servers.cpp
+++ b/src/decide/dispatch/dispatcher_servers.cpp
@@ -85,6 +85,7 @@
 
 void dispatcher::implementation::process(const present_backends& input) {
     note_unregistered(input);
+    idle_vms_ = input.without_backend;
     // A single list may be older than the registration of a new server.
     constexpr int required_absences = 2;
     std::unordered_set<backend_id> present;
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -29,6 +29,7 @@
 /// - dispatcher_runs.cpp: the life cycle of runs
 /// - dispatcher_stops.cpp: stops of runs, and moves off leaving servers
 /// - dispatcher_figures.cpp: sums for planners and reports
+/// - dispatcher_load.cpp: the load that admission goes by
 class dispatcher::implementation {
   public:
     using workflow_entry = dispatch::workflow_entry;
@@ -64,6 +65,7 @@
     [[nodiscard]] std::vector<backend_load> backend_loads() const;
     [[nodiscard]] std::vector<pool_workload> pool_workloads() const;
     [[nodiscard]] dispatch_counts counts() const;
+    [[nodiscard]] load_report report_load(instant now);
 
   private:
     /// All null when the task is unknown.
@@ -164,6 +166,15 @@
     [[nodiscard]] bool may_disrupt(const task_run& run) const;
     [[nodiscard]] bool fits_elsewhere(const task_run& run) const;
 
+    // The load report.
+    void count_finished_work(const workflow_entry& entry, std::uint32_t step);
+    void add_waiting_work(const workflow_entry& entry, pool_load& load,
+                          std::set<team_id>& teams_beyond_share) const;
+    void add_server_load(const backend_entry& server, pool_load& load) const;
+    /// Cores that other pools can spare for `name`, or that are in no pool.
+    [[nodiscard]] double spare_cores(const pool_id& name, std::span<const pool_load> loads) const;
+    void add_arriving_cores(pool_load& load, std::span<const pool_load> loads, double share) const;
+
     // Contact with servers.
     void process_contact_event(backend_entry& server, const dispatch::contact_event& event);
     void mark_contact_failed(backend_entry& server);
@@ -261,6 +272,7 @@
     /// Servers of the first VM list that are not registered.
     std::map<backend_id, present_backend> unregistered_;
     bool vm_list_received_ = false;
+    std::vector<idle_vm> idle_vms_; ///< Of the last VM list.
     std::unordered_map<std::uint64_t, std::unique_ptr<task_run>> runs_;
     std::map<team_id, resources> team_usage_;    ///< Charged by all runs that may exist.
     std::map<team_id, resources> unknown_usage_; ///< Upper bound for unread servers.
--- a/src/decide/dispatch/pool_state.h
+++ b/src/decide/dispatch/pool_state.h
@@ -2,6 +2,7 @@
 
 #include "citronford/backend.h"
 
+#include <deque>
 #include <map>
 #include <set>
 
@@ -10,6 +11,17 @@
 struct backend_entry;
 struct workflow_entry;
 
+/// What the load report of a pool is computed from, beside the present state.
+struct load_history {
+    struct sample {
+        instant at{};
+        double finished_core_s = 0;
+    };
+    double finished_core_s = 0;       ///< By estimate, since the ownership began.
+    std::deque<sample> samples;       ///< Of the last second, the oldest first.
+    instant calm_at = instant::min(); ///< Last report in which the pool was not under pressure.
+};
+
 /// State of one pool.
 struct pool_state {
     pool_id name;
@@ -22,6 +34,7 @@
     double arrived_core_s = 0;                  ///< Estimated work submitted under this ownership.
     std::size_t stalled_workflows = 0;          ///< Found in the last pass; see `is_stalled`.
     instant stall_logged_at = instant::min();
+    load_history load;
 };
 
 } // namespace citronford::dispatch
--- a/src/node/fleet/vm_driver.cpp
+++ b/src/node/fleet/vm_driver.cpp
@@ -188,6 +188,8 @@
     for (const fleet_vm& vm : vms_) {
         if (!vm.backend.view().empty()) {
             present.backends.push_back({vm.backend, vm.pool, vm.capacity});
+        } else if (vm.state != fleet_vm::condition::down) {
+            present.without_backend.push_back({vm.pool, vm.zone, vm.capacity});
         }
     }
     on_.note_present(present);
