Publish the load and refuse submissions that cannot be done in time

With the switch load.admission, the owner writes shown/pools/load at most twice a second while a pool is under pressure, and once more when that ends. Each entry VM follows the row and checks submissions before anything of them is written; a refusal is answered with 429 and Retry-After, logged and counted. Jobs that this VM has passed to the table before, or knows as stored, are not refused. table_follower tells since when a change can have been stored, so that a report that arrives after a cut is not taken as new.

--- a/include/citronford/workflow_rows.h
+++ b/include/citronford/workflow_rows.h
@@ -17,6 +17,7 @@
 //   progress/run/{job}       state and completed tasks of the workflow; written only by the owner
 //   progress/run/!fence      changed by each write of progress, so that delayed writes conflict
 //   shown/queues/waiting     waiting workflows of each queue, with the token of the owner
+//   shown/pools/load         pools under pressure, with the token of the owner
 //   waves/run/{number}       the VMs of a wave that have been maintained
 
 inline constexpr std::string_view owner_row_key = "control/owner/owner";
@@ -26,6 +27,7 @@
 inline constexpr std::string_view progress_rows_prefix = "progress/run/";
 inline constexpr std::string_view progress_fence_key = "progress/run/!fence";
 inline constexpr std::string_view waiting_row_key = "shown/queues/waiting";
+inline constexpr std::string_view load_row_key = "shown/pools/load";
 inline constexpr std::string_view wave_rows_prefix = "waves/run/";
 inline constexpr std::string_view ended_work_value = "ended";
 
--- a/src/node/fleet/dispatch_driver.cpp
+++ b/src/node/fleet/dispatch_driver.cpp
@@ -2,6 +2,7 @@
 
 #include "citronford/result_code.h"
 #include "citronford/workflow_rows.h"
+#include "io/load_codec.h"
 #include "io/log.h"
 #include "io/progress_codec.h"
 #include "io/workflow_codec.h"
@@ -60,6 +61,7 @@
                 [this] { perform(fenced_out{}); }),
       ended_marker_(services.table),
       waiting_writer_(services.table, options.token, std::string(waiting_row_key)),
+      load_writer_(services.table, options.token, std::string(load_row_key)),
       work_(
           services.table, services.timers, work_options(),
           [this](std::span<const table_row> rows) {
@@ -252,6 +254,7 @@
     }
     handle(dispatch_tick{on_.unix_ms()});
     publish_waiting_counts(now);
+    publish_load(now);
     ended_marker_.tick(now);
 }
 
@@ -334,4 +337,22 @@
     waiting_writer_.write(encode_waiting_counts(decisions_->waiting_workflows()));
 }
 
+void dispatch_driver::publish_load(instant now) {
+    constexpr duration period = milliseconds(500);
+    if (!options_.admission || !loaded_ || now < load_published_at_ + period) {
+        return;
+    }
+    load_published_at_ = now;
+    load_report report = decisions_->report_load(now);
+    const bool pressed = !report.pools.empty();
+    if (pressed || !published_load_.pools.empty()) {
+        report.sequence = published_load_.sequence + 1;
+        published_load_ = std::move(report);
+    }
+    // The end of the pressure is passed again until it is written; the writer omits repetitions.
+    if (published_load_.sequence > 0) {
+        load_writer_.write(encode_load_report(published_load_));
+    }
+}
+
 } // namespace citronford
--- a/src/node/fleet/dispatch_driver.h
+++ b/src/node/fleet/dispatch_driver.h
@@ -93,6 +93,7 @@
     void process_backend_rows(std::span<const table_row> rows);
     void process_backend_row(const table_row& row);
     void publish_waiting_counts(instant now);
+    void publish_load(instant now);
 
     std::unique_ptr<dispatcher> decisions_;
     dispatch_options options_;
@@ -101,6 +102,7 @@
     progress_writer progress_;
     ended_work_marker ended_marker_;
     owner_row_writer waiting_writer_;
+    owner_row_writer load_writer_;
     table_follower work_;
     table_follower backends_;
     timer_subscription ticks_;
@@ -108,7 +110,9 @@
     std::vector<table_row> deferred_work_; ///< New work that came after the lease had expired.
     std::set<backend_id> registered_;
     instant published_at_{};
-    bool loaded_ = false; ///< The workflows stored before the ownership are loaded.
+    instant load_published_at_{};
+    load_report published_load_; ///< Sequence zero: none was published.
+    bool loaded_ = false;        ///< The workflows stored before the ownership are loaded.
     bool stopped_ = false;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -11,8 +11,6 @@
 namespace citronford {
 namespace {
 
-constexpr duration stop_tick_period = milliseconds(20);
-
 constexpr duration memory_tick_period = seconds(1);
 
 constexpr std::uint64_t bytes_per_mb = std::uint64_t{1} << 20;
@@ -74,8 +72,9 @@
 
 absl::StatusOr<std::unique_ptr<fleet_node>>
 fleet_node::create(const fleet_settings& own_settings, fleet_links links, fleet_process process) {
-    constexpr std::string_view names[] = {"workflow",  "task_run",   "backend_contact", "drain",
-                                          "ownership", "submission", "vm_order"};
+    constexpr std::string_view names[] = {"workflow", "task_run",      "backend_contact",
+                                          "drain",    "ownership",     "submission",
+                                          "vm_order", "load_admission"};
     std::map<std::string_view, chart> charts;
     for (const std::string_view name : names) {
         auto loaded = load_chart(own_settings, name);
@@ -97,11 +96,26 @@
     if (!submissions.ok()) {
         return submissions.status();
     }
-    return std::unique_ptr<fleet_node>(
+    auto admission = load_admission::create(charts.at("load_admission"), {});
+    if (!admission.ok()) {
+        return admission.status();
+    }
+    auto created = std::unique_ptr<fleet_node>(
         new fleet_node(own_settings, std::move(links), std::move(process),
                        {charts.at("workflow"), charts.at("task_run"), charts.at("backend_contact"),
                         charts.at("vm_order")},
                        *std::move(stop), *std::move(owner), options, *std::move(submissions)));
+    if (own_settings.load.admission) {
+        created->use_admission(*std::move(admission));
+    }
+    return created;
+}
+
+void fleet_node::use_admission(load_admission decisions) {
+    admission_ = std::make_unique<admission_driver>(std::move(decisions), table_, links_.timers,
+                                                    registry_, [this] { return catalog_.get(); });
+    workflows_.set_admission_check(
+        [this](const accepted_workflow& row) { return admission_->refuse(row); });
 }
 
 fleet_node::fleet_node(const fleet_settings& own_settings, fleet_links links, fleet_process process,
@@ -129,6 +143,9 @@
     owner_.start();
     orders_follower_.start();
     workflows_.start();
+    if (admission_) {
+        admission_->start();
+    }
     memory_ticks_ = links_.timers.every(memory_tick_period, [this](instant) { watch_memory(); });
 }
 
@@ -187,6 +204,9 @@
     for (const auto& [name, value] : totals) {
         registry_.set_total(name, {}, static_cast<double>(value));
     }
+    if (admission_) {
+        admission_->report();
+    }
     return registry_.text();
 }
 
@@ -200,6 +220,7 @@
     options.has_vm_lists = own_settings_.vms.port != 0;
     options.overload_order = own_settings_.load.overload_order;
     options.fair_shares = own_settings_.load.fair_shares;
+    options.admission = own_settings_.load.admission;
     options.slow_servers = own_settings_.load.slow_servers;
     // Registrations that expired during an outage of the table return within two seconds after it;
     // a table failure within the last 6 s may have been such an outage.
@@ -357,42 +378,4 @@
     }
 }
 
-void fleet_node::request_stop() {
-    if (!drain_.ready()) {
-        return;
-    }
-    log_event(log_level::info, "stop_requested", {});
-    log_loads("stop_requested", process_.listener_loads());
-    process_.close_after_answers();
-    drain_.handle(stop_requested{}, links_.timers.now());
-    owner_.request_stop();
-    drain_ticks_ = links_.timers.every(stop_tick_period, [this](instant) { tick_drain(); });
-}
-
-void fleet_node::tick_drain() {
-    const drain_tick tick{process_.open_requests(), ownership_stopped_ ? 0U : 1U,
-                          process_.open_connections()};
-    for (const drain_effect& effect : drain_.handle(tick, links_.timers.now())) {
-        std::visit([this](const auto& item) { perform(item); }, effect);
-    }
-}
-
-void fleet_node::perform(const stop_listening& /*effect*/) {
-    process_.stop_listening();
-    log_loads("listening_ended", process_.listener_loads());
-}
-
-void fleet_node::perform(const hand_over& /*effect*/) {}
-
-void fleet_node::perform(const answer_open_work& /*effect*/) {
-    log_event(log_level::warning, "open_requests_answered",
-              {{"open_requests", static_cast<std::int64_t>(process_.open_requests())}});
-    workflows_.stop();
-}
-
-void fleet_node::perform(const leave& /*effect*/) {
-    drain_ticks_.cancel();
-    process_.leave();
-}
-
 } // namespace citronford
--- a/src/node/fleet/fleet_node.h
+++ b/src/node/fleet/fleet_node.h
@@ -8,6 +8,7 @@
 #include "citronford/queue_catalog.h"
 #include "citronford/vm_fleet.h"
 #include "io/listener_set.h"
+#include "node/fleet/admission_driver.h"
 #include "node/fleet/dispatch_driver.h"
 #include "node/fleet/observed_table.h"
 #include "node/fleet/ownership_driver.h"
@@ -92,6 +93,7 @@
                life_cycles charts, drain stop, ownership owner, const ownership_options& options,
                submission_batcher submissions);
 
+    void use_admission(load_admission decisions);
     void begin_dispatching(fencing_token token);
     void begin_vm_orders(fencing_token token);
     [[nodiscard]] bool may_order_vms() const;
@@ -123,6 +125,7 @@
     ownership_driver owner_;
     table_follower orders_follower_;
     workflow_service workflows_;
+    std::unique_ptr<admission_driver> admission_; ///< Null while admission is switched off.
     std::shared_ptr<const queue_catalog> catalog_;
     operator_orders orders_;
     std::map<wave_number, wave_order> waves_;
--- a/src/node/fleet/table_follower.cpp
+++ b/src/node/fleet/table_follower.cpp
@@ -28,6 +28,8 @@
 }
 
 void table_follower::read_part(std::size_t part) {
+    // The watch begins at the version of the oldest read.
+    asked_at_ = part == 0 ? timers_.now() : asked_at_;
     table_.scan(options_.snapshot_prefixes[part], 0,
                 [this, part, alive = std::weak_ptr(alive_)](absl::StatusOr<table_scan> result) {
                     if (!alive.expired()) {
@@ -49,11 +51,13 @@
         return;
     }
     const std::vector<table_row> rows = std::exchange(snapshot_, {});
+    unchanged_until_ = asked_at_;
     on_snapshot_(rows);
     watch();
 }
 
 void table_follower::watch() {
+    asked_at_ = timers_.now();
     table_.watch(options_.watch_prefix, since_, options_.wait,
                  [this, alive = std::weak_ptr(alive_)](const absl::StatusOr<table_scan>& result) {
                      if (!alive.expired()) {
@@ -74,6 +78,11 @@
     if (!result->rows.empty()) {
         on_change_(result->rows);
     }
+    if (!alive.expired()) {
+        // The table answers a watch without changes at the end of its wait.
+        unchanged_until_ =
+            result->rows.empty() ? std::min(timers_.now(), asked_at_ + options_.wait) : asked_at_;
+    }
     if (!alive.expired()) {
         schedule(result->rows.empty() ? duration::zero() : options_.pause, &table_follower::watch);
     }
--- a/src/node/fleet/table_follower.h
+++ b/src/node/fleet/table_follower.h
@@ -37,6 +37,10 @@
 
     void start();
 
+    /// The changes that are being delivered were stored after this time: an earlier answer of the
+    /// table contained all that was stored until then.
+    [[nodiscard]] instant unchanged_until() const { return unchanged_until_; }
+
   private:
     void read_part(std::size_t part);
     void handle_part(std::size_t part, absl::StatusOr<table_scan> result);
@@ -51,6 +55,8 @@
     row_handler on_change_;
     std::vector<table_row> snapshot_;
     table_version since_ = 0;
+    instant asked_at_{}; ///< When the read or watch under way was sent.
+    instant unchanged_until_ = instant::min();
     timer_subscription pending_;
     /// Callbacks that arrive after the follower was destroyed find this expired.
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
--- a/src/node/fleet/workflow_service.cpp
+++ b/src/node/fleet/workflow_service.cpp
@@ -73,6 +73,13 @@
         reply(workflow_refused{result_code::table_unavailable, retry_delay()});
         return;
     }
+    const auto retry_after =
+        admission_check_ && !may_be_stored(row.id) ? admission_check_(row) : std::nullopt;
+    if (retry_after) {
+        reply(workflow_refused{result_code::queue_full, *retry_after});
+        return;
+    }
+    note_submitted(row.id);
     const std::uint64_t number = ++last_submission_;
     callers_.emplace(number, waiting_caller{std::move(reply), timers_.now()});
     const std::uint32_t part = work_part(row.id);
@@ -80,6 +87,19 @@
                               timers_.now() + timeout, bytes});
 }
 
+void workflow_service::note_submitted(const job_id& job) {
+    // Callers repeat a submission within seconds; one VM takes less than 100 a second.
+    constexpr std::size_t max_submitted = 8000;
+    if (!admission_check_ || !submitted_.insert(job).second) {
+        return;
+    }
+    submitted_order_.push_back(job);
+    if (submitted_order_.size() > max_submitted) {
+        submitted_.erase(submitted_order_.front());
+        submitted_order_.pop_front();
+    }
+}
+
 void workflow_service::handle(const submission_input& input) {
     for (const submission_effect& effect : decisions_.handle(input, timers_.now())) {
         std::visit([this](const auto& item) { perform(item); }, effect);
--- a/src/node/fleet/workflow_service.h
+++ b/src/node/fleet/workflow_service.h
@@ -9,10 +9,14 @@
 #include "node/fleet/observed_table.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
+#include <utility>
 
 namespace citronford {
 
@@ -31,6 +35,11 @@
 
     void start();
 
+    /// Decides about each submission of which nothing can be stored yet: the delay after which a
+    /// refused one may be submitted again, or nothing for one that is admitted.
+    using admission_check = std::function<std::optional<duration>(const accepted_workflow&)>;
+    void set_admission_check(admission_check check) { admission_check_ = std::move(check); }
+
     /// `max_attempts` is that of the queue. Refuses at once a workflow whose rows could exceed the
     /// limit of the table while it runs.
     void submit(accepted_workflow row, std::uint32_t max_attempts, duration timeout,
@@ -50,6 +59,12 @@
     [[nodiscard]] std::size_t unanswered() const { return callers_.size() + calls_.size(); }
 
   private:
+    /// Whether the row of the job may be stored, as far as this process knows.
+    [[nodiscard]] bool may_be_stored(const job_id& job) const {
+        return submitted_.contains(job) || known_states_.contains(job);
+    }
+    void note_submitted(const job_id& job);
+
     using state_callback = std::function<void(absl::StatusOr<workflow_answer>)>;
     using call_number = std::uint64_t;
 
@@ -90,6 +105,10 @@
     std::map<call_number, waiting_call> calls_;
     call_number last_call_ = 0;
     bool stopped_ = false;
+    admission_check admission_check_; ///< Empty: every submission is admitted.
+    /// Jobs of which a row may have been written, without those that were submitted long ago.
+    std::unordered_set<job_id> submitted_;
+    std::deque<job_id> submitted_order_; ///< Oldest first, for eviction.
     /// Cached states. A final state never changes and need not be read again; `pending` only says
     /// that the workflow is stored.
     std::unordered_map<job_id, workflow_state> known_states_;
