--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -4,6 +4,7 @@
 #include "citronford/backend_link.h"
 #include "citronford/chart.h"
 #include "citronford/instant.h"
+#include "citronford/load_report.h"
 #include "citronford/overload_order.h"
 #include "citronford/pool_workload.h"
 #include "citronford/queue_catalog.h"
@@ -57,11 +58,18 @@
     pool_id pool;
     resources capacity;
 };
+/// A listed VM on which no backend server runs: it is in a standby pool or on its way to its pool.
+struct idle_vm {
+    pool_id pool;
+    zone_id zone;
+    resources capacity;
+};
 /// The backend servers in the platform's list of VMs. A server that has been replaced stays
 /// registered for some seconds, but is missing from the list. One whose registration expired in a
 /// partition is only in the list, and may run tasks under leases of an earlier owner.
 struct present_backends {
     std::vector<present_backend> backends;
+    std::vector<idle_vm> without_backend{}; ///< VMs of which the list names no backend server.
 };
 /// All backend servers that were registered when the ownership began have been passed in.
 struct backends_loaded {};
@@ -153,6 +161,7 @@
     bool has_vm_lists = false;
     bool overload_order = false; ///< As in `load_settings`.
     bool fair_shares = false;    ///< As in `load_settings`.
+    bool admission = false;      ///< As in `load_settings`; the load is published.
     bool slow_servers = false;   ///< As in `load_settings`.
 };
 
@@ -238,6 +247,9 @@
     /// Teams that use more than their part of the fleet while another team waits below its own.
     /// Empty without `dispatch_options::fair_shares`.
     [[nodiscard]] std::vector<team_id> teams_over_share() const;
+    /// The pools under pressure. Also measures their pace and the begin of their pressure, so it is
+    /// called about twice a second. The caller sets the sequence.
+    [[nodiscard]] load_report report_load(instant now);
 
     class implementation;
 
