--- a/include/citronford/fleet_settings.h
+++ b/include/citronford/fleet_settings.h
@@ -47,8 +47,9 @@
     milliseconds vm_order_interval{3000};     ///< Minimum between orders of two owners to one VM.
     milliseconds move_time{1500};             ///< From a move order to service in the new pool.
     milliseconds maintenance_time{2000};      ///< From a maintenance order to the VM's return.
-    load_settings load;                       ///< Decisions under load that are in use.
-    std::vector<replaced_setting> replaced;   ///< Values that were not allowed.
+    /// Decisions under load that are in use. `settings.h` has a function of the same name.
+    struct load_settings load;
+    std::vector<replaced_setting> replaced; ///< Values that were not allowed.
 };
 
 /// All keys, in the order of the documentation.
