Know slow servers by the progress of their tasks, and place work elsewhere

Cause: work on a server that is eight times as slow takes as long, and nothing notices: servers are judged by failed runs only. Change: run_time_estimates learns the run time of kinds of steps from the ends of their runs; server_pace, with the chart server_pace.scxml, compares each run once with the estimate and with the progress of other servers of the pool. Placement takes slow servers last, at most a third of a pool. The switch slow_servers turns all of it on.

--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -182,6 +182,7 @@
     std::size_t runs = 0;
     std::size_t backends = 0;
     std::size_t quarantined = 0; ///< Servers, because of failed runs.
+    std::size_t slow = 0;        ///< Servers that get tasks only where no other has room.
     std::uint64_t starts = 0;
     std::uint64_t runs_done = 0;
     std::uint64_t runs_failed = 0;
@@ -200,6 +201,7 @@
         const chart& workflow;
         const chart& task_run;
         const chart& backend_contact;
+        const chart* server_pace = nullptr; ///< Required with the switch `slow_servers` only.
     };
 
     static absl::StatusOr<std::unique_ptr<dispatcher>>
--- a/src/decide/dispatch/backend_entry.h
+++ b/src/decide/dispatch/backend_entry.h
@@ -73,6 +73,7 @@
     instant start_backoff_until{}; ///< After a refusal for lack of capacity or health.
     double failure_ratio = 0;      ///< Exponential moving average of failed runs.
     instant quarantined_until{};
+    bool slow = false; ///< Gets tasks only where no other server has room.
 
     /// Capacity beside the reservations of all runs that may exist. Steps with `best_effort_cpu`
     /// reserve no CPU.
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -39,8 +39,14 @@
     if (!contacts.ok()) {
         return contacts.status();
     }
-    return std::unique_ptr<implementation>(new implementation(
+    auto pace = create_pace(life_cycles, options);
+    if (!pace.ok()) {
+        return pace.status();
+    }
+    std::unique_ptr<implementation> created(new implementation(
         *std::move(runs), *std::move(workflows), *std::move(contacts), options, now));
+    created->pace_ = *std::move(pace);
+    return created;
 }
 
 absl::StatusOr<dispatcher::implementation::workflow_machine>
@@ -312,6 +318,7 @@
     retry_stops();
     recover_pools();
     drain_servers();
+    review_pace();
     place_tasks();
     save_changes();
     send_polls();
--- a/src/decide/dispatch/dispatcher_figures.cpp
+++ b/src/decide/dispatch/dispatcher_figures.cpp
@@ -1,5 +1,6 @@
 #include "decide/dispatch/dispatcher_state.h"
 
+#include <algorithm>
 #include <set>
 #include <span>
 #include <string>
@@ -134,6 +135,8 @@
     for (const auto& [name, pool] : pools_) {
         numbers.stalled += pool.stalled_workflows;
         numbers.quarantined += static_cast<std::size_t>(availability_in(pool).quarantined);
+        numbers.slow += static_cast<std::size_t>(std::ranges::count_if(
+            pool.servers, [](const auto& item) { return item.second->slow; }));
     }
     return numbers;
 }
--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -254,7 +254,7 @@
         return nullptr;
     }
     backend_entry* best = nullptr;
-    std::tuple<bool, bool, bool, bool, bool> best_score;
+    std::tuple<bool, bool, bool, bool, bool, bool> best_score;
     for (backend_entry* server : pass.servers.with_cpu(reserved.millicores)) {
         ++counts_.servers_examined;
         if (!server->free_capacity().holds(reserved) || pass.reserved_servers.contains(server) ||
@@ -267,7 +267,7 @@
         // Packs tasks, and above all long-running ones, on few servers, so that empty VMs can be
         // moved to pools with waiting work.
         const bool joins_long_running = !definition.long_running || server->long_running_runs > 0;
-        const std::tuple score(!is_quarantined(*server),
+        const std::tuple score(!is_quarantined(*server), !server->slow,
                                server->registration.id != record.failed_on, not_draining, near,
                                joins_long_running);
         // Servers come in the order of their free CPU, so the first of equal ones is the best fit.
@@ -275,7 +275,7 @@
             best = server;
             best_score = score;
         }
-        if (score == std::tuple(true, true, true, true, true)) {
+        if (score == std::tuple(true, true, true, true, true, true)) {
             break;
         }
     }
--- a/src/decide/dispatch/dispatcher_polling.cpp
+++ b/src/decide/dispatch/dispatcher_polling.cpp
@@ -353,6 +353,9 @@
     unsettled_.erase(id);
     leaving_.erase(id);
     unsaved_.erase(id);
+    if (pace_) {
+        pace_->servers.forget(id, now_);
+    }
 }
 
 void dispatcher::implementation::record_run_result(backend_entry& server, bool failed) {
--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -49,6 +49,7 @@
              if (const auto* seen = std::get_if<reported_running>(&event)) {
                  context.run.percent = seen->reported->percent;
                  context.run.load = seen->reported->load;
+                 context.impl.note_report(context.run, seen->reported->percent);
              }
          }},
         {"request_poll",
@@ -79,6 +80,9 @@
          [](run_context& context, const run_event& event) {
              const run_completion& end = *std::get<completion_reported>(event).completion;
              context.run.outcome = run_ended{end.kind, end.checkpoint};
+             if (end.kind == completion_kind::done) {
+                 context.impl.note_done(context.run);
+             }
          }},
         {"record_loss",
          [](run_context& context, const run_event&) { context.run.outcome = run_lost{}; }},
@@ -107,6 +111,7 @@
     }
     run.position = run_machine_.initial();
     run.start_sent_at = now_;
+    run.progress = run_progress::adopted(now_);
     server.used += run.reserved;
     server.runs.push_back(&run);
     count_run(run, 1);
@@ -279,6 +284,7 @@
     ++counts_.starts;
     const task_record& record =
         run.workflow->occurrences.at(run.occurrence).steps[run.step].tasks[run.index];
+    note_start(run, !record.checkpoint.empty());
     effects_.emplace_back(
         send_start{run.id,
                    {run.server->registration.id, run.server->registration.address},
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -7,6 +7,8 @@
 #include "decide/dispatch/workflow_entry.h"
 
 #include "citronford/dispatcher.h"
+#include "citronford/run_time_estimates.h"
+#include "citronford/server_pace.h"
 
 #include <functional>
 #include <map>
@@ -27,6 +29,7 @@
 /// - dispatcher_takeover.cpp: the recovery when an ownership begins
 /// - dispatcher_placement.cpp: which tasks to start where
 /// - dispatcher_runs.cpp: the life cycle of runs
+/// - dispatcher_pace.cpp: which servers are slow
 /// - dispatcher_stops.cpp: stops of runs, and moves off leaving servers
 /// - dispatcher_figures.cpp: sums for planners and reports
 class dispatcher::implementation {
@@ -94,6 +97,13 @@
         instant refilled_at{};
     };
 
+    /// What is known of the pace of servers and runs.
+    struct pace_state {
+        server_pace servers;
+        run_time_estimates run_times;
+        instant reviewed_at = instant::min();
+    };
+
     implementation(run_machine runs, workflow_machine workflows, contact_machine contacts,
                    dispatch_options options, instant now)
         : run_machine_(std::move(runs)), workflow_machine_(std::move(workflows)),
@@ -103,6 +113,8 @@
     static absl::StatusOr<run_machine> bind_runs(const chart& life_cycle);
     static absl::StatusOr<workflow_machine> bind_workflows(const chart& life_cycle);
     static absl::StatusOr<contact_machine> bind_contacts(const chart& life_cycle);
+    static absl::StatusOr<std::optional<pace_state>> create_pace(const charts& life_cycles,
+                                                                 const dispatch_options& options);
 
     void process(const catalog_applied& input);
     void process(const orders_applied& input);
@@ -164,6 +176,18 @@
     [[nodiscard]] bool may_disrupt(const task_run& run) const;
     [[nodiscard]] bool fits_elsewhere(const task_run& run) const;
 
+    // Slow servers. All do nothing while the switch `slow_servers` is off.
+    [[nodiscard]] bool has_pace(const task_run& run) const;
+    [[nodiscard]] static paced_run paced(task_run& run);
+    /// Looks up the run time of the kind of the run while it is not known.
+    void update_expected(task_run& run);
+    void note_start(task_run& run, bool resumed);
+    void note_report(task_run& run, int percent);
+    void note_done(task_run& run);
+    void review_pace();
+    void review_pace(pool_state& pool);
+    void mark_slow_servers(pool_state& pool);
+
     // Contact with servers.
     void process_contact_event(backend_entry& server, const dispatch::contact_event& event);
     void mark_contact_failed(backend_entry& server);
@@ -272,6 +296,7 @@
     instant recently_ended_pruned_at_{};
     std::vector<workflow_entry*> scheduled_; ///< With future occurrences.
     std::uint64_t last_run_id_ = 0;
+    std::optional<pace_state> pace_; ///< Nothing while the switch `slow_servers` is off.
     dispatch_counts counts_;
     std::vector<dispatch_effect> effects_;
 };
--- a/src/decide/dispatch/pool_state.h
+++ b/src/decide/dispatch/pool_state.h
@@ -17,6 +17,7 @@
     bool recovered = false;            ///< The runs of the earlier owner have been adopted.
     bool placement_due = false;        ///< Tasks may have become placeable since the last pass.
     bool quarantine_suspended = false; ///< Quarantined servers may be used, after the others.
+    bool slowness_ignored = false;     ///< Too many servers are slow for it to count.
     bool limit_reached = false; ///< In the last pass, a task waited for the limit of its team.
     std::set<workflow_entry*> active_workflows; ///< Workflows that have not ended.
     double arrived_core_s = 0;                  ///< Estimated work submitted under this ownership.
--- a/src/decide/dispatch/task_run.h
+++ b/src/decide/dispatch/task_run.h
@@ -2,6 +2,7 @@
 
 #include "citronford/chart_machine.h"
 #include "citronford/dispatcher.h"
+#include "citronford/server_pace.h"
 
 #include <cstdint>
 #include <optional>
@@ -48,6 +49,8 @@
     std::int64_t load = 0;
     bool in_last_reply = false; ///< Of its server; set during reconciliation.
     run_outcome outcome;        ///< Set when its life cycle ends.
+    run_progress progress;      ///< Kept with the switch `slow_servers` only.
+    duration expected{};        ///< Run time of its kind; zero while it is not known.
 
     [[nodiscard]] task_key key() const;
 };
--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -74,8 +74,9 @@
 
 absl::StatusOr<std::unique_ptr<fleet_node>>
 fleet_node::create(const fleet_settings& own_settings, fleet_links links, fleet_process process) {
-    constexpr std::string_view names[] = {"workflow",  "task_run",   "backend_contact", "drain",
-                                          "ownership", "submission", "vm_order"};
+    constexpr std::string_view names[] = {"workflow", "task_run",   "backend_contact",
+                                          "drain",    "ownership",  "submission",
+                                          "vm_order", "server_pace"};
     std::map<std::string_view, chart> charts;
     for (const std::string_view name : names) {
         auto loaded = load_chart(own_settings, name);
@@ -100,7 +101,7 @@
     return std::unique_ptr<fleet_node>(
         new fleet_node(own_settings, std::move(links), std::move(process),
                        {charts.at("workflow"), charts.at("task_run"), charts.at("backend_contact"),
-                        charts.at("vm_order")},
+                        charts.at("vm_order"), charts.at("server_pace")},
                        *std::move(stop), *std::move(owner), options, *std::move(submissions)));
 }
 
@@ -178,6 +179,7 @@
     gauge("citronford_stalled_workflows", static_cast<double>(counts.stalled));
     gauge("citronford_backends", static_cast<double>(counts.backends));
     gauge("citronford_quarantined_backends", static_cast<double>(counts.quarantined));
+    gauge("citronford_slow_backends", static_cast<double>(counts.slow));
     const std::pair<std::string_view, std::uint64_t> totals[] = {
         {"citronford_starts_total", counts.starts},
         {"citronford_tasks_done_total", counts.runs_done},
@@ -209,7 +211,8 @@
         options.registration_delay = registration_time;
     }
     auto created = dispatch_driver::create(
-        {charts_.workflow, charts_.task_run, charts_.backend_contact}, options,
+        {charts_.workflow, charts_.task_run, charts_.backend_contact, &charts_.server_pace},
+        options,
         {links_.timers, table_, links_.backends, links_.rows, own_settings_.table_row_bytes},
         {[this] {
              return owner_authority{owner_.state().lease_until(), owner_.state().authority_until()};
--- a/src/node/fleet/fleet_node.h
+++ b/src/node/fleet/fleet_node.h
@@ -86,6 +86,7 @@
         chart task_run;
         chart backend_contact;
         chart vm_order;
+        chart server_pace;
     };
 
     fleet_node(const fleet_settings& own_settings, fleet_links links, fleet_process process,
--- a/tests/dispatch_fixture.h
+++ b/tests/dispatch_fixture.h
@@ -41,8 +41,9 @@
         static const chart workflow = installed_chart("workflow");
         static const chart run = installed_chart("task_run");
         static const chart contact = installed_chart("backend_contact");
+        static const chart pace = installed_chart("server_pace");
         options.token = 5;
-        auto created = dispatcher::create({workflow, run, contact}, options, now);
+        auto created = dispatcher::create({workflow, run, contact, &pace}, options, now);
         cr_assert(created.ok(), "%s", created.status().ToString().c_str());
         decisions = *std::move(created);
         queue_definition definition;
