--- a/src/decide/dispatch/dispatcher_figures.cpp
+++ b/src/decide/dispatch/dispatcher_figures.cpp
@@ -1,5 +1,6 @@
 #include "decide/dispatch/dispatcher_state.h"
 
+#include <algorithm>
 #include <set>
 #include <span>
 #include <string>
@@ -105,6 +106,8 @@
         if (options_.overload_order) {
             numbers.waiting.push_back({name, pool.order.waiting});
         }
+        numbers.slow += static_cast<std::size_t>(std::ranges::count_if(
+            pool.servers, [](const auto& item) { return item.second->slow; }));
     }
     return numbers;
 }
--- a/src/node/fleet/dispatch_figures.cpp
+++ b/src/node/fleet/dispatch_figures.cpp
@@ -49,6 +49,7 @@
         {"citronford_stalled_workflows", counts.stalled},
         {"citronford_backends", counts.backends},
         {"citronford_quarantined_backends", counts.quarantined},
+        {"citronford_slow_backends", counts.slow},
         {"citronford_teams_over_share", counts.teams_over_share}};
     for (const auto& [name, value] : gauges) {
         registry.set(name, {}, static_cast<double>(value));
--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -104,7 +104,7 @@
     auto created = std::unique_ptr<fleet_node>(
         new fleet_node(own_settings, std::move(links), std::move(process),
                        {charts.at("workflow"), charts.at("task_run"), charts.at("backend_contact"),
-                        charts.at("vm_order")},
+                        charts.at("vm_order"), charts.at("server_pace")},
                        *std::move(stop), *std::move(owner), options, *std::move(submissions)));
     if (own_settings.load.admission) {
         created->use_admission(*std::move(admission));
@@ -218,7 +218,8 @@
         options.registration_delay = registration_time;
     }
     auto created = dispatch_driver::create(
-        {charts_.workflow, charts_.task_run, charts_.backend_contact}, options,
+        {charts_.workflow, charts_.task_run, charts_.backend_contact, &charts_.server_pace},
+        options,
         {links_.timers, table_, links_.backends, links_.rows, own_settings_.table_row_bytes},
         {[this] {
              return owner_authority{owner_.state().lease_until(), owner_.state().authority_until()};
