--- a/src/decide/maintenance/capacity_planner_division.cpp
+++ b/src/decide/maintenance/capacity_planner_division.cpp
@@ -2,7 +2,6 @@
 #include "citronford/capacity_planner.h"
 
 #include <algorithm>
-#include <numeric>
 #include <set>
 #include <tuple>
 #include <utility>
--- a/src/decide/maintenance/pool_plan.cpp
+++ b/src/decide/maintenance/pool_plan.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 
 namespace citronford {
 namespace {
