work_deferred: name no queue as going first when none does

Cause: in a pool without servers all on-time work is deferred, and the line named the deferred queue itself as the one that goes before it. Change: the line then says before_queue=- before_team=-. The dispatcher tests add the work after the server, since their first line now comes from a pool with a server, and one test checks the line of a pool without servers.

--- a/src/decide/dispatch/dispatcher_order.cpp
+++ b/src/decide/dispatch/dispatcher_order.cpp
@@ -204,13 +204,21 @@
     }
     pool.order.deferral_logged_at = now_;
     std::string detail = "pool=" + pool.name.str();
-    const auto add_names = [&detail](std::string_view prefix, const workflow_entry& entry) {
-        detail.append(" ").append(prefix).append("queue=").append(entry.row.queue.view());
-        detail.append(" ").append(prefix).append("team=").append(entry.row.team.view());
+    const auto add_names = [&detail](std::string_view prefix, std::string_view queue,
+                                     std::string_view team) {
+        detail.append(" ").append(prefix).append("queue=").append(queue);
+        detail.append(" ").append(prefix).append("team=").append(team);
     };
-    add_names("", *deferred->workflow);
+    const accepted_workflow& back = deferred->workflow->row;
+    add_names("", back.queue.view(), back.team.view());
     const auto ahead = std::ranges::find(candidates, urgency::on_time, &candidate::rank);
-    add_names("before_", *ahead->workflow);
+    if (ahead->order.aged || ahead->order.rank == work_rank::in_time) {
+        const accepted_workflow& first = ahead->workflow->row;
+        add_names("before_", first.queue.view(), first.team.view());
+    } else {
+        // No work is selected, for instance in a pool without servers.
+        add_names("before_", "-", "-");
+    }
     for (std::size_t rank = 0; rank < work_ranks; ++rank) {
         const rank_figures& figures = pool.order.waiting.at(rank);
         const std::string_view name = name_of(static_cast<work_rank>(rank));
--- a/tests/overload_order_test.cpp
+++ b/tests/overload_order_test.cpp
@@ -234,8 +234,7 @@
 
 namespace {
 
-/// A dispatcher without servers and with nine waiting workflows: one of eight tasks, then eight of
-/// one task. Their objective leaves them 0.6 s, in which the pool cannot do all of them.
+/// A dispatcher with a queue whose objective leaves its workflows 0.6 s.
 struct waiting_fixture : dispatch_fixture {
     explicit waiting_fixture(bool overload_order)
         : dispatch_fixture({.overload_order = overload_order}) {
@@ -248,11 +247,16 @@
             std::vector<catalog_team>{})});
         finish_loading();
         tick();
+    }
+
+    /// One workflow of eight tasks, then eight of one task: more than a server can do in time.
+    void add_work() {
         add_workflow(job_id("big"), false, 8);
         for (int index = 0; index < 8; ++index) {
-            tick(milliseconds(1));
+            now += milliseconds(1);
             add_workflow(job_id("small-" + std::to_string(index)), false);
         }
+        tick();
     }
 
     void add_server(const backend_id& id) {
@@ -274,12 +278,14 @@
 Test(overload_order, places_by_cost_in_the_dispatcher_when_switched_on) {
     waiting_fixture by_slack(false);
     by_slack.add_server(first);
+    by_slack.add_work();
     cr_assert(by_slack.starts_of(job_id("big")) == 4 && by_slack.starts.size() == 4);
     cr_assert(by_slack.decisions->counts().waiting.empty());
     cr_assert(std::ranges::count(by_slack.log, "work_deferred", &log_decision::event) == 0);
 
     waiting_fixture by_cost(true);
     by_cost.add_server(first);
+    by_cost.add_work();
     cr_assert(by_cost.starts.size() == 4 && by_cost.starts_of(job_id("big")) == 0);
     const dispatch_counts counts = by_cost.decisions->counts();
     cr_assert(counts.waiting.size() == 1);
@@ -301,6 +307,11 @@
 // Guards against accepted work that does not run although its pool has room, because it is expired.
 Test(overload_order, starts_expired_work_when_there_is_room) {
     waiting_fixture fixture(true);
+    fixture.add_work();
+    const auto line = std::ranges::find(fixture.log, "work_deferred", &log_decision::event);
+    cr_assert(line != fixture.log.end() &&
+                  line->detail.find("before_queue=- ") != std::string::npos,
+              "nothing goes first in a pool without servers");
     fixture.tick(seconds(30));
     for (int index = 0; index < 4; ++index) {
         fixture.add_server(backend_id("i-" + std::to_string(index)));
