Give three types of waiting work names of their own

overload_order.h, load_report.h and team_share.h each had a struct waiting_work; the latter two are priority_backlog and waiting_demand now.

--- a/include/citronford/load_report.h
+++ b/include/citronford/load_report.h
@@ -13,7 +13,7 @@
 
 /// Work of one priority in a pool that has not been started, in core-seconds by the estimates of
 /// the steps, without long-running tasks. Work past its useful time is left out.
-struct waiting_work {
+struct priority_backlog {
     int priority = 0;               ///< Of the queue; zero is the highest.
     double on_time_core_s = 0;      ///< Can still meet its objective.
     double beyond_share_core_s = 0; ///< As before, but beyond the share of its team.
@@ -22,7 +22,7 @@
     [[nodiscard]] double total() const {
         return on_time_core_s + beyond_share_core_s + late_core_s;
     }
-    friend bool operator==(const waiting_work&, const waiting_work&) = default;
+    friend bool operator==(const priority_backlog&, const priority_backlog&) = default;
 };
 
 /// Cores that a pool will have in addition.
@@ -38,9 +38,9 @@
     pool_id pool;
     double cores = 0;      ///< Of the servers that take tasks, less what long-running tasks use.
     double pace_cores = 0; ///< Core-seconds by estimate that ended in the last second.
-    double running_core_s = 0;            ///< Left of the running tasks by their estimates.
-    std::vector<arriving_cores> arriving; ///< The earliest first.
-    std::vector<waiting_work> waiting;    ///< The highest priority first.
+    double running_core_s = 0;             ///< Left of the running tasks by their estimates.
+    std::vector<arriving_cores> arriving;  ///< The earliest first.
+    std::vector<priority_backlog> waiting; ///< The highest priority first.
 
     friend bool operator==(const pool_load&, const pool_load&) = default;
 };
@@ -80,7 +80,7 @@
 /// Time that the present cores of a pool need for all its waiting work.
 inline duration pressure_of(const pool_load& pool) {
     double waiting = 0;
-    for (const waiting_work& work : pool.waiting) {
+    for (const priority_backlog& work : pool.waiting) {
         waiting += work.total();
     }
     if (!(waiting > 0)) {
--- a/src/decide/admission/load_admission.cpp
+++ b/src/decide/admission/load_admission.cpp
@@ -253,7 +253,7 @@
         ahead.in_time += core_s;
         ahead.all += core_s;
     };
-    for (const waiting_work& work : pool.load.waiting) {
+    for (const priority_backlog& work : pool.load.waiting) {
         if (work.priority <= priority) {
             add(work.on_time_core_s + (beyond_share ? work.beyond_share_core_s : 0));
             ahead.all += work.late_core_s;
--- a/src/decide/dispatch/dispatcher_load.cpp
+++ b/src/decide/dispatch/dispatcher_load.cpp
@@ -36,7 +36,7 @@
 
 double waiting_of(const pool_load& load) {
     double sum = 0;
-    for (const waiting_work& work : load.waiting) {
+    for (const priority_backlog& work : load.waiting) {
         sum += work.total();
     }
     return sum;
@@ -44,16 +44,16 @@
 
 /// The entry of a priority, created in order. Beyond the bound, lower priorities share the last
 /// entry, so that the report stays small whatever the operators configure.
-waiting_work& work_at(pool_load& load, int priority) {
+priority_backlog& work_at(pool_load& load, int priority) {
     const auto found =
-        std::ranges::lower_bound(load.waiting, priority, {}, &waiting_work::priority);
+        std::ranges::lower_bound(load.waiting, priority, {}, &priority_backlog::priority);
     if (found != load.waiting.end() && found->priority == priority) {
         return *found;
     }
     if (load.waiting.size() >= max_reported_priorities) {
         return load.waiting.back();
     }
-    return *load.waiting.insert(found, waiting_work{priority});
+    return *load.waiting.insert(found, priority_backlog{priority});
 }
 
 /// Estimated work of the tasks of an occurrence that have no run and are not done.
@@ -102,7 +102,7 @@
         if (slack + 2 * entry.objective < duration::zero()) {
             continue; // Past its useful time.
         }
-        waiting_work& work = work_at(load, queue == nullptr ? 0 : queue->priority);
+        priority_backlog& work = work_at(load, queue == nullptr ? 0 : queue->priority);
         if (slack < -path / 10) {
             work.late_core_s += core_s;
         } else if (entry.over_quota) {
--- a/src/decide/dispatch/dispatcher_shares.cpp
+++ b/src/decide/dispatch/dispatcher_shares.cpp
@@ -135,12 +135,12 @@
 }
 
 /// Notes for each waiting workflow what waits of its team before it.
-void dispatcher::implementation::order_waiting_work(team_share& share) {
-    std::ranges::sort(share.waiting, {}, [](const waiting_work& item) {
+void dispatcher::implementation::sort_waiting(team_share& share) {
+    std::ranges::sort(share.waiting, {}, [](const waiting_demand& item) {
         return std::tuple(item.priority, item.due, item.workflow->row.id.view());
     });
     std::int64_t ahead = 0;
-    for (const waiting_work& item : share.waiting) {
+    for (const waiting_demand& item : share.waiting) {
         item.workflow->ahead_millicores = ahead;
         ahead += item.millicores;
     }
@@ -193,7 +193,7 @@
     for (team_part& part : divide_fairly(demands, capacity)) {
         team_share& share = shares_.at(part.team);
         share.division = std::move(part);
-        order_waiting_work(share);
+        sort_waiting(share);
     }
 }
 
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -185,7 +185,7 @@
     void divide_fleet();
     bool add_waiting_work(const pool_state& pool);
     bool add_waiting_work(workflow_entry& entry);
-    static void order_waiting_work(dispatch::team_share& share);
+    static void sort_waiting(dispatch::team_share& share);
     [[nodiscard]] std::int64_t usable_millicores(const pool_state& pool, bool tasks_wait) const;
     [[nodiscard]] team_demand demand_of(dispatch::team_share& share);
     [[nodiscard]] std::int64_t used_millicores(const team_id& team) const;
--- a/src/decide/dispatch/team_share.h
+++ b/src/decide/dispatch/team_share.h
@@ -13,7 +13,7 @@
 struct workflow_entry;
 
 /// A workflow with waiting tasks of a team.
-struct waiting_work {
+struct waiting_demand {
     workflow_entry* workflow = nullptr;
     int priority = 0;
     instant due{}; ///< End of its objective.
@@ -27,7 +27,7 @@
     team_part division;                  ///< Of the last division of the fleet.
     std::int64_t waiting_millicores = 0; ///< At the last division.
     resources planned;                   ///< Size of the waiting tasks that its limit allows.
-    std::vector<waiting_work> waiting;   ///< At the last division.
+    std::vector<waiting_demand> waiting; ///< At the last division.
     std::int64_t used_millicores = 0;    ///< At the last tick.
     bool over = false;                   ///< Over its share now.
     bool logged_over = false;            ///< As last logged.
--- a/src/io/load_codec.cpp
+++ b/src/io/load_codec.cpp
@@ -36,7 +36,7 @@
     for (const arriving_cores& more : load.arriving) {
         document["arriving"].push_back({rounded(more.cores), more.in.count()});
     }
-    for (const waiting_work& work : load.waiting) {
+    for (const priority_backlog& work : load.waiting) {
         document["waiting"].push_back({work.priority, rounded(work.on_time_core_s),
                                        rounded(work.beyond_share_core_s),
                                        rounded(work.late_core_s)});
--- a/tests/load_admission_test.cpp
+++ b/tests/load_admission_test.cpp
@@ -55,7 +55,7 @@
 }
 
 /// A report of one pool with 100 cores and the given waiting work.
-load_report report_of(std::vector<waiting_work> waiting, std::uint64_t sequence = 1) {
+load_report report_of(std::vector<priority_backlog> waiting, std::uint64_t sequence = 1) {
     load_report report;
     report.sequence = sequence;
     report.pools = {{pool, 100, 100, 0, {}, std::move(waiting)}};
@@ -187,7 +187,7 @@
         report.teams_beyond_share = teams_beyond_share;
         pool_load load{pool, cores, cores, 0, arriving, {{0}, {1}}};
         for (const item& work : waiting_) {
-            waiting_work& sums = load.waiting[static_cast<std::size_t>(work.priority)];
+            priority_backlog& sums = load.waiting[static_cast<std::size_t>(work.priority)];
             (is_late(work)       ? sums.late_core_s
              : work.beyond_share ? sums.beyond_share_core_s
                                  : sums.on_time_core_s) += work.core_s;
--- a/tests/load_report_test.cpp
+++ b/tests/load_report_test.cpp
@@ -104,7 +104,7 @@
     fixture.tick();
     const load_report report = fixture.report();
     cr_assert(report.teams_beyond_share == std::vector{large});
-    const waiting_work& work = report.pools[0].waiting[0];
+    const priority_backlog& work = report.pools[0].waiting[0];
     cr_assert(near(work.beyond_share_core_s + work.on_time_core_s, 16));
     cr_assert(near(work.beyond_share_core_s, 16), "%f", work.beyond_share_core_s);
 }
