Compare the use of a team with what its weight entitles it to

Cause: the part of a team that demands little is its demand at the last division.

Change: a division also states what a team may use before it is over its share. Work that becomes ready between two divisions makes its team one that waits.

--- a/include/citronford/fair_shares.h
+++ b/include/citronford/fair_shares.h
@@ -3,6 +3,7 @@
 #include "citronford/identifier.h"
 
 #include <cstdint>
+#include <limits>
 #include <span>
 #include <vector>
 
@@ -21,6 +22,9 @@
 struct team_part {
     team_id team;
     double part_millicores = 0;
+    /// Use up to which the team is within its share: its part, or, for a team that demands less,
+    /// what it would get by its weight if it demanded more, at most its limit.
+    double entitled_millicores = std::numeric_limits<double>::infinity();
     bool waits_below_part = false;  ///< Tasks wait, though the team uses less than its part.
     bool others_wait = false;       ///< Tasks of another team wait.
     bool others_wait_below = false; ///< Another team waits below its part.
@@ -33,13 +37,14 @@
 std::vector<team_part> divide_fairly(std::span<const team_demand> demands,
                                      std::int64_t capacity_millicores);
 
-/// Whether a team that uses `used_millicores` is over its share: it uses more than its part while
-/// another team waits below its own.
+/// Whether a team that uses `used_millicores` is over its share: it uses more than it is entitled
+/// to while another team waits below its part.
 bool exceeds_share(const team_part& share, std::int64_t used_millicores);
 
 /// Whether a waiting task comes after those of other teams: what its team uses, and what waits of
-/// the team before the task, take up the part of the team, and another team waits. This holds also
-/// when many tasks of a team end at once, where the use alone would give it all their cores again.
+/// the team before the task, take up what the team is entitled to, and another team waits. This
+/// holds also when many tasks of a team end at once, where the use alone would give it all their
+/// cores again.
 bool exceeds_part(const team_part& share, std::int64_t used_millicores,
                   std::int64_t ahead_millicores);
 
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -107,6 +107,7 @@
     entry.share = share_of(entry.row.team);
     // Until the next division, new work comes after what waits of its team.
     entry.ahead_millicores = entry.share == nullptr ? 0 : entry.share->waiting_millicores;
+    note_ready_work(entry);
     entry.restore(input.progress, now_);
     entry.idle_since = now_;
     workflows_.emplace(entry.row.id, std::move(added));
--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -240,6 +240,7 @@
         all_done = entry.complete_task(*location.occurrence, key.step, key.index);
     }
     mark_changed(entry);
+    note_ready_work(entry);
     pool_named(entry.row.pool).placement_due = true;
     if (all_done || fault_planted("workflow-truth")) {
         process_workflow_event(entry, all_tasks_done{});
--- a/src/decide/dispatch/dispatcher_shares.cpp
+++ b/src/decide/dispatch/dispatcher_shares.cpp
@@ -84,6 +84,15 @@
     }
 }
 
+void dispatcher::implementation::note_ready_work(const workflow_entry& entry) {
+    if (entry.share == nullptr) {
+        return;
+    }
+    for (auto& [name, share] : shares_) {
+        share.division.others_wait = share.division.others_wait || &share != entry.share;
+    }
+}
+
 std::int64_t dispatcher::implementation::used_millicores(const team_id& team) const {
     const auto found = team_usage_.find(team);
     return found == team_usage_.end() ? 0 : found->second.millicores;
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -151,6 +151,8 @@
     /// The share of `team`, which is created when it is new; null without fair shares or a team.
     dispatch::team_share* share_of(const team_id& team);
     void note_submission(const accepted_workflow& row);
+    /// Tasks of the workflow became ready after the last division.
+    void note_ready_work(const workflow_entry& entry);
     /// Counts a workflow against the rate of its team; returns whether it exceeds the rate.
     [[nodiscard]] bool exceeds_rate(const workflow_found& input);
     void apply_rate_verdicts();
--- a/src/decide/shares/fair_shares.cpp
+++ b/src/decide/shares/fair_shares.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <limits>
 #include <numeric>
 #include <tuple>
 
@@ -32,24 +33,44 @@
     return {wanted, effective_weight(demand.weight)};
 }
 
+struct division {
+    std::vector<double> parts;
+    /// Millicores for each unit of weight that teams get whose demand is not met.
+    double level = std::numeric_limits<double>::infinity();
+};
+
 /// Gives each team its demand as long as that is within its part of what is left, beginning with
 /// the smallest demand for its weight. `order` holds indices of `demands` in that order.
-std::vector<double> fill(std::span<const weighted_demand> demands,
-                         std::span<const std::size_t> order, double capacity) {
+division fill(std::span<const weighted_demand> demands, std::span<const std::size_t> order,
+              double capacity) {
     // Sums from the end, since subtracting weights of very different size would lose the small.
     std::vector<double> weight_from(order.size() + 1);
     for (std::size_t place = order.size(); place-- > 0;) {
         weight_from[place] = weight_from[place + 1] + demands[order[place]].weight;
     }
-    std::vector<double> parts(demands.size());
+    division result{std::vector<double>(demands.size())};
     double left = capacity;
     for (std::size_t place = 0; place < order.size(); ++place) {
         const weighted_demand& demand = demands[order[place]];
         const double entitled = left * demand.weight / weight_from[place];
-        parts[order[place]] = std::min(demand.millicores, entitled);
-        left = std::max(left - parts[order[place]], 0.0);
+        if (demand.millicores > entitled) {
+            result.level = std::min(result.level, entitled / demand.weight);
+        }
+        double& part = result.parts[order[place]];
+        part = std::min(demand.millicores, entitled);
+        left = std::max(left - part, 0.0);
+    }
+    return result;
+}
+
+/// Use up to which a team is within its share.
+double entitled_millicores(const team_demand& demand, double part, double level) {
+    double most = level * effective_weight(demand.weight);
+    if (demand.limit_millicores > 0) {
+        most = std::min(most, static_cast<double>(demand.limit_millicores));
     }
-    return parts;
+    // Rounding must not put the level below a part.
+    return std::max(most, part);
 }
 
 } // namespace
@@ -63,7 +84,7 @@
     std::ranges::sort(order, {}, [&](std::size_t index) {
         return std::tuple(wanted[index].per_weight(), demands[index].team.view());
     });
-    const std::vector<double> parts =
+    const division divided =
         fill(wanted, order, static_cast<double>(std::max<std::int64_t>(capacity_millicores, 0)));
 
     std::vector<team_part> shares(demands.size());
@@ -73,7 +94,9 @@
         const team_demand& demand = demands[index];
         team_part& share = shares[index];
         share.team = demand.team;
-        share.part_millicores = parts[index];
+        share.part_millicores = divided.parts[index];
+        share.entitled_millicores =
+            entitled_millicores(demand, share.part_millicores, divided.level);
         share.waits_below_part =
             demand.waiting_millicores > 0 &&
             static_cast<double>(demand.used_millicores) + tolerance_millicores <=
@@ -91,7 +114,7 @@
 
 bool exceeds_share(const team_part& share, std::int64_t used_millicores) {
     return share.others_wait_below &&
-           static_cast<double>(used_millicores) > share.part_millicores + tolerance_millicores;
+           static_cast<double>(used_millicores) > share.entitled_millicores + tolerance_millicores;
 }
 
 bool exceeds_part(const team_part& share, std::int64_t used_millicores,
@@ -99,7 +122,7 @@
     return share.others_wait && static_cast<double>(used_millicores) +
                                         static_cast<double>(ahead_millicores) +
                                         tolerance_millicores >
-                                    share.part_millicores;
+                                    share.entitled_millicores;
 }
 
 } // namespace citronford
--- a/tests/dispatcher_shares_test.cpp
+++ b/tests/dispatcher_shares_test.cpp
@@ -117,15 +117,17 @@
         confirm_save();
     }
 
-    /// Ends `count` tasks of the server, the oldest first.
-    void end_tasks(const std::string& server_name, std::size_t count) {
+    /// Ends `count` tasks of the server, the oldest first; of `team` only, if it is not empty.
+    void end_tasks(const std::string& server_name, std::size_t count, const team_id& team = {}) {
         backend_state& server = servers.at(backend_id(server_name));
-        cr_assert(count <= server.running.size());
         for (; count > 0; --count) {
-            const running_task ended = server.running.front();
-            server.running.erase(server.running.begin());
+            const auto place = std::ranges::find_if(server.running, [&](const running_task& task) {
+                return task.task.job.view().starts_with(team.view());
+            });
+            cr_assert(place != server.running.end());
             server.ended.push_back(
-                {++server.last_end, ended.task, ended.run, completion_kind::done, ""});
+                {++server.last_end, place->task, place->run, completion_kind::done, ""});
+            server.running.erase(place);
         }
     }
 
@@ -236,6 +238,59 @@
     cr_assert(fixture.logged("team_within_share") == 1);
 }
 
+// Guards against work of a modest team that waits for the next division before it goes first: it
+// arrives between two divisions, when a task of its team ends.
+Test(dispatcher_shares, place_new_work_of_a_modest_team_between_divisions) {
+    shares_fixture fixture(true);
+    fixture.flood(2);
+    fixture.end_tasks("server-a", 2);
+    fixture.end_tasks("server-b", 2);
+    for (int round = 0; round < 6; ++round) {
+        fixture.step();
+    }
+    cr_assert(fixture.running(modest) == 4);
+    for (int number = 0; number < 10; ++number) {
+        fixture.add(work_of(modest, "a", "later" + std::to_string(number), 1, 300));
+        fixture.end_tasks("server-a", 1, modest);
+        fixture.step();
+        fixture.step();
+        cr_assert(fixture.running(modest) == 4, "%d", number);
+    }
+}
+
+// Guards against long-running tasks that wait behind the work of other teams, or that do not count
+// as use of their team.
+Test(dispatcher_shares, count_long_running_tasks_and_place_them_first) {
+    shares_fixture fixture(true);
+    fixture.finish_loading();
+    fixture.step();
+    accepted_workflow hosted = work_of(flooding, "a", "hosted", 8, 0);
+    hosted.spec.steps.front().long_running = true;
+    fixture.add(hosted);
+    fixture.step();
+    for (int number = 0; number < 4; ++number) {
+        fixture.add(work_of(flooding, "b", std::to_string(number), 4, 10));
+    }
+    fixture.step();
+    cr_assert(fixture.running(flooding) == 16);
+    fixture.add(work_of(modest, "b", "a", 8, 40));
+    hosted.id = job_id("flooding-more");
+    hosted.pool = pool_id("b");
+    hosted.spec.steps.front().tasks = 1;
+    for (int round = 0; round < 6; ++round) {
+        fixture.step();
+    }
+    cr_assert(fixture.decisions->teams_over_share() == std::vector{flooding});
+    fixture.add(hosted);
+    fixture.end_tasks("server-b", 5);
+    fixture.step();
+    fixture.step();
+    cr_assert(std::ranges::count(fixture.starts, hosted.id, [](const send_start& start) {
+                  return start.command.task.job;
+              }) == 1);
+    cr_assert(fixture.running(modest) == 4);
+}
+
 // Guards against a new owner that does not know who uses more than its part: it finds the runs on
 // the servers.
 Test(dispatcher_shares, hold_after_a_takeover) {
--- a/tests/fair_shares_test.cpp
+++ b/tests/fair_shares_test.cpp
@@ -318,6 +318,25 @@
     cr_assert(!exceeds_share(shares[1], 60 * cores));
 }
 
+// Guards against work of a team below its share that comes after that of a flooding team because it
+// arrived after the division: the team may use what its weight entitles it to.
+Test(fair_shares, allow_a_team_more_than_it_asked_for_at_the_division) {
+    const std::vector<team_demand> demands = {{team_id("a"), 1, 60 * cores, 90 * cores, 0},
+                                              {team_id("b"), 1, 30 * cores, 5 * cores, 0},
+                                              {team_id("c"), 1, 10 * cores, 2 * cores, 20 * cores}};
+    const auto shares = divide_fairly(demands, 100 * cores);
+    cr_assert(std::abs(shares[0].part_millicores - 53 * cores) < 1);
+    cr_assert(std::abs(shares[0].entitled_millicores - 53 * cores) < 1);
+    cr_assert(exceeds_share(shares[0], 60 * cores));
+    cr_assert(exceeds_part(shares[0], 40 * cores, 14 * cores));
+    cr_assert(std::abs(shares[1].part_millicores - 35 * cores) < 1);
+    cr_assert(!exceeds_part(shares[1], 35 * cores, 5 * cores));
+    cr_assert(!exceeds_share(shares[1], 50 * cores));
+    // Within its limit only.
+    cr_assert(!exceeds_part(shares[2], 19 * cores, 0));
+    cr_assert(exceeds_part(shares[2], 20 * cores, 0));
+}
+
 // Guards against a flood that other teams pay for, the load named above: each other team must get
 // 90% of what it gets without the flood, done and done in time. Without shares it gets less, which
 // shows that the load is one that matters.
