--- a/tests/dispatcher_shares_test.cpp
+++ b/tests/dispatcher_shares_test.cpp
@@ -382,6 +382,25 @@
     cr_assert(fixture.decisions->teams_over_share().empty());
 }
 
+// Guards against a log that fills while a team exceeds its share again and again: at most one line
+// a second for each team, also when weights change all the time.
+Test(dispatcher_shares, log_at_most_once_a_second) {
+    shares_fixture fixture(true);
+    fixture.flood();
+    const auto before = fixture.logged("team_over_share") + fixture.logged("team_within_share");
+    cr_assert(before == 1);
+    std::size_t changes = 0;
+    for (int round = 0; round < 100; ++round) {
+        const auto teams = fixture.decisions->teams_over_share();
+        fixture.apply_weights(3 + round, 100, round / 6 % 2 == 0 ? 0.001 : 100);
+        fixture.step();
+        changes += teams == fixture.decisions->teams_over_share() ? 0 : 1;
+    }
+    cr_assert(changes >= 8, "%zu", changes);
+    const auto lines = fixture.logged("team_over_share") + fixture.logged("team_within_share");
+    cr_assert(lines - before >= 1 && lines - before <= 3, "%td", lines - before);
+}
+
 // Guards against bad weights that stop the owner or are used unnoticed: one line for each team and
 // version of the catalogue.
 Test(dispatcher_shares, log_replaced_weights_once) {
