--- a/tests/dispatcher_shares_test.cpp
+++ b/tests/dispatcher_shares_test.cpp
@@ -1,9 +1,8 @@
-#include "dispatch_fixture.h"
+#include "shares_fixture.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
-#include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -12,168 +11,6 @@
 
 using namespace citronford;
 
-namespace {
-
-constexpr std::int64_t day_begin_ms = 1'800'000'000'000;
-const team_id flooding("flooding");
-const team_id modest("modest");
-
-catalog_team team_of(const team_id& name, double weight) {
-    catalog_team team;
-    team.name = name;
-    team.weight = weight;
-    return team;
-}
-
-/// A workflow of one step with tasks of one core and 500 ms.
-accepted_workflow work_of(const team_id& team, const std::string& pool_name,
-                          const std::string& suffix, std::uint32_t tasks,
-                          std::int64_t accepted_ms) {
-    accepted_workflow row;
-    row.id = job_id(team.str() + "-" + suffix);
-    row.queue = queue_id("queue-" + pool_name);
-    row.pool = pool_id(pool_name);
-    row.team = team;
-    row.accepted_unix_ms = day_begin_ms + accepted_ms;
-    workflow_step step;
-    step.tasks = tasks;
-    step.size = {1000, 10, 0};
-    step.estimate = milliseconds(500);
-    row.spec.steps = {step};
-    return row;
-}
-
-/// An owner of the pools `a` and `b`, each with one server of eight cores, and of two teams of
-/// equal weight.
-struct shares_fixture : dispatch_fixture {
-    struct backend_state {
-        std::vector<running_task> running;
-        std::vector<run_completion> ended;
-        std::uint64_t last_end = 0;
-    };
-
-    std::map<backend_id, backend_state> servers{{backend_id("server-a"), {}},
-                                                {backend_id("server-b"), {}}};
-    std::size_t starts_seen = 0;
-    std::int64_t unix_ms = day_begin_ms;
-
-    explicit shares_fixture(bool fair) : dispatch_fixture(options_with(fair)) {
-        apply_weights(2, 100, 100);
-        // Registered before the first tick, so that both pools are read at once.
-        for (const auto& [id, server] : servers) {
-            register_server(id);
-        }
-    }
-
-    static dispatch_options options_with(bool fair) {
-        dispatch_options options;
-        options.fair_shares = fair;
-        return options;
-    }
-
-    void apply_weights(std::int64_t version, double flooding_weight, double modest_weight) {
-        std::vector<queue_definition> queues;
-        std::vector<catalog_pool> pools;
-        for (const std::string name : {"a", "b"}) {
-            queue_definition definition;
-            definition.name = queue_id("queue-" + name);
-            definition.pool = pool_id(name);
-            definition.max_attempts = 3;
-            definition.stretch = 20;
-            queues.push_back(definition);
-            pools.push_back({pool_id(name), true, false});
-        }
-        handle(catalog_applied{std::make_shared<queue_catalog>(
-            version, queues, pools,
-            std::vector{team_of(flooding, flooding_weight), team_of(modest, modest_weight)})});
-    }
-
-    void register_server(const backend_id& id) {
-        backend_registration registration;
-        registration.id = id;
-        registration.pool = pool_id(id.str().substr(id.str().size() - 1));
-        registration.capacity = {8000, 8000, 0};
-        handle(backend_registered{registration});
-    }
-
-    void add(const accepted_workflow& row, bool stored_before = false) {
-        handle(workflow_found{row, {}, stored_before});
-    }
-
-    /// Ticks once and answers all polls with what the servers run.
-    void step() {
-        now += milliseconds(20);
-        unix_ms += 20;
-        renew_ownership();
-        handle(dispatch_tick{unix_ms});
-        for (; starts_seen < starts.size(); ++starts_seen) {
-            const send_start& start = starts[starts_seen];
-            servers.at(start.to.id)
-                .running.push_back({start.command.task, start.command.run, "", 100, 0});
-        }
-        for (auto& [id, server] : servers) {
-            answer_poll(id, server.running, server.ended);
-        }
-        confirm_save();
-    }
-
-    /// Ends `count` tasks of the server, the oldest first.
-    void end_tasks(const std::string& server_name, std::size_t count) {
-        backend_state& server = servers.at(backend_id(server_name));
-        cr_assert(count <= server.running.size());
-        for (; count > 0; --count) {
-            const running_task ended = server.running.front();
-            server.running.erase(server.running.begin());
-            server.ended.push_back(
-                {++server.last_end, ended.task, ended.run, completion_kind::done, ""});
-        }
-    }
-
-    [[nodiscard]] std::ptrdiff_t running(const team_id& team) const {
-        std::ptrdiff_t sum = 0;
-        for (const auto& [id, server] : servers) {
-            sum += std::ranges::count_if(server.running, [&](const running_task& task) {
-                return task.task.job.view().starts_with(team.view());
-            });
-        }
-        return sum;
-    }
-
-    [[nodiscard]] std::ptrdiff_t logged(std::string_view event) const {
-        return std::ranges::count(log, event, &log_decision::event);
-    }
-
-    /// Twenty workflows of four tasks, for two pools of eight cores.
-    static std::vector<accepted_workflow> flood_rows() {
-        std::vector<accepted_workflow> rows;
-        for (int number = 0; number < 10; ++number) {
-            for (const std::string name : {"a", "b"}) {
-                rows.push_back(work_of(flooding, name, name + std::to_string(number), 4, number));
-            }
-        }
-        return rows;
-    }
-
-    /// The flooding team fills both pools, then the other team sends `tasks` to each.
-    void flood(std::uint32_t tasks = 6) {
-        finish_loading();
-        step();
-        for (const accepted_workflow& row : flood_rows()) {
-            add(row);
-        }
-        step();
-        cr_assert(running(flooding) == 16);
-        step();
-        add(work_of(modest, "a", "a", tasks, 40));
-        add(work_of(modest, "b", "b", tasks, 40));
-        for (int round = 0; round < 6; ++round) {
-            step();
-        }
-    }
-};
-
-} // namespace
-
 // Guards against a team that fills all pools and goes on filling them while another team waits with
 // less than its part of the fleet: the cores that become free must go to the other team, up to half
 // of the fleet and no further.
@@ -236,6 +73,59 @@
     cr_assert(fixture.logged("team_within_share") == 1);
 }
 
+// Guards against work of a modest team that waits for the next division before it goes first: it
+// arrives between two divisions, when a task of its team ends.
+Test(dispatcher_shares, place_new_work_of_a_modest_team_between_divisions) {
+    shares_fixture fixture(true);
+    fixture.flood(2);
+    fixture.end_tasks("server-a", 2);
+    fixture.end_tasks("server-b", 2);
+    for (int round = 0; round < 6; ++round) {
+        fixture.step();
+    }
+    cr_assert(fixture.running(modest) == 4);
+    for (int number = 0; number < 10; ++number) {
+        fixture.add(work_of(modest, "a", "later" + std::to_string(number), 1, 300));
+        fixture.end_tasks("server-a", 1, modest);
+        fixture.step();
+        fixture.step();
+        cr_assert(fixture.running(modest) == 4, "%d", number);
+    }
+}
+
+// Guards against long-running tasks that wait behind the work of other teams, or that do not count
+// as use of their team.
+Test(dispatcher_shares, count_long_running_tasks_and_place_them_first) {
+    shares_fixture fixture(true);
+    fixture.finish_loading();
+    fixture.step();
+    accepted_workflow hosted = work_of(flooding, "a", "hosted", 8, 0);
+    hosted.spec.steps.front().long_running = true;
+    fixture.add(hosted);
+    fixture.step();
+    for (int number = 0; number < 4; ++number) {
+        fixture.add(work_of(flooding, "b", std::to_string(number), 4, 10));
+    }
+    fixture.step();
+    cr_assert(fixture.running(flooding) == 16);
+    fixture.add(work_of(modest, "b", "a", 8, 40));
+    hosted.id = job_id("flooding-more");
+    hosted.pool = pool_id("b");
+    hosted.spec.steps.front().tasks = 1;
+    for (int round = 0; round < 6; ++round) {
+        fixture.step();
+    }
+    cr_assert(fixture.decisions->teams_over_share() == std::vector{flooding});
+    fixture.add(hosted);
+    fixture.end_tasks("server-b", 5);
+    fixture.step();
+    fixture.step();
+    cr_assert(std::ranges::count(fixture.starts, hosted.id, [](const send_start& start) {
+                  return start.command.task.job;
+              }) == 1);
+    cr_assert(fixture.running(modest) == 4);
+}
+
 // Guards against a new owner that does not know who uses more than its part: it finds the runs on
 // the servers.
 Test(dispatcher_shares, hold_after_a_takeover) {
@@ -327,6 +217,25 @@
     cr_assert(fixture.decisions->teams_over_share().empty());
 }
 
+// Guards against a log that fills while a team exceeds its share again and again: at most one line
+// a second for each team, also when weights change all the time.
+Test(dispatcher_shares, log_at_most_once_a_second) {
+    shares_fixture fixture(true);
+    fixture.flood();
+    const auto before = fixture.logged("team_over_share") + fixture.logged("team_within_share");
+    cr_assert(before == 1);
+    std::size_t changes = 0;
+    for (int round = 0; round < 100; ++round) {
+        const auto teams = fixture.decisions->teams_over_share();
+        fixture.apply_weights(3 + round, 100, round / 6 % 2 == 0 ? 0.001 : 100);
+        fixture.step();
+        changes += teams == fixture.decisions->teams_over_share() ? 0 : 1;
+    }
+    cr_assert(changes >= 8, "%zu", changes);
+    const auto lines = fixture.logged("team_over_share") + fixture.logged("team_within_share");
+    cr_assert(lines - before >= 1 && lines - before <= 3, "%td", lines - before);
+}
+
 // Guards against bad weights that stop the owner or are used unnoticed: one line for each team and
 // version of the catalogue.
 Test(dispatcher_shares, log_replaced_weights_once) {
