Load report: rename pool_load to reported_pool

buffer_control.h has a type pool_load already, so that a program with both headers did not compile. headers_test found it; it now includes the two new headers.

Tests: headers_test, load_admission_test, load_codec_test, load_report_test, admission_driver_test, dispatcher_test, dispatch_driver_test pass.

--- a/include/citronford/load_admission.h
+++ b/include/citronford/load_admission.h
@@ -105,7 +105,7 @@
         double core_s = 0;
     };
     struct pool_entry {
-        pool_load load;
+        reported_pool load;
         chart_position position{};
         std::deque<own_work> admitted;
         instant steady_since{}; ///< Since when the cores are about those of `steady_cores`.
--- a/include/citronford/load_report.h
+++ b/include/citronford/load_report.h
@@ -34,7 +34,7 @@
 };
 
 /// Load of one pool.
-struct pool_load {
+struct reported_pool {
     pool_id pool;
     double cores = 0;      ///< Of the servers that take tasks, less what long-running tasks use.
     double pace_cores = 0; ///< Core-seconds by estimate that ended in the last second.
@@ -42,13 +42,13 @@
     std::vector<arriving_cores> arriving; ///< The earliest first.
     std::vector<waiting_work> waiting;    ///< The highest priority first.
 
-    friend bool operator==(const pool_load&, const pool_load&) = default;
+    friend bool operator==(const reported_pool&, const reported_pool&) = default;
 };
 
 /// The load of the fleet as the owner of the scheduler publishes it.
 struct load_report {
-    std::uint64_t sequence = 0;   ///< Rises with each report of one ownership.
-    std::vector<pool_load> pools; ///< Only pools under pressure.
+    std::uint64_t sequence = 0;       ///< Rises with each report of one ownership.
+    std::vector<reported_pool> pools; ///< Only pools under pressure.
     std::vector<team_id> teams_beyond_share;
 
     friend bool operator==(const load_report&, const load_report&) = default;
@@ -78,7 +78,7 @@
 }
 
 /// Time that the present cores of a pool need for all its waiting work.
-inline duration pressure_of(const pool_load& pool) {
+inline duration pressure_of(const reported_pool& pool) {
     double waiting = 0;
     for (const waiting_work& work : pool.waiting) {
         waiting += work.total();
--- a/src/decide/admission/load_admission.cpp
+++ b/src/decide/admission/load_admission.cpp
@@ -135,7 +135,7 @@
     teams_beyond_share_ = {input.report.teams_beyond_share.begin(),
                            input.report.teams_beyond_share.end()};
     std::set<pool_id> listed;
-    for (const pool_load& load : input.report.pools) {
+    for (const reported_pool& load : input.report.pools) {
         listed.insert(load.pool);
         const auto [found, added] = pools_.try_emplace(load.pool);
         pool_entry& pool = found->second;
@@ -268,7 +268,7 @@
 }
 
 duration load_admission::time_to_do(const pool_entry& pool, double core_s, instant now) {
-    const pool_load& load = pool.load;
+    const reported_pool& load = pool.load;
     double efficiency = 1;
     if (load.cores > 0 && now >= pool.steady_since + steady_time) {
         efficiency = std::clamp(load.pace_cores / load.cores, min_pace, max_pace);
--- a/src/decide/dispatch/dispatcher_load.cpp
+++ b/src/decide/dispatch/dispatcher_load.cpp
@@ -34,7 +34,7 @@
     return static_cast<double>(std::max<std::int64_t>(millicores, 0)) / millicores_per_core;
 }
 
-double waiting_of(const pool_load& load) {
+double waiting_of(const reported_pool& load) {
     double sum = 0;
     for (const waiting_work& work : load.waiting) {
         sum += work.total();
@@ -44,7 +44,7 @@
 
 /// The entry of a priority, created in order. Beyond the bound, lower priorities share the last
 /// entry, so that the report stays small whatever the operators configure.
-waiting_work& work_at(pool_load& load, int priority) {
+waiting_work& work_at(reported_pool& load, int priority) {
     const auto found =
         std::ranges::lower_bound(load.waiting, priority, {}, &waiting_work::priority);
     if (found != load.waiting.end() && found->priority == priority) {
@@ -87,7 +87,7 @@
         estimated_core_s(definition, definition.gang ? definition.tasks : 1);
 }
 
-void dispatcher::implementation::add_waiting_work(const workflow_entry& entry, pool_load& load,
+void dispatcher::implementation::add_waiting_work(const workflow_entry& entry, reported_pool& load,
                                                   std::set<team_id>& teams_beyond_share) const {
     const queue_definition* queue = catalog_->queue(entry.row.queue);
     for (const auto& [number, occurrence] : entry.occurrences) {
@@ -115,7 +115,7 @@
 }
 
 void dispatcher::implementation::add_server_load(const backend_entry& server,
-                                                 pool_load& load) const {
+                                                 reported_pool& load) const {
     if (is_withdrawn(server)) {
         return;
     }
@@ -140,7 +140,7 @@
 }
 
 double dispatcher::implementation::spare_cores(const pool_id& name,
-                                               std::span<const pool_load> loads) const {
+                                               std::span<const reported_pool> loads) const {
     double spare = 0;
     for (const idle_vm& vm : idle_vms_) {
         const catalog_pool* pool = catalog_->pool(vm.pool);
@@ -148,7 +148,7 @@
             spare += cores_of(vm.capacity.millicores);
         }
     }
-    for (const pool_load& load : loads) {
+    for (const reported_pool& load : loads) {
         if (load.pool == name) {
             continue;
         }
@@ -169,8 +169,8 @@
     return spare;
 }
 
-void dispatcher::implementation::add_arriving_cores(pool_load& load,
-                                                    std::span<const pool_load> loads,
+void dispatcher::implementation::add_arriving_cores(reported_pool& load,
+                                                    std::span<const reported_pool> loads,
                                                     double share) const {
     double back = 0;
     for (const arriving_cores& more : load.arriving) {
@@ -195,14 +195,14 @@
 
 load_report dispatcher::implementation::report_load(instant now) {
     now_ = now;
-    std::vector<pool_load> loads;
+    std::vector<reported_pool> loads;
     std::set<team_id> teams;
     for (auto& [name, pool] : pools_) {
         // Until a pool is recovered, the runs of an earlier owner are not known.
         if (!pool.recovered) {
             continue;
         }
-        pool_load& load = loads.emplace_back();
+        reported_pool& load = loads.emplace_back();
         load.pool = name;
         load.pace_cores = measure_pace(pool.load, now);
         for (const auto& [id, server] : pool.servers) {
@@ -217,12 +217,12 @@
     }
     load_report report;
     double waiting = 0;
-    for (const pool_load& load : loads) {
+    for (const reported_pool& load : loads) {
         waiting += pressure_of(load) >= reported_pressure ? waiting_of(load) : 0;
     }
-    for (const pool_load& load : loads) {
+    for (const reported_pool& load : loads) {
         if (pressure_of(load) >= reported_pressure && report.pools.size() < max_reported_pools) {
-            pool_load& reported = report.pools.emplace_back(load);
+            reported_pool& reported = report.pools.emplace_back(load);
             add_arriving_cores(reported, loads, waiting_of(load) / waiting);
         }
     }
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -168,12 +168,14 @@
 
     // The load report.
     void count_finished_work(const workflow_entry& entry, std::uint32_t step);
-    void add_waiting_work(const workflow_entry& entry, pool_load& load,
+    void add_waiting_work(const workflow_entry& entry, reported_pool& load,
                           std::set<team_id>& teams_beyond_share) const;
-    void add_server_load(const backend_entry& server, pool_load& load) const;
+    void add_server_load(const backend_entry& server, reported_pool& load) const;
     /// Cores that other pools can spare for `name`, or that are in no pool.
-    [[nodiscard]] double spare_cores(const pool_id& name, std::span<const pool_load> loads) const;
-    void add_arriving_cores(pool_load& load, std::span<const pool_load> loads, double share) const;
+    [[nodiscard]] double spare_cores(const pool_id& name,
+                                     std::span<const reported_pool> loads) const;
+    void add_arriving_cores(reported_pool& load, std::span<const reported_pool> loads,
+                            double share) const;
 
     // Contact with servers.
     void process_contact_event(backend_entry& server, const dispatch::contact_event& event);
--- a/src/io/load_codec.cpp
+++ b/src/io/load_codec.cpp
@@ -29,7 +29,7 @@
                                 : 0;
 }
 
-json encode_pool(const pool_load& load) {
+json encode_pool(const reported_pool& load) {
     json document = {{"pool", load.pool.view()},         {"cores", rounded(load.cores)},
                      {"pace", rounded(load.pace_cores)}, {"running", rounded(load.running_core_s)},
                      {"arriving", json::array()},        {"waiting", json::array()}};
@@ -81,8 +81,8 @@
     bool valid_ = true;
 };
 
-pool_load decode_pool(const json& document, figure_reader& read) {
-    pool_load load;
+reported_pool decode_pool(const json& document, figure_reader& read) {
+    reported_pool load;
     load.pool = pool_id(document.at("pool").get_ref<const std::string&>());
     load.cores = read.figure(document.at("cores"));
     load.pace_cores = read.figure(document.at("pace"));
@@ -103,7 +103,7 @@
 std::string encode_load_report(const load_report& report) {
     json document = {
         {"sequence", report.sequence}, {"pools", json::array()}, {"beyond_share", json::array()}};
-    for (const pool_load& load : report.pools) {
+    for (const reported_pool& load : report.pools) {
         document["pools"].push_back(encode_pool(load));
     }
     for (const team_id& team : report.teams_beyond_share) {
--- a/tests/headers_test.cpp
+++ b/tests/headers_test.cpp
@@ -29,6 +29,8 @@
 #include "citronford/instant.h"
 #include "citronford/invariant.h"
 #include "citronford/job.h"
+#include "citronford/load_admission.h"
+#include "citronford/load_report.h"
 #include "citronford/maintenance_planner.h"
 #include "citronford/manual_timer_service.h"
 #include "citronford/membership.h"
--- a/tests/load_admission_test.cpp
+++ b/tests/load_admission_test.cpp
@@ -185,7 +185,7 @@
         load_report report;
         report.sequence = ++sequence_;
         report.teams_beyond_share = teams_beyond_share;
-        pool_load load{pool, cores, cores, 0, arriving, {{0}, {1}}};
+        reported_pool load{pool, cores, cores, 0, arriving, {{0}, {1}}};
         for (const item& work : waiting_) {
             waiting_work& sums = load.waiting[static_cast<std::size_t>(work.priority)];
             (is_late(work)       ? sums.late_core_s
--- a/tests/load_codec_test.cpp
+++ b/tests/load_codec_test.cpp
@@ -102,7 +102,7 @@
     const std::string name(64, 'n');
     load_report report;
     for (std::size_t count = 0; count < max_reported_pools; ++count) {
-        pool_load load{pool_id(name), 12345.67, 12345.67, 12345.67, {}, {}};
+        reported_pool load{pool_id(name), 12345.67, 12345.67, 12345.67, {}, {}};
         load.arriving.assign(3, {12345.67, milliseconds(2000)});
         load.waiting.assign(max_reported_priorities, {100000, 12345.67, 12345.67, 12345.67});
         report.pools.push_back(load);
--- a/tests/load_report_test.cpp
+++ b/tests/load_report_test.cpp
@@ -73,7 +73,7 @@
     fixture.tick(milliseconds(250));
     const load_report report = fixture.report();
     cr_assert(report.pools.size() == 1);
-    const pool_load& load = report.pools[0];
+    const reported_pool& load = report.pools[0];
     cr_assert(load.pool == pool && near(load.cores, 8));
     cr_assert(near(load.running_core_s, 6), "%f left", load.running_core_s);
     cr_assert(load.waiting.size() == 1 && load.waiting[0].priority == 1);
