Admission: log queues whose objective is no usable value

With such a stretch or slack every workflow of the queue is admitted, and nothing said so. One line objective_invalid is written for each such queue and version of the configuration.

Tests: load_admission_test, admission_driver_test, headers_test pass.

--- a/include/citronford/load_admission.h
+++ b/include/citronford/load_admission.h
@@ -150,6 +150,9 @@
     instant expires_at_ = instant::min();
 };
 
+/// Whether `stretch` is a positive number and `objective_slack` is not negative.
+bool has_usable_objective(const queue_definition& queue);
+
 /// The objective of a workflow on `queue`: `stretch` times its critical path, plus
 /// `objective_slack`. Nothing for a queue without an objective: its stretch is not a positive
 /// number, its slack is negative, or both have the values of a queue that names neither.
--- a/src/decide/admission/load_admission.cpp
+++ b/src/decide/admission/load_admission.cpp
@@ -66,10 +66,14 @@
     return reason == load_refusal::useless ? "useless" : "beyond_share";
 }
 
+bool has_usable_objective(const queue_definition& queue) {
+    return std::isfinite(queue.stretch) && queue.stretch > 0 &&
+           queue.objective_slack >= milliseconds::zero();
+}
+
 std::optional<duration> objective_of(const queue_definition& queue, duration critical_path) {
     const bool unset = queue.stretch == 1 && queue.objective_slack == milliseconds::zero();
-    if (unset || !std::isfinite(queue.stretch) || queue.stretch <= 0 ||
-        queue.objective_slack < milliseconds::zero() || critical_path < duration::zero()) {
+    if (unset || !has_usable_objective(queue) || critical_path < duration::zero()) {
         return std::nullopt;
     }
     // Three objectives of this length still fit a duration.
--- a/src/node/fleet/admission_driver.cpp
+++ b/src/node/fleet/admission_driver.cpp
@@ -62,6 +62,9 @@
 
 std::optional<duration> admission_driver::refuse(const accepted_workflow& row) {
     const queue_catalog* catalog = catalog_();
+    if (catalog != nullptr) {
+        check_objectives(*catalog);
+    }
     const queue_definition* queue = catalog == nullptr ? nullptr : catalog->queue(row.queue);
     const load_decision decision = decisions_.decide({row, queue}, timers_.now());
     const auto* refusal = std::get_if<submission_refused_by_load>(&decision);
@@ -72,6 +75,21 @@
     return refusal->retry_after;
 }
 
+void admission_driver::check_objectives(const queue_catalog& catalog) {
+    if (std::exchange(checked_version_, catalog.version()) == catalog.version()) {
+        return;
+    }
+    for (const auto& [name, queue] : catalog.queues()) {
+        if (!has_usable_objective(queue)) {
+            log_event(log_level::warning, "objective_invalid",
+                      {{"queue", name.view()},
+                       {"stretch", queue.stretch},
+                       {"slack_ms", queue.objective_slack.count()},
+                       {"used", "none; every workflow is admitted"}});
+        }
+    }
+}
+
 void admission_driver::log_refusal(const accepted_workflow& row,
                                    const submission_refused_by_load& refusal) {
     const std::array labels = {metric_label{"queue", row.queue.view()},
--- a/src/node/fleet/admission_driver.h
+++ b/src/node/fleet/admission_driver.h
@@ -6,6 +6,7 @@
 #include "io/metrics.h"
 #include "node/fleet/table_follower.h"
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <span>
@@ -38,6 +39,9 @@
 
   private:
     void apply_row(const table_row& row);
+    /// Logs, once for each version of the configuration, the queues whose objective is no usable
+    /// value; on these, everything is admitted.
+    void check_objectives(const queue_catalog& catalog);
     void log_refusal(const accepted_workflow& row, const submission_refused_by_load& refusal);
 
     load_admission decisions_;
@@ -45,7 +49,8 @@
     metrics& registry_;
     catalog_source catalog_;
     table_follower follower_;
-    std::size_t pressed_pools_ = 0; ///< As last logged.
+    std::size_t pressed_pools_ = 0;     ///< As last logged.
+    std::int64_t checked_version_ = -1; ///< Of the configuration.
 };
 
 } // namespace citronford
