--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -73,9 +73,9 @@
 
 absl::StatusOr<std::unique_ptr<fleet_node>>
 fleet_node::create(const fleet_settings& own_settings, fleet_links links, fleet_process process) {
-    constexpr std::string_view names[] = {"workflow", "task_run",      "backend_contact",
-                                          "drain",    "ownership",     "submission",
-                                          "vm_order", "load_admission"};
+    constexpr std::string_view names[] = {"workflow", "task_run",       "backend_contact",
+                                          "drain",    "ownership",      "submission",
+                                          "vm_order", "load_admission", "server_pace"};
     std::map<std::string_view, chart> charts;
     for (const std::string_view name : names) {
         auto loaded = load_chart(own_settings, name);
