Start a copy of a task that is held up, where its step allows it

Cause: a task on a slow or hung server holds up its workflow for as long as the server takes. Change: with the switch slow_servers, a task of a step with speculative gets a second run on a sound server when its run is held up and a new one would end sooner: at most one copy of a task, a tenth of the runs of the pool, and none while tasks wait. The first end done counts, what still runs is stopped. A new owner adopts both runs. No copy is started when both runs failing would exceed max_attempts, and no end is recorded while the start of a copy is under way. Ruled out: a list of runs for each task; all tests of waiting tasks would change. Restarts from checkpoints are not built.

--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -188,6 +188,8 @@
     std::uint64_t runs_failed = 0;
     std::uint64_t runs_lost = 0;      ///< Runs that ended without a reported completion.
     std::uint64_t starts_refused = 0; ///< Starts that were refused or not delivered.
+    std::uint64_t copies_started = 0; ///< Second runs of tasks that were held up.
+    std::uint64_t copies_won = 0;     ///< Of these, those that ended as done before the first run.
     /// Servers that were considered for a task. With `starts`, shows the cost of placement.
     std::uint64_t servers_examined = 0;
 };
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -209,8 +209,10 @@
     for (auto& [number, occurrence] : entry.occurrences) {
         for (step_state& step : occurrence.steps) {
             for (task_record& record : step.tasks) {
-                if (record.run != nullptr) {
-                    visit(*record.run);
+                for (task_run* run : {record.run, record.copy}) {
+                    if (run != nullptr) {
+                        visit(*run);
+                    }
                 }
             }
         }
@@ -320,6 +322,7 @@
     drain_servers();
     review_pace();
     place_tasks();
+    start_copies();
     save_changes();
     send_polls();
     remove_ended();
--- a/src/decide/dispatch/dispatcher_pace.cpp
+++ b/src/decide/dispatch/dispatcher_pace.cpp
@@ -68,6 +68,8 @@
     if (!has_pace(run)) {
         return;
     }
+    const task_record& record = record_of(run);
+    counts_.copies_won += record.copy == &run && !record.done ? 1 : 0;
     pace_->servers.note_done(paced(run), now_);
     // The whole run time is known of runs from the beginning only.
     if (run.progress.start_known && run.progress.first_percent == 0) {
@@ -84,6 +86,7 @@
         return;
     }
     pace_->reviewed_at = now_;
+    copies_due_ = true;
     pace_->servers.update(now_);
     for (auto& [name, pool] : pools_) {
         review_pace(pool);
--- a/src/decide/dispatch/dispatcher_polling.cpp
+++ b/src/decide/dispatch/dispatcher_polling.cpp
@@ -153,16 +153,22 @@
         server.initial_reply = std::move(reply);
         return;
     }
-    reconcile_runs(server, reply);
-    // Completions within the pause are fetched together.
+    // Completions within the pause are fetched together. One that is not applied yet is listed
+    // again at once, so the next poll is later.
     constexpr duration pause = milliseconds(10);
-    server.next_poll_at = now_ + pause;
+    constexpr duration pause_before_repeat = milliseconds(100);
+    server.next_poll_at = now_ + (reconcile_runs(server, reply) ? pause : pause_before_repeat);
 }
 
-void dispatcher::implementation::reconcile_runs(backend_entry& server, const poll_reply& reply) {
+bool dispatcher::implementation::reconcile_runs(backend_entry& server, const poll_reply& reply) {
     const instant polled_at = server.poll_sent_at;
+    bool all_applied = true;
     for (const run_completion& completion : reply.completions) {
         if (completion.number > server.completions.applied()) {
+            if (awaits_copy(server, completion)) {
+                all_applied = false;
+                break;
+            }
             process_completion(server, completion);
             track_completion(server, completion);
         }
@@ -174,8 +180,8 @@
     for (const running_task& reported : reply.running) {
         process_running_task(server, reported);
     }
-    if (!reply.has_all_completions) {
-        return;
+    if (!reply.has_all_completions || !all_applied) {
+        return all_applied;
     }
     const std::vector<task_run*> snapshot = server.runs;
     for (task_run* run : snapshot) {
@@ -183,6 +189,7 @@
             process_run_event(*run, not_reported{polled_at});
         }
     }
+    return true;
 }
 
 dispatcher::implementation::task_location
@@ -206,11 +213,13 @@
     if (location.record == nullptr) {
         return;
     }
-    task_run* run = location.record->run;
-    if (run != nullptr && run->server == &server && run->number == completion.run) {
+    task_run* run = tracked_run(*location.record, server, completion.run);
+    const bool done_by_copy = allows_copies(location.workflow->step(completion.task.step)) &&
+                              completion.kind == completion_kind::done;
+    if (run != nullptr) {
         process_run_event(*run, completion_reported{&completion});
-    } else if (location.record->is_waiting() &&
-               location.workflow->may_have_unknown_run(*location.record)) {
+    } else if (location.workflow->may_have_unknown_run(*location.record) &&
+               (location.record->is_waiting() || done_by_copy)) {
         // A run of an earlier owner on a server that could not be polled before.
         location.record->last_run = std::max(location.record->last_run, completion.run);
         apply_completion(location, completion.task, completion.run, server,
@@ -237,8 +246,9 @@
 void dispatcher::implementation::process_running_task(backend_entry& server,
                                                       const running_task& reported) {
     const task_location location = find_task(reported.task);
-    task_run* run = location.record == nullptr ? nullptr : location.record->run;
-    if (run != nullptr && run->server == &server && run->number == reported.run) {
+    task_run* run =
+        location.record == nullptr ? nullptr : tracked_run(*location.record, server, reported.run);
+    if (run != nullptr) {
         run->in_last_reply = true;
         if (!reported.checkpoint.empty() && !location.record->done) {
             location.record->checkpoint = reported.checkpoint;
@@ -249,7 +259,7 @@
     const bool adoptable = location.record != nullptr && location.record->is_waiting() &&
                            !location.workflow->is_ended() &&
                            reported.run >= location.record->last_run;
-    if (!adoptable) {
+    if (!adoptable && !may_adopt_copy(location, reported)) {
         stop_stray(server, reported);
         return;
     }
--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -118,10 +118,15 @@
     team_usage_[entry.row.team] += run.charged;
     step_state& state = occurrence.steps[step];
     task_record& record = state.tasks[index];
-    record.run = &run;
-    record.last_run = number;
-    record.run_seen = true;
-    ++state.active;
+    if (record.run == nullptr) {
+        record.run = &run;
+        ++state.active;
+    } else {
+        record.copy = &run;
+    }
+    record.last_run = std::max(record.last_run, number);
+    // A run of an earlier owner may have a copy that was not seen.
+    record.run_seen = record.run_seen || !allows_copies(definition);
     ++entry.runs;
     if (entry.state == workflow_state::pending) {
         entry.state = workflow_state::running;
@@ -146,8 +151,11 @@
     workflow_entry& entry = *run.workflow;
     step_state& state = entry.occurrences.at(run.occurrence).steps[run.step];
     task_record& record = state.tasks[run.index];
-    record.run = nullptr;
-    if (!record.done) {
+    if (record.run == &run) {
+        record.run = record.copy;
+    }
+    record.copy = nullptr;
+    if (record.run == nullptr && !record.done) {
         --state.active;
     }
     --entry.runs;
@@ -217,6 +225,9 @@
         ++counts_.runs_done;
         record_run_result(server, false);
         complete(location, key);
+        if (allows_copies(location.workflow->step(key.step))) {
+            stop_runs(record);
+        }
         return;
     case completion_kind::failed:
         ++counts_.runs_failed;
@@ -282,8 +293,8 @@
 
 void dispatcher::implementation::emit_start(task_run& run) {
     ++counts_.starts;
-    const task_record& record =
-        run.workflow->occurrences.at(run.occurrence).steps[run.step].tasks[run.index];
+    task_record& record = record_of(run);
+    record.run_seen = true;
     note_start(run, !record.checkpoint.empty());
     effects_.emplace_back(
         send_start{run.id,
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -17,6 +17,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -30,6 +31,7 @@
 /// - dispatcher_placement.cpp: which tasks to start where
 /// - dispatcher_runs.cpp: the life cycle of runs
 /// - dispatcher_pace.cpp: which servers are slow
+/// - dispatcher_copies.cpp: second runs of tasks that are held up
 /// - dispatcher_stops.cpp: stops of runs, and moves off leaving servers
 /// - dispatcher_figures.cpp: sums for planners and reports
 class dispatcher::implementation {
@@ -154,6 +156,8 @@
     void for_each_run(workflow_entry& entry, const std::function<void(task_run&)>& visit);
 
     // Runs.
+    /// Adds a run that is to be started or that a server has reported; the second one of a task
+    /// becomes its copy.
     task_run& add_run(workflow_entry& entry, occurrence_state& occurrence, std::uint32_t step,
                       std::uint32_t index, std::uint32_t number, backend_entry& server);
     void process_run_event(task_run& run, const dispatch::run_event& event);
@@ -188,6 +192,37 @@
     void review_pace(pool_state& pool);
     void mark_slow_servers(pool_state& pool);
 
+    // Copies: second runs of tasks that are held up, where the step allows them.
+    struct held_up_run {
+        task_run* run = nullptr;
+        delay_cause cause = delay_cause::none;
+        bool on_doubtful_server = false;
+        duration remaining{};
+
+        [[nodiscard]] auto key() const {
+            return std::tuple(cause == delay_cause::no_progress, on_doubtful_server, remaining);
+        }
+    };
+    [[nodiscard]] bool allows_copies(const workflow_step& step) const;
+    /// The run of the task with this number on the server; null when there is none.
+    [[nodiscard]] static task_run* tracked_run(const task_record& record,
+                                               const backend_entry& server, std::uint32_t number);
+    [[nodiscard]] static task_record& record_of(const task_run& run);
+    /// Whether a run that a server reports may be a copy that an earlier owner started.
+    [[nodiscard]] bool may_adopt_copy(const task_location& location,
+                                      const running_task& reported) const;
+    /// Whether the completion is to be applied later: the start of the copy of its task may still
+    /// be executed, and no task may start after its end was recorded.
+    [[nodiscard]] bool awaits_copy(const backend_entry& server, const run_completion& completion);
+    /// Stops what still runs of a task that is done.
+    void stop_runs(const task_record& record);
+    void start_copies();
+    void start_copies(pool_state& pool);
+    [[nodiscard]] bool may_copy(const task_run& run) const;
+    [[nodiscard]] delay_cause delay_of(task_run& run) const;
+    backend_entry* select_copy_server(const task_run& run) const;
+    void start_copy(const held_up_run& item, backend_entry& server);
+
     // Contact with servers.
     void process_contact_event(backend_entry& server, const dispatch::contact_event& event);
     void mark_contact_failed(backend_entry& server);
@@ -195,7 +230,8 @@
     void update_clock(backend_entry& server, backend_clock_ms clock) const;
     [[nodiscard]] backend_clock_ms extend_lease(backend_entry& server) const;
     void process_poll_reply(backend_entry& server, poll_reply view);
-    void reconcile_runs(backend_entry& server, const poll_reply& view);
+    /// Returns false when some completions of the reply are to be applied later.
+    bool reconcile_runs(backend_entry& server, const poll_reply& view);
     void process_completion(backend_entry& server, const run_completion& end);
     void process_running_task(backend_entry& server, const running_task& reported);
     void send_polls();
@@ -296,6 +332,7 @@
     instant recently_ended_pruned_at_{};
     std::vector<workflow_entry*> scheduled_; ///< With future occurrences.
     std::uint64_t last_run_id_ = 0;
+    bool copies_due_ = false; ///< The pace of runs was reviewed since copies were considered.
     std::optional<pace_state> pace_; ///< Nothing while the switch `slow_servers` is off.
     dispatch_counts counts_;
     std::vector<dispatch_effect> effects_;
--- a/src/decide/dispatch/dispatcher_takeover.cpp
+++ b/src/decide/dispatch/dispatcher_takeover.cpp
@@ -42,6 +42,7 @@
         const running_task* reported = nullptr;
     };
     std::map<const task_record*, task_report> latest;
+    std::map<const task_record*, task_report> copies; ///< Beside the ones in `latest`.
     for (const auto& [id, entry] : pool.servers) {
         backend_entry& server = *entry;
         if (!server.initial_reply) {
@@ -55,6 +56,11 @@
                 continue;
             }
             task_report& best = latest[location.record];
+            if (best.reported != nullptr &&
+                allows_copies(location.workflow->step(reported.task.step)) &&
+                copies.try_emplace(location.record, task_report{&server, &reported}).second) {
+                continue;
+            }
             if (best.reported != nullptr && best.reported->run >= reported.run) {
                 stop_stray(server, reported);
                 continue;
@@ -65,7 +71,7 @@
             best = {&server, &reported};
         }
     }
-    for (const auto& [record, best] : latest) {
+    const auto adopt = [this](const task_report& best) {
         const task_location location = find_task(best.reported->task);
         task_run& run = add_run(*location.workflow, *location.occurrence, best.reported->task.step,
                                 best.reported->task.index, best.reported->run, *best.server);
@@ -73,6 +79,11 @@
             location.record->checkpoint = best.reported->checkpoint;
         }
         process_run_event(run, reported_running{best.reported});
+    };
+    for (const auto& reports : {latest, copies}) {
+        for (const auto& [record, best] : reports) {
+            adopt(best);
+        }
     }
 }
 
@@ -99,9 +110,11 @@
             continue;
         }
         const bool uncounted = !location.record->has_failed_in(completion->run);
-        // When a run was adopted, only failures still count.
-        if (uncounted &&
-            (location.record->run == nullptr || completion->kind == completion_kind::failed)) {
+        // When a run was adopted, only failures still count, and the end of its copy.
+        const bool done_by_copy = allows_copies(location.workflow->step(completion->task.step)) &&
+                                  completion->kind == completion_kind::done;
+        if (uncounted && (location.record->run == nullptr || done_by_copy ||
+                          completion->kind == completion_kind::failed)) {
             location.record->last_run = std::max(location.record->last_run, completion->run);
             apply_completion(location, completion->task, completion->run, *server,
                              {completion->kind, completion->checkpoint});
@@ -151,13 +164,15 @@
     });
 }
 
-/// Whether one more failure would exhaust the attempts. Long-running tasks have no limit.
+/// Whether failures that are not known yet would exhaust the attempts: one, or two with a copy.
+/// Long-running tasks have no limit.
 bool dispatcher::implementation::on_last_attempt(const workflow_entry& entry,
                                                  const workflow_step& step,
                                                  const task_record& record) const {
+    const std::size_t unknown_failures = allows_copies(step) ? 2 : 1;
     const queue_definition* queue = catalog_->queue(entry.row.queue);
     return queue != nullptr && !step.long_running &&
-           record.failed_runs.size() + 1 >= queue->max_attempts;
+           record.failed_runs.size() + unknown_failures >= queue->max_attempts;
 }
 
 void dispatcher::implementation::estimate_unknown_usage() {
--- a/src/decide/dispatch/workflow_entry.h
+++ b/src/decide/dispatch/workflow_entry.h
@@ -26,7 +26,9 @@
     std::uint32_t last_run = 0;             ///< Highest known run number.
     std::vector<std::uint32_t> failed_runs; ///< Numbers of the counted failures.
     task_run* run = nullptr;                ///< The run that may exist now.
-    backend_id failed_on;                   ///< Server of the last failed run.
+    /// A second run that may exist now; only with `run`, and only where the step allows copies.
+    task_run* copy = nullptr;
+    backend_id failed_on; ///< Server of the last failed run.
     std::string checkpoint;
 
     [[nodiscard]] bool has_failed_in(std::uint32_t number) const {
--- a/src/node/fleet/fleet_node.cpp
+++ b/src/node/fleet/fleet_node.cpp
@@ -185,7 +185,9 @@
         {"citronford_tasks_done_total", counts.runs_done},
         {"citronford_tasks_failed_total", counts.runs_failed},
         {"citronford_runs_lost_total", counts.runs_lost},
-        {"citronford_starts_refused_total", counts.starts_refused}};
+        {"citronford_starts_refused_total", counts.starts_refused},
+        {"citronford_copies_started_total", counts.copies_started},
+        {"citronford_copies_won_total", counts.copies_won}};
     for (const auto& [name, value] : totals) {
         registry_.set_total(name, {}, static_cast<double>(value));
     }
