--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -159,10 +159,10 @@
     duration registration_delay{};
     /// VM lists are passed in; a new owner waits for the first one before it starts tasks.
     bool has_vm_lists = false;
-    bool overload_order = false; ///< As in `load_settings`.
-    bool fair_shares = false;    ///< As in `load_settings`.
-    bool admission = false;      ///< As in `load_settings`; the load is published.
-    bool slow_servers = false;   ///< As in `load_settings`.
+    bool overload_order = false; ///< As in `load_switches`.
+    bool fair_shares = false;    ///< As in `load_switches`.
+    bool admission = false;      ///< As in `load_switches`; the load is published.
+    bool slow_servers = false;   ///< As in `load_switches`.
 };
 
 /// Resource use of one backend server.
@@ -206,6 +206,8 @@
     std::uint64_t runs_failed = 0;
     std::uint64_t runs_lost = 0;      ///< Runs that ended without a reported completion.
     std::uint64_t starts_refused = 0; ///< Starts that were refused or not delivered.
+    std::uint64_t copies_started = 0; ///< Second runs of tasks that were held up.
+    std::uint64_t copies_won = 0;     ///< Of these, those that ended as done before the first run.
     /// Servers that were considered for a task. With `starts`, shows the cost of placement.
     std::uint64_t servers_examined = 0;
     std::vector<pool_waiting> waiting; ///< All pools; empty without `overload_order`.
--- a/include/citronford/fleet_settings.h
+++ b/include/citronford/fleet_settings.h
@@ -16,7 +16,7 @@
 namespace citronford {
 
 /// Which decisions under load are in use; each is off by default.
-struct load_settings {
+struct load_switches {
     bool admission = false;      ///< Refuse work that cannot be done within its useful time.
     bool overload_order = false; ///< With too little room, delay the work that costs callers least.
     bool fair_shares = false;    ///< Divide a full fleet between the teams by their weights.
@@ -47,7 +47,7 @@
     milliseconds vm_order_interval{3000};     ///< Minimum between orders of two owners to one VM.
     milliseconds move_time{1500};             ///< From a move order to service in the new pool.
     milliseconds maintenance_time{2000};      ///< From a maintenance order to the VM's return.
-    struct load_settings load;                ///< Decisions under load that are in use.
+    load_switches load;                       ///< Decisions under load that are in use.
     std::vector<replaced_setting> replaced;   ///< Values that were not allowed.
 };
 
