--- a/tests/overload_order_test.cpp
+++ b/tests/overload_order_test.cpp
@@ -43,7 +43,7 @@
         model.run(seconds(40));
         cr_assert(model.all_ended(), "accepted work must be finished");
     }
-    cr_log_warn("in time: least slack first %d, by cost %d", served[0], served[1]);
+    cr_log_info("in time: least slack first %d, by cost %d", served[0], served[1]);
     cr_assert(served[1] >= 2 * served[0], "least slack first %d, by cost %d", served[0], served[1]);
 }
 
@@ -67,7 +67,7 @@
     model.offer(0.6 * full_rate(cores), seconds(5), 0);
     model.offer(3 * full_rate(cores), seconds(5), 1);
     model.run(seconds(9));
-    cr_log_warn("priority 0: %d of %d, priority 1: %d", model.in_time(0), alone.in_time(0),
+    cr_log_info("priority 0: %d of %d, priority 1: %d", model.in_time(0), alone.in_time(0),
                 model.in_time(1));
     cr_assert(model.in_time(0) * 10 >= alone.in_time(0) * 9);
     cr_assert(model.in_time(1) > 0, "the room that is left is used");
@@ -81,7 +81,7 @@
     model.offer(0.6 * full_rate(cores), seconds(5), 0, false);
     model.offer(3 * full_rate(cores), seconds(5), 0, true);
     model.run(seconds(9));
-    cr_log_warn("within share: %d of %d, beyond: %d", model.in_time(0, false), offered,
+    cr_log_info("within share: %d of %d, beyond: %d", model.in_time(0, false), offered,
                 model.in_time(0, true));
     cr_assert(model.in_time(0, false) * 10 >= offered * 9);
 }
@@ -101,7 +101,7 @@
     const std::chrono::duration<double> bound(older_core_s / (aging_share * 0.9 * cores));
     const instant latest = model.now() + std::chrono::duration_cast<duration>(bound);
     model.run(seconds(53));
-    cr_log_warn("last start %lld ms before the bound of %.1f s",
+    cr_log_info("last start %lld ms before the bound of %.1f s",
                 static_cast<long long>(to_ms(latest - model.last_start(1))), bound.count());
     cr_assert(bound < seconds(45), "the work arrives for longer than the bound");
     cr_assert(model.last_start(1) <= latest);
