Leave a third of the fleet to lower priorities that are on time

A burst of urgent work took every VM beyond the base tier: a pool of priority 1 fell from 253 to 32 servers within two seconds while 8,480 cores of its work waited on time, and the VMs spent those seconds draining and moving.

--- a/include/citronford/vm_division.h
+++ b/include/citronford/vm_division.h
@@ -37,11 +37,13 @@
     std::array<std::int64_t, need_tier_count> by_tier{};
 };
 
-/// Divides `available` VMs between pools, tier by tier. When a tier needs more than what is left,
-/// each pool gets a part in proportion to its need in the tier; of equal remainders, that of the
-/// pool that has more VMs goes first, then the one whose name comes first. The result is in the
-/// order of `claims` and does not depend on it; names are unique. VMs that no tier needs are in no
-/// part. A negative `available` counts as zero, and a need is at most `available`.
+/// Divides `available` VMs between pools, tier by tier. Of what the base tier leaves, urgent work
+/// leaves a third to lower priorities that are on time, as far as they need it. When a tier needs
+/// more than what is left, each pool gets a part in proportion to its need in the tier; of equal
+/// remainders, that of the pool that has more VMs goes first, then the one whose name comes first.
+/// The result is in the order of `claims` and does not depend on it; names are unique. VMs that no
+/// tier needs are in no part. A negative `available` counts as zero, and a need is at most
+/// `available`.
 std::vector<vm_part> divide_vms(std::span<const vm_claim> claims, std::int64_t available);
 
 } // namespace citronford
--- a/src/decide/maintenance/vm_division.cpp
+++ b/src/decide/maintenance/vm_division.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <tuple>
 
 namespace citronford {
@@ -17,6 +18,34 @@
                                                   : static_cast<std::int64_t>(std::ceil(need));
 }
 
+std::size_t index_of(need_tier tier) {
+    return static_cast<std::size_t>(tier);
+}
+
+/// The needs of all pools in one tier.
+std::vector<std::int64_t> tier_needs(std::span<const vm_claim> claims, std::size_t tier,
+                                     std::int64_t fleet) {
+    std::vector<std::int64_t> needs;
+    for (const vm_claim& claim : claims) {
+        needs.push_back(whole_vms(claim.needs[tier], fleet));
+    }
+    return needs;
+}
+
+std::int64_t sum_of(std::span<const std::int64_t> needs) {
+    return std::accumulate(needs.begin(), needs.end(), std::int64_t{0});
+}
+
+/// VMs that urgent work leaves to work of lower priorities that is on time: as many as that needs,
+/// but at most a third of `left`. Without it, a long urgent burst would starve the lower
+/// priorities.
+std::int64_t guaranteed_vms(std::span<const vm_claim> claims, std::int64_t fleet,
+                            std::int64_t left) {
+    constexpr std::int64_t guaranteed_part = 3;
+    const std::int64_t needed = sum_of(tier_needs(claims, index_of(need_tier::on_time), fleet));
+    return std::min(needed, left / guaranteed_part);
+}
+
 /// A pool in a tier that cannot be served in full.
 struct scarce_part {
     std::size_t index = 0; ///< Of the claim.
@@ -57,17 +86,19 @@
     for (const vm_claim& claim : claims) {
         parts.push_back({claim.pool, 0, {}});
     }
-    std::int64_t left = std::max<std::int64_t>(available, 0);
+    const std::int64_t fleet = std::max<std::int64_t>(available, 0);
+    std::int64_t left = fleet;
     for (std::size_t tier = 0; tier < need_tier_count && left > 0; ++tier) {
-        std::vector<std::int64_t> needs;
-        std::int64_t total = 0;
-        for (const vm_claim& claim : claims) {
-            needs.push_back(whole_vms(claim.needs[tier], std::max<std::int64_t>(available, 0)));
-            total += needs.back();
+        const std::vector<std::int64_t> needs = tier_needs(claims, tier, fleet);
+        const std::int64_t total = sum_of(needs);
+        std::int64_t budget = left;
+        if (tier == index_of(need_tier::urgent)) {
+            budget -= guaranteed_vms(claims, fleet, left);
         }
-        if (total > left) {
-            divide_scarce(claims, needs, total, left, tier, parts);
-            break;
+        if (total > budget) {
+            divide_scarce(claims, needs, total, budget, tier, parts);
+            left -= budget;
+            continue;
         }
         for (std::size_t index = 0; index < claims.size(); ++index) {
             parts[index].by_tier[tier] = needs[index];
--- a/tests/vm_division_test.cpp
+++ b/tests/vm_division_test.cpp
@@ -59,6 +59,19 @@
     cr_assert(parts[0].by_tier[3] == 13);
 }
 
+// Guards against lower priorities that starve: an urgent burst that needs the whole fleet beside
+// 250 servers of on-time work of a lower priority.
+Test(vm_division, leaves_a_third_to_lower_priorities_on_time) {
+    const std::vector claims = {claim_of("lower", {30, 0, 250, 0, 0}, 220),
+                                claim_of("urgent", {19, 400, 0, 0, 0}, 60)};
+    const std::vector<vm_part> parts = divide_vms(claims, 349);
+    cr_assert(parts[0].by_tier[2] == 100, "%ld", parts[0].by_tier[2]);
+    cr_assert(parts[1].by_tier[1] == 200, "%ld", parts[1].by_tier[1]);
+    const std::vector few = {claim_of("lower", {30, 0, 10, 0, 0}, 220),
+                             claim_of("urgent", {19, 400, 0, 0, 0}, 60)};
+    cr_assert(divide_vms(few, 349)[0].by_tier[2] == 10);
+}
+
 // Guards against a pool that gets nothing in a tier because another needs more.
 Test(vm_division, divides_a_scarce_tier_in_proportion) {
     const std::vector claims = {claim_of("a", {0, 300, 0, 0, 0}), claim_of("b", {0, 100, 0, 0, 0})};
