--- a/src/decide/maintenance/pool_demand.cpp
+++ b/src/decide/maintenance/pool_demand.cpp
@@ -39,8 +39,9 @@
 /// Highest factor for a trend over two long windows.
 constexpr double max_trend = 1.3;
 
-/// Factor on the expected work, since tasks do not fill servers exactly.
-constexpr double headroom = 1.15;
+/// Factor on the expected work: large tasks do not fill servers exactly, and memory can run out
+/// before the cores do.
+constexpr double headroom = 1.3;
 
 /// Shares of the waiting tasks that new servers should be able to start at once; the rest start
 /// when running tasks end. Work that is worth little to its caller takes fewer VMs for longer.
