--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -48,6 +48,9 @@
     using task_run = dispatch::task_run;
     using backend_entry = dispatch::backend_entry;
     using pool_state = dispatch::pool_state;
+    using server_availability = dispatch::server_availability;
+    using token_bucket = dispatch::token_bucket;
+    using unknown_state = dispatch::unknown_state;
 
     struct run_context {
         implementation& impl;
@@ -87,26 +90,6 @@
     };
     struct candidate;
     struct placement_pass;
-    /// Servers of one pool, by what keeps them from new tasks.
-    struct server_availability {
-        std::int64_t open = 0;
-        std::int64_t quarantined = 0;
-        std::int64_t in_backoff = 0;      ///< After a refused start.
-        std::int64_t out_of_contact = 0;  ///< The last call failed, or none was answered yet.
-        std::int64_t withdrawn = 0;       ///< Leaving, draining, unregistered or in a removed zone.
-        std::int64_t free_millicores = 0; ///< Of the open ones.
-    };
-    /// What servers that have not answered yet may hold of an earlier owner.
-    struct unknown_state {
-        bool runs = false;
-        bool completions = false;
-    };
-    /// Detects when a team submits more than `weight` workflows a second. Used without fair shares.
-    struct token_bucket {
-        double tokens = 0;
-        instant refilled_at{};
-    };
-
     /// What is known of the pace of servers and runs.
     struct pace_state {
         server_pace servers;
--- a/src/decide/dispatch/pool_state.h
+++ b/src/decide/dispatch/pool_state.h
@@ -25,6 +25,22 @@
     instant calm_at = instant::min(); ///< Last report in which the pool was not under pressure.
 };
 
+/// Servers of one pool, by what keeps them from new tasks.
+struct server_availability {
+    std::int64_t open = 0;
+    std::int64_t quarantined = 0;
+    std::int64_t in_backoff = 0;      ///< After a refused start.
+    std::int64_t out_of_contact = 0;  ///< The last call failed, or none was answered yet.
+    std::int64_t withdrawn = 0;       ///< Leaving, draining, unregistered or in a removed zone.
+    std::int64_t free_millicores = 0; ///< Of the open ones.
+};
+
+/// What servers that have not answered yet may hold of an earlier owner.
+struct unknown_state {
+    bool runs = false;
+    bool completions = false;
+};
+
 /// State of one pool.
 struct pool_state {
     pool_id name;
--- a/src/decide/dispatch/team_share.h
+++ b/src/decide/dispatch/team_share.h
@@ -10,6 +10,12 @@
 
 namespace citronford::dispatch {
 
+/// Detects when a team submits more than `weight` workflows a second. Used without fair shares.
+struct token_bucket {
+    double tokens = 0;
+    instant refilled_at{};
+};
+
 struct workflow_entry;
 
 /// A workflow with waiting tasks of a team.
