--- a/include/citronford/overload_order.h
+++ b/include/citronford/overload_order.h
@@ -66,13 +66,11 @@
 ///
 /// Places: aged work, then in time, deferred, late, expired.
 /// - In time: the work that can be done before its latest starts at 75% of the cores of the pool,
-/// and at
-///   0.9 times that while there is work to be aged.
-///   Where the work up to a latest start exceeds that, work is left out: that of teams beyond their
-///   share before that of others, a lower priority before a higher one, and within a priority the
-///   work whose miss costs least for each remaining core-second. The cost is the value less the
-///   fifth of it that late work is still worth. Order: teams within their share first, then by
-///   latest start.
+///   and at 0.9 times that while there is work to be aged. Where the work up to a latest start
+///   exceeds that, work is left out: that of teams beyond their share before that of others, a
+///   lower priority before a higher one, and within a priority the work whose miss costs least for
+///   each remaining core-second. The cost is the value less the fifth of it that late work is still
+///   worth. Order: teams within their share first, then by latest start.
 /// - Deferred and late: within their share first, then by priority, then by value for each
 ///   remaining core-second. Late work that the pool cannot end in its useful time comes after the
 ///   other late work.
--- a/src/decide/overload/overload_order.cpp
+++ b/src/decide/overload/overload_order.cpp
@@ -10,9 +10,7 @@
 namespace {
 
 /// Part of the cores that is counted on for selected work. Tasks of 3 to 13 cores on servers of 32
-/// or 64 leave 3 to 19 in a hundred unused, and run times differ from the estimates. Chosen: with
-/// 0.7 to 0.85, the model in overload_order_test serves 141 to 154 workflows in time, without
-/// trend.
+/// or 64 leave 3 to 19 in a hundred unused, and run times differ from the estimates.
 constexpr double usable_share = 0.75;
 /// Part of its value that work is worth between its objective and the end of its useful time.
 constexpr double late_worth = 0.2;
