--- a/include/citronford/server_pace.h
+++ b/include/citronford/server_pace.h
@@ -65,9 +65,8 @@
     double slow_factor = 3;
     /// Added to the limit, for the time between the end of a task and the owner's view of it.
     duration tolerance = milliseconds(500);
-    /// Slow runs, less the normal ones, that make a server slow. Three called 9 of 400 sound
-    /// servers slow in 30 s with three heavy tasks in a hundred
-    /// (takes_no_heavy_tail_for_a_slow_server).
+    /// Slow runs, less the normal ones, that make a server slow. With three, heavy-tailed work
+    /// makes sound servers count as slow.
     int slow_runs = 4;
     /// Highest count of evidence, so that a server that recovers is sound after as many runs.
     int max_evidence = 5;
--- a/src/decide/dispatch/dispatcher_order.cpp
+++ b/src/decide/dispatch/dispatcher_order.cpp
@@ -21,7 +21,7 @@
 
 /// Estimated work of one task; zero for a long-running one.
 double core_seconds_of(const workflow_step& step) {
-    // For a step without an estimate; about that of the shortest tasks of the deployments.
+    // For a step without an estimate: short work, so that it is not put back for long.
     constexpr milliseconds default_estimate{500};
     const milliseconds estimate =
         step.estimate > milliseconds::zero() ? step.estimate : default_estimate;
