Log what bounds a lost run and what noticed a restart of a server

run_lost says whether the lease or a reply ended the run; backend_contact silent has the ages of the bounds; backend_restarted names poll or registration and the starts sent since the last reply; backend_clock_mismatch shows a start that was answered by another process than the one polled; unseen_runs_given_up shows a task started after a takeover although servers were never read. No logic changes; the lease functions move to dispatcher_leases.cpp.

--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -170,9 +170,12 @@
             complete = false;
             break;
         }
-        started.push_back(
-            &add_run(*item.workflow, *item.occurrence, item.step, index,
-                     definition.gang ? number : item.workflow->next_run_number(record), *server));
+        const bool follows_unknown_runs = item.workflow->may_have_unknown_run(record);
+        task_run& run =
+            add_run(*item.workflow, *item.occurrence, item.step, index,
+                    definition.gang ? number : item.workflow->next_run_number(record), *server);
+        run.follows_unknown_runs = follows_unknown_runs;
+        started.push_back(&run);
         pass.servers.reorder(*server);
     }
     const bool partial_gang =
--- a/src/decide/dispatch/dispatcher_polling.cpp
+++ b/src/decide/dispatch/dispatcher_polling.cpp
@@ -1,4 +1,5 @@
 #include "decide/dispatch/dispatcher_state.h"
+#include "decide/dispatch/lease_time.h"
 
 #include "citronford/overloaded.h"
 
@@ -9,21 +10,6 @@
 
 using namespace dispatch;
 
-namespace {
-
-/// Clocks of servers may be 2% slow; 1% is added as a margin.
-constexpr double slowest_clock = 1.03;
-
-/// Covers the time between computing a lease and its arrival at the server, and rounding.
-constexpr duration lease_margin = milliseconds(100);
-
-/// Longest local time in which a server's clock can advance by `span`.
-duration max_local_duration(duration span) {
-    return std::chrono::duration_cast<duration>(span * slowest_clock) + lease_margin;
-}
-
-} // namespace
-
 absl::StatusOr<dispatcher::implementation::contact_machine>
 dispatcher::implementation::bind_contacts(const chart& life_cycle) {
     static constexpr contact_machine::action actions[] = {
@@ -39,9 +25,7 @@
     contact_context context{*this, server};
     contact_machine_.step(server.contact, context, event);
     if (server.contact != before) {
-        log("backend_contact", {}, server.registration.id,
-            std::string(contact_machine_.name_of(server.contact)) +
-                " runs=" + std::to_string(server.runs.size()));
+        log_contact(server);
         server.pool->placement_due = true;
         update_watch_lists(server);
     }
@@ -76,21 +60,6 @@
     }
 }
 
-void dispatcher::implementation::update_clock(backend_entry& server, backend_clock_ms clock) const {
-    if (!server.clock || clock >= server.clock->clock) {
-        server.clock = clock_reading{clock, now_};
-    }
-}
-
-backend_clock_ms dispatcher::implementation::extend_lease(backend_entry& server) const {
-    const duration age = now_ - server.clock->read_at;
-    // A server clock that is 2% slow has advanced less than `age` since it was read, which makes
-    // the lease longer by 1/50 of `age`.
-    server.leases_expire_by =
-        std::max(server.leases_expire_by, now_ + max_local_duration(options_.lease + age / 50));
-    return server.clock->clock + to_ms(age + options_.lease);
-}
-
 void dispatcher::implementation::process(const poll_answered& input) {
     const auto found = servers_.find(input.backend);
     if (found == servers_.end()) {
@@ -122,8 +91,7 @@
 void dispatcher::implementation::process_poll_reply(backend_entry& server, poll_reply reply) {
     if (reply.process_start_unix_ms != server.process_start_unix_ms) {
         if (server.process_start_unix_ms != 0) {
-            log("backend_restarted", {}, server.registration.id,
-                std::to_string(server.runs.size()) + " runs");
+            log_restart(server, "poll");
             // Leases computed for the earlier incarnation may have reached the new one.
             server.leases_expire_by = now_ + max_local_duration(options_.max_lease);
         }
@@ -339,10 +307,6 @@
         send_poll{{server.registration.id, server.registration.address}, request});
 }
 
-instant dispatcher::implementation::previous_leases_end() const {
-    return ownership_began_at_ + options_.previous_owner_grace + max_local_duration(options_.lease);
-}
-
 void dispatcher::implementation::update_contacts() {
     std::vector<backend_entry*> unsettled;
     for (const auto& [id, server] : unsettled_) {
--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -85,7 +85,11 @@
              }
          }},
         {"record_loss",
-         [](run_context& context, const run_event&) { context.run.outcome = run_lost{}; }},
+         [](run_context& context, const run_event& event) {
+             const bool expired = std::holds_alternative<lease_expired>(event);
+             context.run.outcome =
+                 run_lost{expired ? loss_cause::lease_expired : loss_cause::not_reported};
+         }},
     };
     return run_machine::create(life_cycle, guards, actions);
 }
@@ -197,12 +201,14 @@
         overloaded{
             [&](const run_ended& end) { apply_completion(location, key, number, server, end); },
             [&](const run_not_started&) { ++counts_.starts_refused; },
-            [&](const run_lost&) {
+            [&](const run_lost& loss) {
                 ++counts_.runs_lost;
                 if (!location.workflow->is_ended()) {
                     log("run_lost", key.job, server.registration.id,
                         "task=" + std::to_string(key.step) + "." + std::to_string(key.index) +
-                            " run=" + std::to_string(number));
+                            " run=" + std::to_string(number) + " cause=" +
+                            (loss.cause == loss_cause::lease_expired ? "lease_expired"
+                                                                     : "not_reported"));
                     stop_gang(location, key.step);
                 }
             },
@@ -296,6 +302,9 @@
 void dispatcher::implementation::emit_start(task_run& run) {
     ++counts_.starts;
     task_record& record = record_of(run);
+    if (run.follows_unknown_runs) {
+        log_unseen_runs(run);
+    }
     record.run_seen = true;
     note_start(run, !record.checkpoint.empty());
     effects_.emplace_back(
@@ -319,6 +328,7 @@
     backend_entry& server = *run.server;
     std::visit(overloaded{
                    [&](const command_accepted& done) {
+                       check_clock(server, run, done.clock);
                        update_clock(server, done.clock);
                        process_run_event(run, start_accepted{});
                    },
--- a/src/decide/dispatch/dispatcher_servers.cpp
+++ b/src/decide/dispatch/dispatcher_servers.cpp
@@ -25,6 +25,7 @@
                            registration.process_start_unix_ms != 0 &&
                            registration.process_start_unix_ms != backend->process_start_unix_ms;
     if (restarted) {
+        log_restart(*backend, "registration");
         // The clock and the completion numbers restart with the process: start nothing on the
         // server until a poll has confirmed the new incarnation.
         backend->incarnation_confirmed = false;
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -29,6 +29,7 @@
 /// - dispatcher.cpp: workflows, their saving, and the tick
 /// - dispatcher_servers.cpp: which servers there are
 /// - dispatcher_polling.cpp: the contact with servers
+/// - dispatcher_leases.cpp: clocks, leases and restarts of servers
 /// - dispatcher_takeover.cpp: the recovery when an ownership begins
 /// - dispatcher_placement.cpp: which tasks to start where
 /// - dispatcher_order.cpp: in which order, with `dispatch_options::overload_order`
@@ -270,6 +271,17 @@
     void mark_contact_failed(backend_entry& server);
     void expire_runs(backend_entry& server);
     void update_clock(backend_entry& server, backend_clock_ms clock) const;
+    /// Logs that another process answers under the identifier of the server.
+    void log_restart(const backend_entry& server, std::string_view noticed_by);
+    void log_contact(const backend_entry& server);
+    /// Whether a reply with this time comes from another process than the one whose clock is known.
+    /// The clock of a new process may show an earlier or a later time.
+    [[nodiscard]] bool shows_restart(const backend_entry& server, backend_clock_ms clock) const;
+    /// Logs that a start was answered by another process than the one that was polled last.
+    void check_clock(const backend_entry& server, const task_run& run, backend_clock_ms clock);
+    /// Logs that a task is started although a server that was never read may have run it under an
+    /// earlier owner.
+    void log_unseen_runs(const task_run& run);
     [[nodiscard]] backend_clock_ms extend_lease(backend_entry& server) const;
     void process_poll_reply(backend_entry& server, poll_reply view);
     /// Returns false when some completions of the reply are to be applied later.
--- a/src/decide/dispatch/task_run.h
+++ b/src/decide/dispatch/task_run.h
@@ -22,8 +22,11 @@
 };
 /// The server did not start the run.
 struct run_not_started {};
+enum class loss_cause { not_reported, lease_expired };
 /// The run is over and its completion is not known.
-struct run_lost {};
+struct run_lost {
+    loss_cause cause = loss_cause::not_reported;
+};
 
 using run_outcome = std::variant<run_lost, run_not_started, run_ended>;
 
@@ -45,6 +48,7 @@
     instant first_seen_at = instant::max();  ///< First report that the run exists.
     std::optional<instant> stop_accepted_at; ///< When the server accepted the stop.
     std::optional<instant> stop_retry_at;    ///< When to send an unconfirmed stop again.
+    bool follows_unknown_runs = false;       ///< An earlier owner may have started the task unseen.
     int percent = 0;                         ///< As reported; zero before the first report.
     std::int64_t load = 0;
     bool in_last_reply = false; ///< Of its server; set during reconciliation.
