Test leases that a restarted server holds longer than meant (fails)

Four cases fail on this code: a next owner starts a task 7.5 s after it began, and an owner starts it 4.8 s after a start that was lost, answered by another process, or answered after the restart was registered. In each, a new process under the same identifier may run the task for the longest lease of 10 s.

--- /dev/null
+++ b/tests/restarted_server_test.cpp
@@ -0,0 +1,116 @@
+#include "dispatch_fixture.h"
+
+#include <algorithm>
+
+using namespace citronford;
+
+namespace {
+
+constexpr std::int64_t former_process = 7;
+constexpr std::int64_t new_process = 8;
+constexpr backend_clock_ms former_clock = 500000;
+constexpr duration longest_lease = seconds(10);
+/// The longest lease on a clock that is 2% slow, with the time of a call under way.
+constexpr duration longest_lease_end = milliseconds(10800);
+/// Ordinary leases have ended long before.
+constexpr duration before_longest_lease_end = milliseconds(9900);
+
+dispatch_options options() {
+    dispatch_options values;
+    values.max_lease = longest_lease;
+    return values;
+}
+
+/// Two servers, and a task whose start went to `first`.
+struct restart_fixture : dispatch_fixture {
+    restart_fixture() : dispatch_fixture(options()) {
+        register_process(first, former_process);
+        add_workflow(job, false);
+        finish_loading();
+        tick();
+        answer(first, former_process, former_clock);
+        tick();
+        cr_assert(starts.size() == 1 && starts.front().to.id == first);
+        register_process(second, former_process);
+    }
+
+    void register_process(const backend_id& id, std::int64_t process_start) {
+        backend_registration registration;
+        registration.id = id;
+        registration.pool = pool;
+        registration.capacity = {4000, 4000, 0};
+        registration.process_start_unix_ms = process_start;
+        handle(backend_registered{registration});
+    }
+
+    void answer(const backend_id& id, std::int64_t process_start, backend_clock_ms clock) {
+        handle(poll_answered{id, poll_reply{clock, process_start, {}, {}}});
+    }
+
+    /// `first` answers no more; `second` is in contact all the time.
+    void pass_without_first(duration time) {
+        constexpr duration step = milliseconds(100);
+        for (duration passed{}; passed < time; passed += step) {
+            answer(second, former_process, former_clock + to_ms(now.time_since_epoch()));
+            tick(step);
+            handle(poll_answered{first, backend_unreachable{}});
+        }
+    }
+
+    [[nodiscard]] bool started_again() const {
+        return std::ranges::any_of(starts, [](const send_start& start) {
+            return start.to.id == second && start.command.task.index == 0;
+        });
+    }
+};
+
+} // namespace
+
+Test(restarted_server, next_owner_starts_no_task_while_a_lease_given_to_a_new_process_may_last) {
+    dispatch_fixture fixture(options());
+    fixture.register_backend(first);
+    fixture.register_backend(second);
+    fixture.add_workflow(job, true);
+    fixture.finish_loading();
+    const instant longest_end =
+        fixture.now + dispatch_options().previous_owner_grace + before_longest_lease_end;
+    while (fixture.now < longest_end) {
+        fixture.handle(poll_answered{second, backend_unreachable{}});
+        fixture.answer_poll(first, {}, {});
+        fixture.tick(milliseconds(100));
+        cr_assert(fixture.starts.empty(), "started after %lld ms",
+                  static_cast<long long>(to_ms(fixture.now - longest_end)));
+    }
+    fixture.tick(seconds(1));
+    fixture.answer_poll(first, {}, {});
+    fixture.tick();
+    cr_assert(fixture.starts.size() == 1, "not started after the longest lease");
+}
+
+Test(restarted_server, start_in_doubt_holds_its_task_for_the_longest_lease) {
+    restart_fixture fixture;
+    fixture.handle(start_answered{fixture.starts.front().run, command_in_doubt{}});
+    fixture.pass_without_first(before_longest_lease_end);
+    cr_assert(!fixture.started_again(), "a new process may run the task");
+    fixture.pass_without_first(longest_lease_end - before_longest_lease_end);
+    cr_assert(fixture.started_again());
+}
+
+Test(restarted_server, start_answered_by_a_new_process_holds_its_task_for_the_longest_lease) {
+    restart_fixture fixture;
+    fixture.handle(start_answered{fixture.starts.front().run, command_accepted{1000}});
+    fixture.pass_without_first(before_longest_lease_end);
+    cr_assert(!fixture.started_again(), "the new process runs the task");
+    fixture.pass_without_first(longest_lease_end - before_longest_lease_end);
+    cr_assert(fixture.started_again());
+}
+
+Test(restarted_server, start_answered_after_the_restart_was_registered_holds_its_task) {
+    restart_fixture fixture;
+    fixture.register_process(first, new_process);
+    fixture.handle(start_answered{fixture.starts.front().run, command_accepted{1000}});
+    fixture.pass_without_first(before_longest_lease_end);
+    cr_assert(!fixture.started_again(), "the new process runs the task");
+    fixture.pass_without_first(longest_lease_end - before_longest_lease_end);
+    cr_assert(fixture.started_again());
+}
