Name the process of the server in starts and polls

Preparation: leases, acknowledgements and starts say which process of the server they were computed for, and an answer that is lost says whether it can have reached another one. Nothing reads these fields yet.

--- a/include/citronford/backend_link.h
+++ b/include/citronford/backend_link.h
@@ -20,6 +20,11 @@
 /// Milliseconds on the steady clock of one backend server.
 using backend_clock_ms = std::int64_t;
 
+/// Start of a process of a backend server, by its time of day. A server that restarts keeps its
+/// identifier, so this tells its processes apart.
+using process_start_ms = std::int64_t;
+inline constexpr process_start_ms unknown_process = 0;
+
 /// Destination of a request to a backend server.
 struct backend_address {
     backend_id id; ///< Another incarnation of the VM at the same address refuses the request.
@@ -35,6 +40,8 @@
     fencing_token token = 0;
     std::string_view checkpoint; ///< Last checkpoint of the earlier runs; empty when there is none.
     std::string_view ticket;     ///< Permit from the advice service; empty when none is needed.
+    /// Process for whose clock the lease is computed.
+    process_start_ms process = unknown_process;
 };
 
 struct stop_command {
@@ -51,6 +58,10 @@
 };
 
 /// Renews the lease of all runs on a server and asks for its running tasks and completions.
+///
+/// Only the process that the sender has polled may get the lease and the acknowledgement: a new one
+/// has another clock and numbers its completions anew. On a connection that is not known to lead to
+/// `process`, the poll is sent without lease, acknowledgement and delay.
 struct poll_request {
     fencing_token token = 0;
     std::optional<backend_clock_ms> lease_until; ///< Absent: the lease is not renewed.
@@ -58,6 +69,8 @@
     std::uint64_t acknowledged_completion = 0;
     /// The server delays its reply until a task ends, at most for this time.
     duration max_wait{};
+    /// Process to which the lease and the acknowledgement apply.
+    process_start_ms process = unknown_process;
 };
 
 struct running_task {
@@ -105,7 +118,11 @@
 /// No byte was sent.
 struct backend_unreachable {};
 /// The request may have been executed, or may still be executed seconds later.
-struct command_in_doubt {};
+struct command_in_doubt {
+    /// The connection is known to lead to the process that the command names, so no later process
+    /// of the server has received it.
+    bool process_known = false;
+};
 
 using command_result = std::variant<command_accepted, command_refused, backend_replaced,
                                     backend_unreachable, command_in_doubt>;
--- a/src/decide/dispatch/dispatcher_polling.cpp
+++ b/src/decide/dispatch/dispatcher_polling.cpp
@@ -293,6 +293,7 @@
                            server.pool->recovered && (!server.runs.empty() || server.has_strays);
     poll_request request;
     request.token = options_.token;
+    request.process = server.process_start_unix_ms;
     request.acknowledged_completion = server.incarnation_confirmed ? server.completions.saved() : 0;
     request.max_wait = long_poll ? longest_poll(server) : duration::zero();
     // An incarnation that was not seen yet has another clock, by which the lease could be too long.
--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -316,7 +316,8 @@
                     extend_lease(*run.server),
                     options_.token,
                     record.checkpoint,
-                    {}}});
+                    {},
+                    run.server->process_start_unix_ms}});
 }
 
 void dispatcher::implementation::process(const start_answered& input) {
