Next owner: wait for the longest lease on servers that it cannot read

Callers saw tasks run twice after servers had restarted under their identifiers and the owner died. An owner that has just lost contact may give a lease to a new process by the clock of the former one; the server then cuts it to the longest lease, 10 s on the deployment concerned. The owner that sent it allows for that, the next one reckoned with the ordinary lease of 4.2 s and started the tasks of unread servers again 7.8 s after it began. Evidence: unseen_runs_given_up with ownership_age_ms=7836, then the first runs lapse 10.1 s after their start.

A next owner cannot know which clock a lease was computed for, so it now reckons with the longest lease and the time of a command under way. Tasks wait longer only while a server of their pool has not answered.

--- a/src/decide/dispatch/dispatcher_leases.cpp
+++ b/src/decide/dispatch/dispatcher_leases.cpp
@@ -33,7 +33,13 @@
 }
 
 instant dispatcher::implementation::previous_leases_end() const {
-    return ownership_began_at_ + options_.previous_owner_grace + max_local_duration(options_.lease);
+    // An earlier owner may have given a lease to a process that began after its last poll, by the
+    // clock of the process before: only the server limits such a lease.
+    return ownership_began_at_ + options_.previous_owner_grace + longest_lease();
+}
+
+duration dispatcher::implementation::longest_lease() const {
+    return options_.command_timeout + max_local_duration(options_.max_lease);
 }
 
 void dispatcher::implementation::log_restart(const backend_entry& server,
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -313,7 +313,11 @@
     [[nodiscard]] bool on_last_attempt(const workflow_entry& entry, const workflow_step& step,
                                        const task_record& record) const;
     void estimate_unknown_usage();
+    /// When all leases have ended that an earlier owner may have given.
     [[nodiscard]] instant previous_leases_end() const;
+    /// How long a lease may last that was computed for an earlier process of its server, from the
+    /// sending of the command.
+    [[nodiscard]] duration longest_lease() const;
 
     // Placement.
     void place_tasks();
--- a/src/node/fleet/dispatch_driver.cpp
+++ b/src/node/fleet/dispatch_driver.cpp
@@ -19,10 +19,6 @@
 /// New work within this time is fetched in one batch.
 constexpr duration work_pause = milliseconds(20);
 
-/// Timeout of a command to a backend server. Servers answer within milliseconds. A command that is
-/// lost holds up its task until then; one that is only late costs a poll.
-constexpr duration command_timeout = milliseconds(300);
-
 /// Timeout of a poll, added to the time that the server may delay its reply.
 constexpr duration poll_timeout = milliseconds(300);
 
@@ -270,7 +266,7 @@
 
 void dispatch_driver::perform(const send_start& effect) {
     services_.backends.start(
-        effect.to, effect.command, command_timeout,
+        effect.to, effect.command, options_.command_timeout,
         [this, run = effect.run, alive = std::weak_ptr(alive_)](const command_result& result) {
             if (!alive.expired()) {
                 handle(start_answered{run, result});
@@ -280,7 +276,7 @@
 
 void dispatch_driver::perform(const send_stop& effect) {
     services_.backends.stop(
-        effect.to, effect.command, command_timeout,
+        effect.to, effect.command, options_.command_timeout,
         [this, run = effect.run, alive = std::weak_ptr(alive_)](const command_result& result) {
             if (!alive.expired()) {
                 handle(stop_answered{run, result});
