Send leases and acknowledgements only to the process they were computed for

A poll that has to open a connection may reach a new process under the same identifier: the opening is repeated by the kernel until the server is back. The new process took the lease, which its clock turned into the longest one (a run lapsed 10.1 s after its start instead of 4.2 s), and forgot its own completions up to the acknowledged number. The expected identifier in the header cannot tell the two processes apart, but a connection can: it ends with the process.

The HTTP client now notes which process answered on a connection. On one that is not known to lead to the process of the poll, the poll goes without lease, acknowledgement and delay; the next one, on the same connection, has them. A lost start says whether another process can have received it. Connections move to http_connection.cpp.

backend_client_test is new; its calls cannot be built on the code before.

--- a/include/citronford/backend_link.h
+++ b/include/citronford/backend_link.h
@@ -64,7 +64,7 @@
 /// `process`, the poll is sent without lease, acknowledgement and delay.
 struct poll_request {
     fencing_token token = 0;
-    std::optional<backend_clock_ms> lease_until; ///< Absent: the lease is not renewed.
+    std::optional<backend_clock_ms> lease_until{}; ///< Absent: the lease is not renewed.
     /// The server drops completions up to this number.
     std::uint64_t acknowledged_completion = 0;
     /// The server delays its reply until a task ends, at most for this time.
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -1,14 +1,11 @@
 #include "io/http_client.h"
 
+#include "io/http_connection.h"
 #include "io/http_reply_reader.h"
 #include "io/log.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <array>
-#include <cerrno>
-#include <deque>
 #include <map>
 #include <utility>
 
@@ -20,35 +17,10 @@
     return found == headers.end() ? std::string_view() : std::string_view(found->second);
 }
 
-namespace {
-
-struct open_call;
-
-/// A connection to an endpoint. It is freed when the loop has closed its socket.
-struct connection {
-    uv_tcp_t socket{};
-    uv_connect_t connecting{};
-    uv_write_t writing{};
-    open_call* call = nullptr; ///< Null while the connection is idle or closing.
-    http_client::implementation* owner = nullptr;
-    std::uint64_t generation = 0; ///< Of the endpoint when the connection was opened.
-    bool is_writing = false;      ///< The socket still refers to the request of its call.
-    instant idle_since;
-
-    [[nodiscard]] uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&socket); }
-    [[nodiscard]] uv_handle_t* handle() { return reinterpret_cast<uv_handle_t*>(&socket); }
-};
-
-/// The connections to one endpoint that calls share, and the calls that wait for one.
-struct shared_endpoint {
-    std::size_t active = 0;       ///< Calls that have a connection.
-    std::uint64_t generation = 0; ///< Connections of an earlier generation are not used again.
-    std::deque<open_call*> waiting;
-    std::deque<connection*> idle; ///< The most recently used one is the last.
-};
+using namespace http_detail;
 
 /// One call under way.
-struct open_call {
+struct http_detail::open_call {
     open_call(endpoint address, std::size_t reply_limit)
         : to(std::move(address)), reader(reply_limit) {}
 
@@ -56,14 +28,21 @@
     http_reply_reader reader;
     http_client::callback done;
     std::string request; ///< Head and body as sent.
+    /// Sent in place of `request` on a connection that may lead to another process than `peer`.
+    std::optional<std::string> request_for_unknown_peer;
+    peer_id peer = unknown_peer;
     bool is_connected = false;
+    instant sent_at{};
     timer_subscription timeout;
     http_client::implementation* owner = nullptr;
     shared_endpoint* shared = nullptr; ///< Null for a call with a connection of its own.
     connection* carrier = nullptr;     ///< Null while the call waits for a connection.
 };
 
-std::string serialized(const endpoint& to, const http_call& call, bool keep_alive) {
+namespace {
+
+std::string serialized(const endpoint& to, const http_call& call, std::string_view body,
+                       bool keep_alive) {
     std::string text;
     text += call.method;
     text += ' ';
@@ -72,7 +51,7 @@
     if (!keep_alive) {
         text += "\r\nconnection: close";
     }
-    text += "\r\ncontent-length: " + std::to_string(call.body.size());
+    text += "\r\ncontent-length: " + std::to_string(body.size());
     for (const auto& [name, value] : call.headers) {
         text += "\r\n";
         text += name;
@@ -80,40 +59,10 @@
         text += value;
     }
     text += "\r\n\r\n";
-    text += call.body;
+    text += body;
     return text;
 }
 
-/// Whether the peer has neither closed an idle connection nor sent anything on it.
-bool is_alive(const connection& idle) {
-    uv_os_fd_t descriptor = -1;
-    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&idle.socket), &descriptor) != 0) {
-        return false;
-    }
-    char byte = 0;
-    const ssize_t size = recv(descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
-void free_connection(uv_handle_t* handle) {
-    delete static_cast<connection*>(handle->data);
-}
-
-/// Closes a connection in the ordinary way.
-void close_connection(connection* closed) {
-    closed->call = nullptr;
-    uv_close(closed->handle(), free_connection);
-}
-
-/// Closes a connection and discards what has not been delivered. Bytes that a broken path holds up
-/// would otherwise arrive long after their call has failed.
-void reset_connection(connection* closed) {
-    closed->call = nullptr;
-    if (uv_tcp_close_reset(&closed->socket, free_connection) != 0) {
-        uv_close(closed->handle(), free_connection);
-    }
-}
-
 } // namespace
 
 struct http_client::implementation {
@@ -121,6 +70,7 @@
     timer_service& timers;
     http_client_options options;
     std::size_t open = 0;
+    std::uint64_t last_connection = 0;
     std::map<endpoint, std::unique_ptr<shared_endpoint>> endpoints;
     timer_subscription idle_check;
     bool is_checking_idle = false;
@@ -131,12 +81,6 @@
 
 namespace {
 
-void close_idle(shared_endpoint& shared) {
-    for (connection* idle : std::exchange(shared.idle, {})) {
-        close_connection(idle);
-    }
-}
-
 /// Closes the connections that have been idle for too long, and looks again later if any is left.
 void check_idle(http_client::implementation& owner) {
     const instant oldest = owner.timers.now() - owner.options.idle_timeout;
@@ -208,9 +152,13 @@
     owned->done(std::move(result));
 }
 
+bool leads_to_peer(const open_call& call) {
+    return call.peer != unknown_peer && call.carrier->peer == call.peer;
+}
+
 http_result result_without_reply(const open_call& call, bool refused) {
     if (call.is_connected) {
-        return http_lost{};
+        return http_lost{leads_to_peer(call)};
     }
     return http_unreachable{refused};
 }
@@ -229,14 +177,18 @@
     switch (state) {
     case http_reply_reader::state::incomplete:
         return;
-    case http_reply_reader::state::complete:
+    case http_reply_reader::state::complete: {
         uv_read_stop(call->carrier->stream());
-        finish(call, call->reader.take_reply());
+        http_reply reply = call->reader.take_reply();
+        reply.connection = call->carrier->id;
+        reply.sent_at = call->sent_at;
+        finish(call, std::move(reply));
         return;
+    }
     case http_reply_reader::state::malformed:
     case http_reply_reader::state::too_large:
         log_rejected(*call, state);
-        finish(call, http_lost{});
+        finish(call, result_without_reply(*call, false));
         return;
     }
 }
@@ -256,7 +208,7 @@
     } else if (size == UV_EOF && call->reader.end() == http_reply_reader::state::complete) {
         apply_state(call, http_reply_reader::state::complete);
     } else {
-        finish(call, http_lost{});
+        finish(call, result_without_reply(*call, false));
     }
 }
 
@@ -266,7 +218,7 @@
     carrier->is_writing = false;
     // A peer may answer and close before it has read all; what it sent is still to be read.
     if (call != nullptr && status != 0 && status != UV_EPIPE && status != UV_ECONNRESET) {
-        finish(call, http_lost{});
+        finish(call, result_without_reply(*call, false));
     }
 }
 
@@ -275,8 +227,11 @@
 bool send_request(open_call* call) {
     connection& carrier = *call->carrier;
     call->is_connected = true;
-    uv_buf_t buffer =
-        uv_buf_init(call->request.data(), static_cast<unsigned>(call->request.size()));
+    call->sent_at = call->owner->timers.now();
+    std::string& request = call->request_for_unknown_peer && !leads_to_peer(*call)
+                               ? *call->request_for_unknown_peer
+                               : call->request;
+    uv_buf_t buffer = uv_buf_init(request.data(), static_cast<unsigned>(request.size()));
     carrier.writing.data = &carrier;
     if (uv_read_start(carrier.stream(), provide_input, on_input) != 0) {
         return false;
@@ -286,14 +241,18 @@
 }
 
 void on_connected(uv_connect_t* connecting, int status) {
-    open_call* call = static_cast<connection*>(connecting->data)->call;
+    auto* carrier = static_cast<connection*>(connecting->data);
+    open_call* call = carrier->call;
     if (call == nullptr) {
         return;
     }
+    if (status == 0) {
+        carrier->opened_at = carrier->owner->timers.now();
+    }
     if (status != 0) {
         finish(call, result_without_reply(*call, true));
     } else if (!send_request(call)) {
-        finish(call, http_lost{});
+        finish(call, result_without_reply(*call, false));
     }
 }
 
@@ -303,7 +262,12 @@
     http_client::implementation& owner = *call->owner;
     auto* opened = new connection();
     opened->owner = &owner;
-    opened->generation = call->shared == nullptr ? 0 : call->shared->generation;
+    opened->id = ++owner.last_connection;
+    opened->shared = call->shared;
+    if (opened->shared != nullptr) {
+        opened->generation = opened->shared->generation;
+        opened->shared->open.push_back(opened);
+    }
     opened->call = call;
     opened->socket.data = opened;
     opened->connecting.data = opened;
@@ -320,26 +284,13 @@
         duration::zero(), [call](instant) { finish(call, result_without_reply(*call, false)); });
 }
 
-/// Takes the idle connection that was used last and is still open; null when there is none.
-connection* take_idle(shared_endpoint& shared) {
-    while (!shared.idle.empty()) {
-        connection* last = shared.idle.back();
-        shared.idle.pop_back();
-        if (is_alive(*last)) {
-            return last;
-        }
-        close_connection(last);
-    }
-    return nullptr;
-}
-
 /// Gives a connection to a call that has its turn.
 void start_call(open_call* call) {
     bool started = false;
     connection* idle = nullptr;
     if (call->shared != nullptr) {
         ++call->shared->active;
-        idle = take_idle(*call->shared);
+        idle = take_idle(*call->shared, call->peer);
     }
     if (idle != nullptr) {
         idle->call = call;
@@ -364,7 +315,7 @@
 } // namespace
 
 http_client::http_client(uv_loop_t* loop, timer_service& timers, http_client_options options)
-    : body_(new implementation{loop, timers, options, 0, {}, {}, false, {}, {}}) {}
+    : body_(new implementation{loop, timers, options, 0, 0, {}, {}, false, {}, {}}) {}
 
 http_client::~http_client() {
     // The loop still holds pointers to the connections and closes them only when the process ends.
@@ -375,7 +326,12 @@
     const bool shares = body_->options.connections_per_endpoint > 0;
     auto* call = new open_call(to, body_->options.reply_limit);
     call->done = std::move(done);
-    call->request = serialized(to, request, shares);
+    call->request = serialized(to, request, request.body, shares);
+    call->peer = request.peer;
+    if (request.body_for_unknown_peer) {
+        call->request_for_unknown_peer =
+            serialized(to, request, *request.body_for_unknown_peer, shares);
+    }
     call->owner = body_.get();
     ++body_->open;
     call->timeout = body_->timers.after(
@@ -393,6 +349,19 @@
     start_waiting(*body_, *shared);
 }
 
+void http_client::identify_peer(const endpoint& to, const http_reply& reply, peer_id peer) {
+    const auto shared = body_->endpoints.find(to);
+    if (shared == body_->endpoints.end()) {
+        return;
+    }
+    for (connection* open : shared->second->open) {
+        if (open->id == reply.connection ||
+            (open->opened_at && *open->opened_at <= reply.sent_at)) {
+            open->peer = peer;
+        }
+    }
+}
+
 std::size_t http_client::open_calls() const {
     return body_->open;
 }
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -7,8 +7,10 @@
 #include <uv.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -23,6 +25,8 @@
     int status = 0;
     std::vector<std::pair<std::string, std::string>> headers; ///< Names in lower case.
     std::string body;
+    std::uint64_t connection = 0; ///< Identifies the connection that carried the call.
+    instant sent_at{};            ///< When the request was written to the connection.
 
     /// The value of the header `name` (lower case); empty when absent.
     [[nodiscard]] std::string_view header(std::string_view name) const;
@@ -32,16 +36,26 @@
     bool refused = false; ///< The address refused the connection: no process listens there.
 };
 /// The request may have arrived; no whole response came within the timeout.
-struct http_lost {};
+struct http_lost {
+    bool peer_known = false; ///< It was sent on a connection that leads to the `peer` of the call.
+};
+
+/// Identifies one process at an endpoint, among those that run there one after the other.
+using peer_id = std::int64_t;
+inline constexpr peer_id unknown_peer = 0;
 
 using http_result = std::variant<http_reply, http_unreachable, http_lost>;
 
 struct http_call {
     std::string_view method = "GET";
     std::string_view path;
-    std::span<const std::pair<std::string_view, std::string_view>> headers;
+    std::span<const std::pair<std::string_view, std::string_view>> headers{};
     std::string_view body;
     duration timeout{};
+    /// The process for which `body` is meant, as passed to `identify_peer`.
+    peer_id peer = unknown_peer;
+    /// Sent in place of `body` on a connection that may lead to another process than `peer`.
+    std::optional<std::string_view> body_for_unknown_peer{};
 };
 
 struct http_client_options {
@@ -59,6 +73,9 @@
 /// call fails, so that an answer can only belong to the request that was sent on it. After a lost
 /// call, the idle connections to the same endpoint are not used again: one that has gone silent
 /// shows no error of its own.
+///
+/// A server process that restarts at the same endpoint takes over no connection of the process
+/// before, but may get calls that open one. A call that is meant for one process names it.
 class http_client {
   public:
     using callback = std::function<void(http_result)>;
@@ -74,6 +91,10 @@
     /// this call.
     void call(const endpoint& to, const http_call& request, callback done);
 
+    /// Notes that `reply`, which came from `to`, was sent by the process `peer`. All connections
+    /// that were open when its request was sent lead to that process, or to one that has ended.
+    void identify_peer(const endpoint& to, const http_reply& reply, peer_id peer);
+
     /// Calls under way.
     [[nodiscard]] std::size_t open_calls() const;
 
--- /dev/null
+++ b/tests/backend_client_test.cpp
@@ -0,0 +1,124 @@
+#include "test_support.h"
+
+#include "io/event_loop.h"
+#include "io/http_client.h"
+#include "io/http_server.h"
+#include "platform/backend_client.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace citronford;
+
+namespace {
+
+constexpr process_start_ms former_process = 7;
+constexpr process_start_ms new_process = 8;
+
+/// A backend server that can be restarted at its port, and a client of it.
+struct backend_fixture {
+    std::unique_ptr<event_loop> loop = *event_loop::create();
+    http_client calls{loop->handle(), *loop, {2}};
+    backend_client client{calls};
+    std::unique_ptr<http_server> server;
+    std::uint16_t port = 0;
+    std::vector<std::string> received;
+    std::vector<http_responder> held;
+
+    backend_fixture() { start(former_process); }
+
+    void start(process_start_ms process) {
+        server.reset();
+        held.clear();
+        auto created = http_server::create(
+            loop->handle(), {"127.0.0.1", port}, 1000,
+            [this, process](const http_request& request, const http_responder& responder) {
+                received.emplace_back(request.body);
+                if (request.body.find("WaitMs") != std::string::npos) {
+                    held.push_back(responder);
+                    return;
+                }
+                responder.send({200,
+                                {},
+                                R"({"ClockMs":1,"born":)" + std::to_string(process) +
+                                    R"(,"Running":[],"Ended":[]})"});
+            });
+        cr_assert(created.ok());
+        server = *std::move(created);
+        port = server->port();
+    }
+
+    [[nodiscard]] backend_address address() const {
+        return {backend_id("i-1"), {"127.0.0.1", port}};
+    }
+
+    void run_for(duration time) {
+        const auto end = loop->after(time, [this](instant) { loop->stop(); });
+        loop->run();
+    }
+
+    /// The result of a poll that renews the lease of `process`; nothing while it is held.
+    std::optional<poll_result> poll(process_start_ms process, duration max_wait = {}) {
+        std::optional<poll_result> answer;
+        client.poll(address(),
+                    {.token = 3,
+                     .lease_until = 5000,
+                     .acknowledged_completion = 12,
+                     .max_wait = max_wait,
+                     .process = process},
+                    milliseconds(100), [&](const poll_result& result) { answer = result; });
+        run_for(milliseconds(150));
+        return answer;
+    }
+
+    [[nodiscard]] bool last_poll_renewed_the_lease() const {
+        const std::string& body = received.back();
+        const bool renewed = body.find(R"("DeadlineMs":5000)") != std::string::npos;
+        const bool acknowledged = body.find(R"("SeenUpto":12)") != std::string::npos;
+        cr_assert(renewed == acknowledged, "%s", body.c_str());
+        return renewed;
+    }
+};
+
+} // namespace
+
+Test(backend_client, new_process_gets_neither_lease_nor_acknowledgement_of_the_former_one) {
+    backend_fixture backend;
+    backend.poll(former_process);
+    cr_assert(!backend.last_poll_renewed_the_lease(), "sent to a process that was not known");
+    backend.poll(former_process);
+    cr_assert(backend.last_poll_renewed_the_lease());
+    backend.server->close_after_answers();
+    backend.poll(former_process);
+    backend.start(new_process);
+    const auto answer = backend.poll(former_process);
+    cr_assert(answer && std::get<poll_reply>(*answer).process_start_unix_ms == new_process);
+    cr_assert(!backend.last_poll_renewed_the_lease());
+    backend.poll(new_process);
+    cr_assert(backend.last_poll_renewed_the_lease());
+}
+
+Test(backend_client, lost_start_says_whether_another_process_can_have_received_it) {
+    backend_fixture backend;
+    const auto lost_start = [&](process_start_ms process) {
+        std::optional<command_result> answer;
+        backend.client.start(backend.address(),
+                             {.task = {job_id("job"), 0, 0, 0},
+                              .run = 1,
+                              .payload = "WaitMs",
+                              .lease_until = 5000,
+                              .token = 3,
+                              .process = process},
+                             milliseconds(100),
+                             [&](const command_result& result) { answer = result; });
+        backend.run_for(milliseconds(150));
+        cr_assert(answer.has_value());
+        return std::get<command_in_doubt>(*answer).process_known;
+    };
+    backend.poll(former_process);
+    cr_assert(lost_start(former_process));
+    cr_assert(!lost_start(former_process), "the lost call has closed the known connections");
+    backend.poll(former_process);
+    cr_assert(!lost_start(new_process));
+}
