Owner: bound what a restarted server may run by the longest lease

A task could run twice without any takeover: an owner that had not yet seen a restart started tasks on the new process by the clock of the former one. When the server fell silent before it answered a poll, the owner counted the runs as lost by the ordinary lease, after 4.8 s, while the new process ran them for 10 s.

A start now counts as given for the longest lease when it is lost on a connection that may lead to another process, when its answer shows another clock, and when the restart is first seen in the registration. The clock in the answer to a command also shows the restart at once; before, a later clock was taken for that of the known process.

--- a/src/decide/dispatch/dispatcher_leases.cpp
+++ b/src/decide/dispatch/dispatcher_leases.cpp
@@ -78,14 +78,30 @@
     return clock < expected - tolerance || clock > expected + tolerance;
 }
 
-void dispatcher::implementation::check_clock(const backend_entry& server, const task_run& run,
-                                             backend_clock_ms clock) {
-    if (shows_restart(server, clock)) {
-        log("backend_clock_mismatch", run.workflow->row.id, server.registration.id,
-            "run=" + std::to_string(run.number) + " clock_ms=" + std::to_string(clock) +
+void dispatcher::implementation::process_command_clock(backend_entry& server,
+                                                       backend_clock_ms clock) {
+    if (server.clock && !shows_restart(server, clock)) {
+        update_clock(server, clock);
+        return;
+    }
+    if (server.clock) {
+        log("backend_clock_mismatch", {}, server.registration.id,
+            "clock_ms=" + std::to_string(clock) +
                 " last_clock_ms=" + std::to_string(server.clock->clock) +
                 " last_clock_ms_ago=" + age_text(now_, server.clock->read_at));
     }
+    forget_process(server);
+}
+
+void dispatcher::implementation::forget_process(backend_entry& server) {
+    server.incarnation_confirmed = false;
+    server.clock.reset();
+    server.next_poll_at = now_;
+    assume_longest_lease(server);
+}
+
+void dispatcher::implementation::assume_longest_lease(backend_entry& server) const {
+    server.leases_expire_by = std::max(server.leases_expire_by, now_ + longest_lease());
 }
 
 void dispatcher::implementation::log_unseen_runs(const task_run& run) {
--- a/src/decide/dispatch/dispatcher_polling.cpp
+++ b/src/decide/dispatch/dispatcher_polling.cpp
@@ -92,8 +92,8 @@
     if (reply.process_start_unix_ms != server.process_start_unix_ms) {
         if (server.process_start_unix_ms != 0) {
             log_restart(server, "poll");
-            // Leases computed for the earlier incarnation may have reached the new one.
-            server.leases_expire_by = now_ + max_local_duration(options_.max_lease);
+            // Starts for the earlier process may have reached the new one, or still will.
+            assume_longest_lease(server);
         }
         server.process_start_unix_ms = reply.process_start_unix_ms;
         server.completions = {};
--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -329,8 +329,7 @@
     backend_entry& server = *run.server;
     std::visit(overloaded{
                    [&](const command_accepted& done) {
-                       check_clock(server, run, done.clock);
-                       update_clock(server, done.clock);
+                       process_command_clock(server, done.clock);
                        process_run_event(run, start_accepted{});
                    },
                    [&](const command_refused& refused) {
@@ -355,7 +354,10 @@
                        process_run_event(run, start_refused{});
                        mark_contact_failed(server);
                    },
-                   [&](const command_in_doubt&) {
+                   [&](const command_in_doubt& doubt) {
+                       if (!doubt.process_known) {
+                           assume_longest_lease(server);
+                       }
                        process_run_event(run, start_in_doubt{});
                        mark_contact_failed(server);
                    },
--- a/src/decide/dispatch/dispatcher_servers.cpp
+++ b/src/decide/dispatch/dispatcher_servers.cpp
@@ -26,11 +26,8 @@
                            registration.process_start_unix_ms != backend->process_start_unix_ms;
     if (restarted) {
         log_restart(*backend, "registration");
-        // The clock and the completion numbers restart with the process: start nothing on the
-        // server until a poll has confirmed the new incarnation.
-        backend->incarnation_confirmed = false;
-        backend->clock.reset();
-        backend->next_poll_at = now_;
+        // The clock and the completion numbers restart with the process.
+        forget_process(*backend);
     }
     backend->registration = registration;
     backend->registered = true;
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -277,8 +277,13 @@
     /// Whether a reply with this time comes from another process than the one whose clock is known.
     /// The clock of a new process may show an earlier or a later time.
     [[nodiscard]] bool shows_restart(const backend_entry& server, backend_clock_ms clock) const;
-    /// Logs that a start was answered by another process than the one that was polled last.
-    void check_clock(const backend_entry& server, const task_run& run, backend_clock_ms clock);
+    /// Updates the clock by the answer to a command, unless another process than the one that was
+    /// polled last may have given it.
+    void process_command_clock(backend_entry& server, backend_clock_ms clock);
+    /// The server may have restarted: nothing is started on it until a poll has been answered.
+    void forget_process(backend_entry& server);
+    /// A process may have received a lease that was computed for an earlier one.
+    void assume_longest_lease(backend_entry& server) const;
     /// Logs that a task is started although a server that was never read may have run it under an
     /// earlier owner.
     void log_unseen_runs(const task_run& run);
--- a/src/decide/dispatch/dispatcher_stops.cpp
+++ b/src/decide/dispatch/dispatcher_stops.cpp
@@ -43,7 +43,7 @@
     backend_entry& server = *run.server;
     std::visit(overloaded{
                    [&](const command_accepted& done) {
-                       update_clock(server, done.clock);
+                       process_command_clock(server, done.clock);
                        process_run_event(run, stop_accepted{});
                    },
                    [&](const command_refused& refused) {
--- a/tests/restarted_server_test.cpp
+++ b/tests/restarted_server_test.cpp
@@ -25,9 +25,10 @@
 struct restart_fixture : dispatch_fixture {
     restart_fixture() : dispatch_fixture(options()) {
         register_process(first, former_process);
-        add_workflow(job, false);
         finish_loading();
-        tick();
+        constexpr duration leases_of_earlier_owners = seconds(20);
+        tick(leases_of_earlier_owners);
+        add_workflow(job, false);
         answer(first, former_process, former_clock);
         tick();
         cr_assert(starts.size() == 1 && starts.front().to.id == first);
