HTTP client: send nothing once the time of a call is over

A call that waits for its connection when the VM is suspended was sent when the VM went on, seconds later, since the timers of the loop do not count a suspension. A start of a superseded owner could so reach a server that has restarted, knows no fencing token and takes the lease for one of its own clock. Found by reading; http_client_test, sends_nothing_after_the_timeout_of_a_call, failed before and passes now.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -31,6 +31,7 @@
     /// Sent in place of `request` on a connection that may lead to another process than `peer`.
     std::optional<std::string> request_for_unknown_peer;
     peer_id peer = unknown_peer;
+    instant deadline;
     bool is_connected = false;
     instant sent_at{};
     timer_subscription timeout;
@@ -223,11 +224,15 @@
 }
 
 /// Sends the request on a connection and reads the reply. Returns false if the socket fails at
-/// once.
+/// once, or if the time of the call is over: the timers of the loop do not count the time of a
+/// suspended VM.
 bool send_request(open_call* call) {
     connection& carrier = *call->carrier;
-    call->is_connected = true;
     call->sent_at = call->owner->timers.now();
+    if (call->sent_at >= call->deadline) {
+        return false;
+    }
+    call->is_connected = true;
     std::string& request = call->request_for_unknown_peer && !leads_to_peer(*call)
                                ? *call->request_for_unknown_peer
                                : call->request;
@@ -333,6 +338,7 @@
             serialized(to, request, *request.body_for_unknown_peer, shares);
     }
     call->owner = body_.get();
+    call->deadline = body_->timers.now() + request.timeout;
     ++body_->open;
     call->timeout = body_->timers.after(
         request.timeout, [call](instant) { finish(call, result_without_reply(*call, false)); });
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -50,6 +50,21 @@
     }
 };
 
+/// Timers of a VM that was suspended: their callbacks come late by the time of the suspension.
+struct suspended_timers : timer_service {
+    timer_service& timers;
+    duration suspended{};
+
+    explicit suspended_timers(timer_service& loop) : timers(loop) {}
+    [[nodiscard]] instant now() const override { return timers.now() + suspended; }
+    [[nodiscard]] timer_subscription after(duration delay, callback function) override {
+        return timers.after(delay, std::move(function));
+    }
+    [[nodiscard]] timer_subscription every(duration period, callback function) override {
+        return timers.every(period, std::move(function));
+    }
+};
+
 /// A listening socket whose connections are accepted by the kernel and never answered.
 struct silent_listener {
     int socket = ::socket(AF_INET, SOCK_STREAM, 0);
@@ -182,3 +197,18 @@
     cr_assert(lost == 3, "%d calls were lost", lost);
     cr_assert(fixture.client.open_calls() == 0);
 }
+
+// Guards against an order that is sent after a suspension of the VM, when its time is over.
+Test(http_client, sends_nothing_after_the_timeout_of_a_call) {
+    client_fixture fixture(2);
+    suspended_timers timers(*fixture.loop);
+    http_client client(fixture.loop->handle(), timers, {2});
+    const endpoint to{"127.0.0.1", fixture.server->port()};
+    bool unreachable = false;
+    client.call(to, {"POST", "/order", {}, {}, milliseconds(100)}, [&](const http_result& result) {
+        unreachable = std::holds_alternative<http_unreachable>(result);
+    });
+    timers.suspended = seconds(1);
+    fixture.run_for(milliseconds(50));
+    cr_assert(unreachable, "the order was sent");
+}
