Notice a restart once by the registration

Each heartbeat that wrote the registration of a restarted server extended the bound of its leases by the longest lease since, so the tasks of a server that never answered again waited as long as it was registered. Found by the review; restarted_server_test, repeated_registrations_do_not_extend_..., failed before (not started again within 21.6 s).

--- a/src/decide/dispatch/dispatcher_servers.cpp
+++ b/src/decide/dispatch/dispatcher_servers.cpp
@@ -21,9 +21,11 @@
         log("backend_listed", {}, registration.id,
             std::string(registration.pool.view()) + (registration.leaving ? " leaving" : " ready"));
     }
-    const bool restarted = backend->process_start_unix_ms != 0 &&
-                           registration.process_start_unix_ms != 0 &&
-                           registration.process_start_unix_ms != backend->process_start_unix_ms;
+    // Registrations are written again with each heartbeat, and may be older than the last reply.
+    const bool restarted =
+        backend->process_start_unix_ms != 0 && registration.process_start_unix_ms != 0 &&
+        registration.process_start_unix_ms != backend->process_start_unix_ms &&
+        registration.process_start_unix_ms != backend->registration.process_start_unix_ms;
     if (restarted) {
         log_restart(*backend, "registration");
         // The clock and the completion numbers restart with the process.
--- a/tests/restarted_server_test.cpp
+++ b/tests/restarted_server_test.cpp
@@ -123,3 +123,18 @@
     fixture.pass_without_first(longest_lease_end - before_longest_lease_end);
     cr_assert(fixture.started_again());
 }
+
+Test(restarted_server, repeated_registrations_do_not_extend_the_bound_of_lost_runs) {
+    restart_fixture fixture;
+    fixture.answer_start(former_clock + 20);
+    const instant give_up = fixture.now + 2 * longest_lease_end;
+    instant next_heartbeat = fixture.now;
+    while (fixture.now < give_up) {
+        if (fixture.now >= next_heartbeat) {
+            fixture.register_process(first, new_process);
+            next_heartbeat = fixture.now + milliseconds(1500);
+        }
+        fixture.pass_step_without_first();
+    }
+    cr_assert(fixture.started_again(), "the task waits as long as its server is registered");
+}
