--- a/src/decide/dispatch/backend_entry.h
+++ b/src/decide/dispatch/backend_entry.h
@@ -43,6 +43,7 @@
     std::optional<clock_reading> clock;
     instant leases_expire_by = instant::min(); ///< Bound for all leases given by this owner.
     std::int64_t process_start_unix_ms = 0;
+    instant process_known_since = instant::max(); ///< First answered poll of the present process.
 
     bool poll_pending = false;
     bool poll_renews_lease = false; ///< Whether the last poll renewed the lease.
--- a/src/decide/dispatch/dispatcher_polling.cpp
+++ b/src/decide/dispatch/dispatcher_polling.cpp
@@ -96,10 +96,12 @@
             assume_longest_lease(server);
         }
         server.process_start_unix_ms = reply.process_start_unix_ms;
+        server.process_known_since = now_;
         server.completions = {};
         unsaved_.erase(server.registration.id);
         server.clock.reset();
     }
+    server.process_known_since = std::min(server.process_known_since, now_);
     update_clock(server, reply.clock);
     server.last_reply_at = now_;
     server.incarnation_confirmed = true;
--- a/tests/restarted_server_test.cpp
+++ b/tests/restarted_server_test.cpp
@@ -138,3 +138,31 @@
     }
     cr_assert(fixture.started_again(), "the task waits as long as its server is registered");
 }
+
+Test(restarted_server, owner_without_lease_starts_nothing_on_a_process_that_it_never_fenced) {
+    restart_fixture fixture;
+    fixture.answer_start(former_clock + 20);
+    fixture.starts.clear();
+    // The table is out of reach: the lease ends after 2 s, commands may be sent until 5 s.
+    fixture.now += milliseconds(2500);
+    fixture.handle(dispatch_tick{1});
+    // A next owner has fenced the former process and run the task elsewhere. The new process has
+    // seen no token, and answers this owner first.
+    fixture.handle(poll_answered{first, command_in_doubt{}});
+    fixture.now += milliseconds(20);
+    fixture.handle(dispatch_tick{1});
+    fixture.answer(first, new_process, 1000);
+    fixture.now += milliseconds(20);
+    fixture.handle(dispatch_tick{1});
+    cr_assert(fixture.starts.empty(), "started without the protection of a fencing token");
+}
+
+Test(restarted_server, server_that_does_not_report_its_start_gets_tasks) {
+    dispatch_fixture fixture;
+    fixture.register_backend(first);
+    fixture.add_workflow(job, false);
+    fixture.finish_loading();
+    fixture.handle(poll_answered{first, poll_reply{1000, unknown_process, {}, {}}});
+    fixture.tick();
+    cr_assert(fixture.starts.size() == 1);
+}
