Keep the bound of leases of a server that registers again

The owner forgot a server without runs as soon as its registration expired, and with it how long the server may hold a lease. One that registered again within that time, as after an outage of the store, and then fell silent had its tasks started elsewhere too early if it held the longest lease. Found by the review; restarted_server_test, server_that_registers_again_..., failed before.

--- a/src/decide/dispatch/dispatcher_polling.cpp
+++ b/src/decide/dispatch/dispatcher_polling.cpp
@@ -311,6 +311,7 @@
 }
 
 void dispatcher::implementation::update_contacts() {
+    std::erase_if(forgotten_leases_, [this](const auto& item) { return now_ >= item.second; });
     std::vector<backend_entry*> unsettled;
     for (const auto& [id, server] : unsettled_) {
         unsettled.push_back(server);
@@ -343,6 +344,9 @@
 void dispatcher::implementation::remove_server(const backend_entry& server) {
     log("backend_forgotten", {}, server.registration.id,
         std::string(contact_machine_.name_of(server.contact)));
+    if (now_ < server.leases_expire_by) {
+        forgotten_leases_.insert_or_assign(server.registration.id, server.leases_expire_by);
+    }
     // Keeps the entry until nothing refers to it.
     const auto removed = servers_.extract(server.registration.id);
     const backend_id& id = removed.key();
--- a/src/decide/dispatch/dispatcher_servers.cpp
+++ b/src/decide/dispatch/dispatcher_servers.cpp
@@ -16,6 +16,11 @@
         backend->contact = now_ < previous_leases_end() ? contact_machine_.initial()
                                                         : contact_machine_.position_of("silent");
         backend->next_poll_at = now_;
+        const auto forgotten = forgotten_leases_.find(registration.id);
+        if (forgotten != forgotten_leases_.end()) {
+            backend->leases_expire_by = forgotten->second;
+            forgotten_leases_.erase(forgotten);
+        }
     }
     if (backend->registration.leaving != registration.leaving || !backend->registered) {
         log("backend_listed", {}, registration.id,
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -392,6 +392,8 @@
     std::map<backend_id, backend_entry*> unsaved_;   ///< With completions that are not stored.
     std::set<run_id> stop_retries_;                  ///< Runs whose stop is to be sent again.
     std::map<pool_id, pool_state> pools_;
+    /// Bounds for the leases of servers that were removed, as they may register again.
+    std::map<backend_id, instant> forgotten_leases_;
     /// Servers of the first VM list that are not registered.
     std::map<backend_id, present_backend> unregistered_;
     bool vm_list_received_ = false;
--- a/tests/restarted_server_test.cpp
+++ b/tests/restarted_server_test.cpp
@@ -166,3 +166,34 @@
     fixture.tick();
     cr_assert(fixture.starts.size() == 1);
 }
+
+Test(restarted_server, server_that_registers_again_keeps_the_bound_of_its_leases) {
+    restart_fixture fixture;
+    const run_id run = fixture.starts.front().run;
+    fixture.handle(start_answered{run, command_in_doubt{}});
+    const instant longest_end = fixture.now + before_longest_lease_end;
+    // The new process has taken the longest lease from a start that it refused.
+    fixture.answer(first, new_process, 1000);
+    fixture.tick();
+    fixture.answer(first, new_process, 1020);
+    fixture.tick();
+    fixture.handle(stop_answered{run, command_accepted{1040}});
+    fixture.tick();
+    fixture.answer(first, new_process, 1060);
+    fixture.starts.clear();
+    fixture.handle(backend_deregistered{first});
+    fixture.tick();
+    fixture.register_process(first, new_process);
+    fixture.handle(backend_deregistered{second});
+    fixture.tick();
+    fixture.answer(first, new_process, 1100);
+    fixture.tick();
+    cr_assert(fixture.starts.size() == 1 && fixture.starts.front().to.id == first, "%zu starts",
+              fixture.starts.size());
+    fixture.register_process(second, former_process);
+    while (fixture.now < longest_end) {
+        fixture.pass_step_without_first();
+        cr_assert(!fixture.started_again(), "%lld ms before the longest lease ends",
+                  static_cast<long long>(to_ms(longest_end - fixture.now)));
+    }
+}
