Compute the lease of a started run from the clock in the answer

A restart within half a second of the one before does not show in the clock, and the lease on the new process could outlast the owner's bound by that time. The answer to a start says how long the lease lasts on the clock of whichever process gave it. Found by the review; restarted_server_test, restart_that_the_clock_does_not_show_..., failed before.

--- a/src/decide/dispatch/dispatcher_leases.cpp
+++ b/src/decide/dispatch/dispatcher_leases.cpp
@@ -100,6 +100,13 @@
     assume_longest_lease(server);
 }
 
+void dispatcher::implementation::note_lease(backend_entry& server, backend_clock_ms lease_until,
+                                            backend_clock_ms clock) const {
+    const duration lease =
+        std::min<duration>(milliseconds(lease_until - clock), options_.max_lease);
+    server.leases_expire_by = std::max(server.leases_expire_by, now_ + max_local_duration(lease));
+}
+
 void dispatcher::implementation::assume_longest_lease(backend_entry& server) const {
     server.leases_expire_by = std::max(server.leases_expire_by, now_ + longest_lease());
 }
--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -307,13 +307,14 @@
     }
     record.run_seen = true;
     note_start(run, !record.checkpoint.empty());
+    run.lease_until = extend_lease(*run.server);
     effects_.emplace_back(
         send_start{run.id,
                    {run.server->registration.id, run.server->registration.address},
                    {run.key(),
                     run.number,
                     run.workflow->row.spec.payload,
-                    extend_lease(*run.server),
+                    run.lease_until,
                     options_.token,
                     record.checkpoint,
                     {},
@@ -329,6 +330,7 @@
     backend_entry& server = *run.server;
     std::visit(overloaded{
                    [&](const command_accepted& done) {
+                       note_lease(server, run.lease_until, done.clock);
                        process_command_clock(server, done.clock);
                        process_run_event(run, start_accepted{});
                    },
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -282,6 +282,9 @@
     void process_command_clock(backend_entry& server, backend_clock_ms clock);
     /// The server may have restarted: nothing is started on it until a poll has been answered.
     void forget_process(backend_entry& server);
+    /// The server has accepted a lease until `lease_until` when its clock was `clock`.
+    void note_lease(backend_entry& server, backend_clock_ms lease_until,
+                    backend_clock_ms clock) const;
     /// A process may have received a lease that was computed for an earlier one.
     void assume_longest_lease(backend_entry& server) const;
     /// Logs that a task is started although a server that was never read may have run it under an
--- a/src/decide/dispatch/task_run.h
+++ b/src/decide/dispatch/task_run.h
@@ -43,6 +43,7 @@
     resources charged;  ///< Against the limit of its team.
     chart_position position{};
     instant start_sent_at{};
+    backend_clock_ms lease_until = 0; ///< In the start command.
     instant in_doubt_since{};
     std::optional<instant> last_seen_at;     ///< Last report that the run exists.
     instant first_seen_at = instant::max();  ///< First report that the run exists.
--- a/tests/restarted_server_test.cpp
+++ b/tests/restarted_server_test.cpp
@@ -197,3 +197,16 @@
                   static_cast<long long>(to_ms(longest_end - fixture.now)));
     }
 }
+
+Test(restarted_server, restart_that_the_clock_does_not_show_is_within_the_bound_of_the_lease) {
+    restart_fixture fixture;
+    constexpr backend_clock_ms clock = former_clock - 450;
+    fixture.answer_start(clock);
+    const milliseconds lease(fixture.starts.front().command.lease_until - clock);
+    const instant lease_end = fixture.now + lease;
+    while (fixture.now + milliseconds(100) < lease_end) {
+        fixture.pass_step_without_first();
+        cr_assert(!fixture.started_again(), "%lld ms before its lease ends",
+                  static_cast<long long>(to_ms(lease_end - fixture.now)));
+    }
+}
