--- a/src/decide/dispatch/backend_entry.h
+++ b/src/decide/dispatch/backend_entry.h
@@ -76,6 +76,12 @@
     instant quarantined_until{};
     bool slow = false; ///< Gets tasks only where no other server has room.
 
+    void update_clock(backend_clock_ms read, instant now);
+
+    /// Whether a reply with this time comes from another process than the one whose clock is known.
+    /// The clock of a new process may show an earlier or a later time.
+    [[nodiscard]] bool shows_restart(backend_clock_ms read, instant now) const;
+
     /// Capacity beside the reservations of all runs that may exist. Steps with `best_effort_cpu`
     /// reserve no CPU.
     [[nodiscard]] resources free_capacity() const { return registration.capacity - used; }
--- a/src/decide/dispatch/dispatcher_leases.cpp
+++ b/src/decide/dispatch/dispatcher_leases.cpp
@@ -17,12 +17,6 @@
 
 } // namespace
 
-void dispatcher::implementation::update_clock(backend_entry& server, backend_clock_ms clock) const {
-    if (!server.clock || clock >= server.clock->clock) {
-        server.clock = clock_reading{clock, now_};
-    }
-}
-
 backend_clock_ms dispatcher::implementation::extend_lease(backend_entry& server) const {
     const duration age = now_ - server.clock->read_at;
     // A server clock that is 2% slow has advanced less than `age` since it was read, which makes
@@ -65,23 +59,10 @@
     log("backend_contact", {}, server.registration.id, std::move(detail));
 }
 
-bool dispatcher::implementation::shows_restart(const backend_entry& server,
-                                               backend_clock_ms clock) const {
-    // Covers the delay of replies; a server clock may be 2% slow.
-    constexpr duration longest_delay = milliseconds(500);
-    if (!server.clock) {
-        return false;
-    }
-    const duration age = now_ - server.clock->read_at;
-    const backend_clock_ms expected = server.clock->clock + to_ms(age);
-    const backend_clock_ms tolerance = to_ms(longest_delay + age / 50);
-    return clock < expected - tolerance || clock > expected + tolerance;
-}
-
 void dispatcher::implementation::process_command_clock(backend_entry& server,
                                                        backend_clock_ms clock) {
-    if (server.clock && !shows_restart(server, clock)) {
-        update_clock(server, clock);
+    if (server.clock && !server.shows_restart(clock, now_)) {
+        server.update_clock(clock, now_);
         return;
     }
     if (server.clock) {
--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -274,8 +274,8 @@
 }
 
 bool dispatcher::implementation::accepts_tasks(const backend_entry& server) const {
-    // After the owner's lease, a next owner may have run the tasks elsewhere, and only the processes
-    // that it polled refuse the commands of this one.
+    // After the owner's lease, a next owner may have run the tasks elsewhere, and only the
+    // processes that it polled refuse the commands of this one.
     const bool refuses_superseded_owner = server.process_known_since < lease_until_;
     return contact_is(server, "current") && !is_withdrawn(server) && server.clock &&
            refuses_superseded_owner && now_ >= server.start_backoff_until;
--- a/src/decide/dispatch/dispatcher_polling.cpp
+++ b/src/decide/dispatch/dispatcher_polling.cpp
@@ -102,7 +102,7 @@
         server.clock.reset();
     }
     server.process_known_since = std::min(server.process_known_since, now_);
-    update_clock(server, reply.clock);
+    server.update_clock(reply.clock, now_);
     server.last_reply_at = now_;
     server.incarnation_confirmed = true;
     server.poll_wanted = false;
--- a/src/decide/dispatch/dispatcher_shares.cpp
+++ b/src/decide/dispatch/dispatcher_shares.cpp
@@ -280,4 +280,10 @@
     return figures;
 }
 
+bool dispatcher::implementation::is_over_share(const workflow_entry& entry) {
+    return entry.share != nullptr &&
+           exceeds_part(entry.share->division, entry.share->used_millicores,
+                        entry.ahead_millicores);
+}
+
 } // namespace citronford
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -1,15 +1,16 @@
 #pragma once
 
 #include "decide/dispatch/backend_entry.h"
+#include "decide/dispatch/held_up_run.h"
 #include "decide/dispatch/open_servers.h"
+#include "decide/dispatch/pace_state.h"
 #include "decide/dispatch/pool_state.h"
+#include "decide/dispatch/task_location.h"
 #include "decide/dispatch/task_run.h"
 #include "decide/dispatch/team_share.h"
 #include "decide/dispatch/workflow_entry.h"
 
 #include "citronford/dispatcher.h"
-#include "citronford/run_time_estimates.h"
-#include "citronford/server_pace.h"
 #include "citronford/submission_rates.h"
 
 #include <functional>
@@ -83,20 +84,10 @@
     [[nodiscard]] load_report report_load(instant now);
 
   private:
-    /// All null when the task is unknown.
-    struct task_location {
-        workflow_entry* workflow = nullptr;
-        occurrence_state* occurrence = nullptr;
-        task_record* record = nullptr;
-    };
+    using task_location = dispatch::task_location;
     struct candidate;
     struct placement_pass;
-    /// What is known of the pace of servers and runs.
-    struct pace_state {
-        server_pace servers;
-        run_time_estimates run_times;
-        instant reviewed_at = instant::min();
-    };
+    using pace_state = dispatch::pace_state;
 
     implementation(run_machine runs, workflow_machine workflows, contact_machine contacts,
                    dispatch_options options, instant now)
@@ -181,11 +172,7 @@
     [[nodiscard]] std::vector<team_share_figure> team_shares() const;
     /// Whether the workflow comes after those of other teams: its team uses its part of the fleet,
     /// or will with the work placed before this workflow, and another team waits.
-    [[nodiscard]] bool is_over_share(const workflow_entry& entry) const {
-        return entry.share != nullptr &&
-               exceeds_part(entry.share->division, entry.share->used_millicores,
-                            entry.ahead_millicores);
-    }
+    [[nodiscard]] static bool is_over_share(const workflow_entry& entry);
 
     // Runs.
     /// Adds a run that is to be started or that a server has reported; the second one of a task
@@ -236,16 +223,7 @@
     void mark_slow_servers(pool_state& pool);
 
     // Copies: second runs of tasks that are held up, where the step allows them.
-    struct held_up_run {
-        task_run* run = nullptr;
-        delay_cause cause = delay_cause::none;
-        bool on_doubtful_server = false;
-        duration remaining{};
-
-        [[nodiscard]] auto key() const {
-            return std::tuple(cause == delay_cause::no_progress, on_doubtful_server, remaining);
-        }
-    };
+    using held_up_run = dispatch::held_up_run;
     [[nodiscard]] bool allows_copies(const workflow_step& step) const;
     /// The run of the task with this number on the server; null when there is none.
     [[nodiscard]] static task_run* tracked_run(const task_record& record,
@@ -270,13 +248,9 @@
     void process_contact_event(backend_entry& server, const dispatch::contact_event& event);
     void mark_contact_failed(backend_entry& server);
     void expire_runs(backend_entry& server);
-    void update_clock(backend_entry& server, backend_clock_ms clock) const;
     /// Logs that another process answers under the identifier of the server.
     void log_restart(const backend_entry& server, std::string_view noticed_by);
     void log_contact(const backend_entry& server);
-    /// Whether a reply with this time comes from another process than the one whose clock is known.
-    /// The clock of a new process may show an earlier or a later time.
-    [[nodiscard]] bool shows_restart(const backend_entry& server, backend_clock_ms clock) const;
     /// Updates the clock by the answer to a command, unless another process than the one that was
     /// polled last may have given it.
     void process_command_clock(backend_entry& server, backend_clock_ms clock);
