Take over the runs that a restarted server has of an earlier owner

When an earlier owner reached the new process of a server first, the reply named its run of a task whose own run this owner held for alive on the former process. The own run was counted as lost only after the reported one had been stopped as unknown, or its end ignored, so the task started again beside it or after its end was acknowledged. Runs of the former process now end before the first reply of the new one is applied.

--- a/src/decide/dispatch/dispatcher_polling.cpp
+++ b/src/decide/dispatch/dispatcher_polling.cpp
@@ -89,8 +89,10 @@
 }
 
 void dispatcher::implementation::process_poll_reply(backend_entry& server, poll_reply reply) {
-    if (reply.process_start_unix_ms != server.process_start_unix_ms) {
-        if (server.process_start_unix_ms != 0) {
+    const bool changed = reply.process_start_unix_ms != server.process_start_unix_ms;
+    const bool restarted = changed && server.process_start_unix_ms != unknown_process;
+    if (changed) {
+        if (restarted) {
             log_restart(server, "poll");
             // Starts for the earlier process may have reached the new one, or still will.
             assume_longest_lease(server);
@@ -129,9 +131,30 @@
     // again at once, so the next poll is later.
     constexpr duration pause = milliseconds(10);
     constexpr duration pause_before_repeat = milliseconds(100);
+    if (restarted) {
+        // An earlier owner may have reached the new process first: its runs of the same tasks count
+        // once those of the earlier process are over.
+        end_runs_of_earlier_process(server, reply);
+    }
     server.next_poll_at = now_ + (reconcile_runs(server, reply) ? pause : pause_before_repeat);
 }
 
+void dispatcher::implementation::end_runs_of_earlier_process(backend_entry& server,
+                                                             const poll_reply& reply) {
+    const auto names = [](const task_run& run) {
+        return
+            [&run](const auto& item) { return item.run == run.number && item.task == run.key(); };
+    };
+    const std::vector<task_run*> snapshot = server.runs;
+    for (task_run* run : snapshot) {
+        const bool named = std::ranges::any_of(reply.running, names(*run)) ||
+                           std::ranges::any_of(reply.completions, names(*run));
+        if (!named && reply.has_all_completions) {
+            process_run_event(*run, not_reported{server.poll_sent_at});
+        }
+    }
+}
+
 bool dispatcher::implementation::reconcile_runs(backend_entry& server, const poll_reply& reply) {
     const instant polled_at = server.poll_sent_at;
     bool all_applied = true;
@@ -190,9 +213,11 @@
                               completion.kind == completion_kind::done;
     if (run != nullptr) {
         process_run_event(*run, completion_reported{&completion});
-    } else if (location.workflow->may_have_unknown_run(*location.record) &&
-               (location.record->is_waiting() || done_by_copy)) {
-        // A run of an earlier owner on a server that could not be polled before.
+    } else if ((location.workflow->may_have_unknown_run(*location.record) &&
+                (location.record->is_waiting() || done_by_copy)) ||
+               (location.record->is_waiting() && completion.run > location.record->last_run)) {
+        // A run of an earlier owner, on a server that could not be polled before or that has
+        // restarted.
         location.record->last_run = std::max(location.record->last_run, completion.run);
         apply_completion(location, completion.task, completion.run, server,
                          {completion.kind, completion.checkpoint});
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -248,7 +248,6 @@
     void process_contact_event(backend_entry& server, const dispatch::contact_event& event);
     void mark_contact_failed(backend_entry& server);
     void expire_runs(backend_entry& server);
-    /// Logs that another process answers under the identifier of the server.
     void log_restart(const backend_entry& server, std::string_view noticed_by);
     void log_contact(const backend_entry& server);
     /// Updates the clock by the answer to a command, unless another process than the one that was
@@ -266,6 +265,8 @@
     void log_unseen_runs(const task_run& run);
     [[nodiscard]] backend_clock_ms extend_lease(backend_entry& server) const;
     void process_poll_reply(backend_entry& server, poll_reply view);
+    /// Ends the runs that the first reply of a new process does not name.
+    void end_runs_of_earlier_process(backend_entry& server, const poll_reply& reply);
     /// Returns false when some completions of the reply are to be applied later.
     bool reconcile_runs(backend_entry& server, const poll_reply& view);
     void process_completion(backend_entry& server, const run_completion& end);
--- a/tests/restarted_server_test.cpp
+++ b/tests/restarted_server_test.cpp
@@ -1,6 +1,8 @@
 #include "dispatch_fixture.h"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 using namespace citronford;
 
@@ -44,8 +46,10 @@
         handle(backend_registered{registration});
     }
 
-    void answer(const backend_id& id, std::int64_t process_start, backend_clock_ms clock) {
-        handle(poll_answered{id, poll_reply{clock, process_start, {}, {}}});
+    void answer(const backend_id& id, std::int64_t process_start, backend_clock_ms clock,
+                std::vector<running_task> running = {}, std::vector<run_completion> ended = {}) {
+        handle(poll_answered{
+            id, poll_reply{clock, process_start, std::move(running), std::move(ended)}});
     }
 
     /// `first` does not answer; `second` does.
@@ -210,3 +214,23 @@
                   static_cast<long long>(to_ms(lease_end - fixture.now)));
     }
 }
+
+Test(restarted_server, task_that_an_earlier_owner_started_on_the_new_process_is_not_started) {
+    restart_fixture fixture;
+    fixture.answer_start(former_clock + 20);
+    fixture.answer(second, former_process, former_clock);
+    fixture.tick();
+    fixture.answer(first, new_process, 1000, {reported_run(2)});
+    fixture.tick();
+    cr_assert(fixture.starts.size() == 1, "run 2 goes on");
+}
+
+Test(restarted_server, task_that_an_earlier_owner_ended_on_the_new_process_is_not_started) {
+    restart_fixture fixture;
+    fixture.answer_start(former_clock + 20);
+    fixture.answer(second, former_process, former_clock);
+    fixture.tick();
+    fixture.answer(first, new_process, 1000, {}, {completion_of(1, 2, completion_kind::done)});
+    fixture.tick();
+    cr_assert(!fixture.started_again(), "run 2 has ended done and will be acknowledged");
+}
