Owner at the end of its lease: start tasks on known processes only

A process that restarted unnoticed has no fencing token of a next owner. Within the grace after its lease an owner now sends a start only on a connection that is known to lead to the process it has polled.

--- a/include/citronford/backend_link.h
+++ b/include/citronford/backend_link.h
@@ -42,6 +42,9 @@
     std::string_view ticket;     ///< Permit from the advice service; empty when none is needed.
     /// Process for whose clock the lease is computed.
     process_start_ms process = unknown_process;
+    /// Not sent on a connection that may lead to another process, which might not know the fencing
+    /// token of a next owner.
+    bool only_to_process = false;
 };
 
 struct stop_command {
--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -154,9 +154,9 @@
     /// How long an earlier owner may send commands after its lease has expired.
     duration previous_owner_grace = milliseconds(3000);
     duration stop_time = milliseconds(900); ///< A server stops a run within this time.
-    /// Timeout of a command to a backend server, which does not arrive later. Servers answer within
-    /// milliseconds. A command that is lost holds up its task until then; one that is only late
-    /// costs a poll.
+    /// Timeout of a command to a backend server; its connection is reset then. Servers answer
+    /// within milliseconds. A command that is lost holds up its task until then; one that is only
+    /// late costs a poll.
     duration command_timeout = milliseconds(300);
     /// After the beginning of the ownership, servers may be missing from the registrations for this
     /// long because the store was unavailable.
--- a/src/decide/dispatch/backend_entry.h
+++ b/src/decide/dispatch/backend_entry.h
@@ -63,9 +63,8 @@
 
     bool poll_wanted = false; ///< Tasks wait and the last contact is not recent.
 
-    /// Whether a restart of the server would have been noticed: a poll is pending or was answered
-    /// within the last 250 ms. The lease in a start command is computed for the clock of the
-    /// incarnation that was polled.
+    /// Whether the server seems to be in contact: a poll is pending or was answered within the last
+    /// 250 ms. A poll that is pending at a process that has ended does not show the restart.
     [[nodiscard]] bool has_recent_contact(instant now) const {
         constexpr duration longest_gap = milliseconds(250);
         return incarnation_confirmed && (poll_pending || now - longest_gap <= last_reply_at);
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -31,6 +31,7 @@
     /// Sent in place of `request` on a connection that may lead to another process than `peer`.
     std::optional<std::string> request_for_unknown_peer;
     peer_id peer = unknown_peer;
+    bool only_to_peer = false;
     instant deadline;
     bool is_connected = false;
     instant sent_at{};
@@ -224,12 +225,13 @@
 }
 
 /// Sends the request on a connection and reads the reply. Returns false if the socket fails at
-/// once, or if the time of the call is over: the timers of the loop do not count the time of a
-/// suspended VM.
+/// once, if the call is for a peer to which the connection may not lead, or if its time is over:
+/// the timers of the loop do not count the time of a suspended VM.
 bool send_request(open_call* call) {
     connection& carrier = *call->carrier;
     call->sent_at = call->owner->timers.now();
-    if (call->sent_at >= call->deadline) {
+    const bool wrong_peer = call->only_to_peer && !leads_to_peer(*call);
+    if (wrong_peer || call->sent_at >= call->deadline) {
         return false;
     }
     call->is_connected = true;
@@ -333,6 +335,7 @@
     call->done = std::move(done);
     call->request = serialized(to, request, request.body, shares);
     call->peer = request.peer;
+    call->only_to_peer = request.only_to_peer;
     if (request.body_for_unknown_peer) {
         call->request_for_unknown_peer =
             serialized(to, request, *request.body_for_unknown_peer, shares);
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -56,6 +56,8 @@
     peer_id peer = unknown_peer;
     /// Sent in place of `body` on a connection that may lead to another process than `peer`.
     std::optional<std::string_view> body_for_unknown_peer{};
+    /// On such a connection, nothing is sent and the call ends as unreachable.
+    bool only_to_peer = false;
 };
 
 struct http_client_options {
@@ -75,7 +77,8 @@
 /// shows no error of its own.
 ///
 /// A server process that restarts at the same endpoint takes over no connection of the process
-/// before, but may get calls that open one. A call that is meant for one process names it.
+/// before, but may get calls that open one. A call that is meant for one process names it. That
+/// holds without a proxy between, which could keep a connection while its server restarts.
 class http_client {
   public:
     using callback = std::function<void(http_result)>;
--- a/src/node/fleet/vm_driver.cpp
+++ b/src/node/fleet/vm_driver.cpp
@@ -17,7 +17,7 @@
 constexpr duration busy_list_period = milliseconds(400);
 constexpr duration idle_list_period = milliseconds(2000);
 
-/// Time for which an owner is new; longer than the leases that the previous owner gave to runs.
+/// Time for which an owner is new: the lists tell it which servers that do not answer are gone.
 constexpr duration new_owner_time = seconds(10);
 
 /// Delay before a failed read or write is repeated.
--- a/tests/backend_client_test.cpp
+++ b/tests/backend_client_test.cpp
@@ -73,6 +73,23 @@
         return answer;
     }
 
+    /// The result of a start that the server does not answer.
+    command_result lose_start(process_start_ms process, bool only_to_process) {
+        std::optional<command_result> answer;
+        client.start(address(),
+                     {.task = {job_id("job"), 0, 0, 0},
+                      .run = 1,
+                      .payload = "WaitMs",
+                      .lease_until = 5000,
+                      .token = 3,
+                      .process = process,
+                      .only_to_process = only_to_process},
+                     milliseconds(100), [&](const command_result& result) { answer = result; });
+        run_for(milliseconds(150));
+        cr_assert(answer.has_value());
+        return *answer;
+    }
+
     [[nodiscard]] bool last_poll_renewed_the_lease() const {
         const std::string& body = received.back();
         const bool renewed = body.find(R"("DeadlineMs":5000)") != std::string::npos;
@@ -103,19 +120,7 @@
 Test(backend_client, lost_start_says_whether_another_process_can_have_received_it) {
     backend_fixture backend;
     const auto lost_start = [&](process_start_ms process) {
-        std::optional<command_result> answer;
-        backend.client.start(backend.address(),
-                             {.task = {job_id("job"), 0, 0, 0},
-                              .run = 1,
-                              .payload = "WaitMs",
-                              .lease_until = 5000,
-                              .token = 3,
-                              .process = process},
-                             milliseconds(100),
-                             [&](const command_result& result) { answer = result; });
-        backend.run_for(milliseconds(150));
-        cr_assert(answer.has_value());
-        return std::get<command_in_doubt>(*answer).process_known;
+        return std::get<command_in_doubt>(backend.lose_start(process, false)).process_known;
     };
     backend.poll(former_process);
     cr_assert(lost_start(former_process));
@@ -130,3 +135,13 @@
     backend.poll(unknown_process);
     cr_assert(backend.last_poll_renewed_the_lease());
 }
+
+Test(backend_client, start_for_one_process_is_not_sent_to_another) {
+    backend_fixture backend;
+    backend.poll(former_process);
+    const std::size_t polls = backend.received.size();
+    cr_assert(std::holds_alternative<backend_unreachable>(backend.lose_start(new_process, true)));
+    cr_assert(backend.received.size() == polls, "the start was sent");
+    backend.poll(former_process);
+    cr_assert(std::holds_alternative<command_in_doubt>(backend.lose_start(former_process, true)));
+}
