Send starts only to the process whose clock their lease was computed for

With orders carried out late, tasks ran twice under one owner, too: a start that opened a connection reached a new process, which carried it out up to 12 s later; its lease was by the clock of the former process, so it was neither refused as late nor bounded by what the owner reckons with, and a stop that the former process had accepted did not keep it away.

On a connection that is not known to lead to the process of a start, the client now asks first which process answers, and sends the start to that one only; else the start ends as not sent. This replaces the rule for the end of the owner's lease. backend_client_test, start_is_not_sent_to_another_process.

--- a/include/citronford/backend_link.h
+++ b/include/citronford/backend_link.h
@@ -40,11 +40,10 @@
     fencing_token token = 0;
     std::string_view checkpoint; ///< Last checkpoint of the earlier runs; empty when there is none.
     std::string_view ticket;     ///< Permit from the advice service; empty when none is needed.
-    /// Process for whose clock the lease is computed.
+    /// Process for whose clock the lease is computed. The command is not sent to another one, which
+    /// would turn the lease into the longest one, and might not know the fencing token of a next
+    /// owner. With `unknown_process`, it is sent to any.
     process_start_ms process = unknown_process;
-    /// Not sent on a connection that may lead to another process, which might not know the fencing
-    /// token of a next owner.
-    bool only_to_process = false;
 };
 
 struct stop_command {
--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -318,8 +318,7 @@
                     options_.token,
                     record.checkpoint,
                     {},
-                    run.server->process_start_unix_ms,
-                    now_ + options_.command_timeout >= lease_until_}});
+                    run.server->process_start_unix_ms}});
 }
 
 void dispatcher::implementation::process(const start_answered& input) {
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "io/http_connection.h"
 #include "io/http_reply_reader.h"
+#include "io/http_request_text.h"
 #include "io/log.h"
 
 #include <algorithm>
@@ -31,7 +32,10 @@
     /// Sent in place of `request` on a connection that may lead to another process than `peer`.
     std::optional<std::string> request_for_unknown_peer;
     peer_id peer = unknown_peer;
-    bool only_to_peer = false;
+    /// Asked before the request on a connection that may lead to another process than `peer`.
+    std::string question;
+    std::function<peer_id(const http_reply&)> read_peer; ///< Empty without a question.
+    bool is_asking = false;
     instant deadline;
     bool is_connected = false;
     instant sent_at{};
@@ -41,31 +45,7 @@
     connection* carrier = nullptr;     ///< Null while the call waits for a connection.
 };
 
-namespace {
-
-std::string serialized(const endpoint& to, const http_call& call, std::string_view body,
-                       bool keep_alive) {
-    std::string text;
-    text += call.method;
-    text += ' ';
-    text += call.path;
-    text += " HTTP/1.1\r\nhost: " + to.address + ':' + std::to_string(to.port);
-    if (!keep_alive) {
-        text += "\r\nconnection: close";
-    }
-    text += "\r\ncontent-length: " + std::to_string(body.size());
-    for (const auto& [name, value] : call.headers) {
-        text += "\r\n";
-        text += name;
-        text += ": ";
-        text += value;
-    }
-    text += "\r\n\r\n";
-    text += body;
-    return text;
-}
-
-} // namespace
+namespace {} // namespace
 
 struct http_client::implementation {
     uv_loop_t* loop = nullptr;
@@ -175,12 +155,29 @@
                             {"reason", large ? "too large" : "not HTTP/1.1, or cut off"}});
 }
 
+bool send_request(open_call* call);
+
+/// Notes which process has answered the question of a call, and sends its request.
+void apply_peer(open_call* call) {
+    const http_reply reply = call->reader.take_reply();
+    call->carrier->peer = call->read_peer(reply);
+    const bool usable = call->reader.is_reusable() && !call->carrier->is_writing;
+    call->reader = http_reply_reader(call->owner->options.reply_limit);
+    if (!usable || !send_request(call)) {
+        finish(call, result_without_reply(*call, false));
+    }
+}
+
 void apply_state(open_call* call, http_reply_reader::state state) {
     switch (state) {
     case http_reply_reader::state::incomplete:
         return;
     case http_reply_reader::state::complete: {
         uv_read_stop(call->carrier->stream());
+        if (call->is_asking) {
+            apply_peer(call);
+            return;
+        }
         http_reply reply = call->reader.take_reply();
         reply.connection = call->carrier->id;
         reply.sent_at = call->sent_at;
@@ -224,21 +221,9 @@
     }
 }
 
-/// Sends the request on a connection and reads the reply. Returns false if the socket fails at
-/// once, if the call is for a peer to which the connection may not lead, or if its time is over:
-/// the timers of the loop do not count the time of a suspended VM.
-bool send_request(open_call* call) {
-    connection& carrier = *call->carrier;
-    call->sent_at = call->owner->timers.now();
-    const bool wrong_peer = call->only_to_peer && !leads_to_peer(*call);
-    if (wrong_peer || call->sent_at >= call->deadline) {
-        return false;
-    }
-    call->is_connected = true;
-    std::string& request = call->request_for_unknown_peer && !leads_to_peer(*call)
-                               ? *call->request_for_unknown_peer
-                               : call->request;
-    uv_buf_t buffer = uv_buf_init(request.data(), static_cast<unsigned>(request.size()));
+bool send_text(open_call& call, std::string& text) {
+    connection& carrier = *call.carrier;
+    uv_buf_t buffer = uv_buf_init(text.data(), static_cast<unsigned>(text.size()));
     carrier.writing.data = &carrier;
     if (uv_read_start(carrier.stream(), provide_input, on_input) != 0) {
         return false;
@@ -247,6 +232,26 @@
     return carrier.is_writing;
 }
 
+/// Sends the request on a connection, after the question that it may need, and reads the reply.
+/// Returns false if the socket fails at once, if the connection does not lead to the peer, or if
+/// the time of the call is over: the timers of the loop do not count the time of a suspended VM.
+bool send_request(open_call* call) {
+    call->sent_at = call->owner->timers.now();
+    if (call->sent_at >= call->deadline) {
+        return false;
+    }
+    const bool known = leads_to_peer(*call);
+    if (call->read_peer && !known) {
+        const bool asked = std::exchange(call->is_asking, true);
+        return !asked && send_text(*call, call->question);
+    }
+    call->is_asking = false;
+    call->is_connected = true;
+    return send_text(*call, call->request_for_unknown_peer && !known
+                                ? *call->request_for_unknown_peer
+                                : call->request);
+}
+
 void on_connected(uv_connect_t* connecting, int status) {
     auto* carrier = static_cast<connection*>(connecting->data);
     open_call* call = carrier->call;
@@ -333,12 +338,18 @@
     const bool shares = body_->options.connections_per_endpoint > 0;
     auto* call = new open_call(to, body_->options.reply_limit);
     call->done = std::move(done);
-    call->request = serialized(to, request, request.body, shares);
+    call->request = request_text(to, request, request.body, shares);
     call->peer = request.peer;
-    call->only_to_peer = request.only_to_peer;
+    if (request.question != nullptr) {
+        call->question = request_text(
+            to,
+            {.method = request.method, .path = request.question->path, .headers = request.headers},
+            request.question->body, shares);
+        call->read_peer = request.question->read_peer;
+    }
     if (request.body_for_unknown_peer) {
         call->request_for_unknown_peer =
-            serialized(to, request, *request.body_for_unknown_peer, shares);
+            request_text(to, request, *request.body_for_unknown_peer, shares);
     }
     call->owner = body_.get();
     call->deadline = body_->timers.now() + request.timeout;
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -46,6 +46,13 @@
 
 using http_result = std::variant<http_reply, http_unreachable, http_lost>;
 
+/// A call whose reply names the process that answers.
+struct peer_question {
+    std::string_view path;
+    std::string_view body;
+    std::function<peer_id(const http_reply&)> read_peer; ///< `unknown_peer` for another reply.
+};
+
 struct http_call {
     std::string_view method = "GET";
     std::string_view path;
@@ -56,8 +63,9 @@
     peer_id peer = unknown_peer;
     /// Sent in place of `body` on a connection that may lead to another process than `peer`.
     std::optional<std::string_view> body_for_unknown_peer{};
-    /// On such a connection, nothing is sent and the call ends as unreachable.
-    bool only_to_peer = false;
+    /// Asked on such a connection first; the call ends as unreachable if it does not lead to
+    /// `peer`.
+    const peer_question* question = nullptr;
 };
 
 struct http_client_options {
--- a/tests/backend_client_test.cpp
+++ b/tests/backend_client_test.cpp
@@ -74,7 +74,7 @@
     }
 
     /// The result of a start that the server does not answer.
-    command_result lose_start(process_start_ms process, bool only_to_process) {
+    command_result lose_start(process_start_ms process) {
         std::optional<command_result> answer;
         client.start(address(),
                      {.task = {job_id("job"), 0, 0, 0},
@@ -82,14 +82,17 @@
                       .payload = "WaitMs",
                       .lease_until = 5000,
                       .token = 3,
-                      .process = process,
-                      .only_to_process = only_to_process},
+                      .process = process},
                      milliseconds(100), [&](const command_result& result) { answer = result; });
         run_for(milliseconds(150));
         cr_assert(answer.has_value());
         return *answer;
     }
 
+    [[nodiscard]] bool last_request_was_a_start() const {
+        return received.back().find(R"("Run":1)") != std::string::npos;
+    }
+
     [[nodiscard]] bool last_poll_renewed_the_lease() const {
         const std::string& body = received.back();
         const bool renewed = body.find(R"("DeadlineMs":5000)") != std::string::npos;
@@ -117,31 +120,28 @@
     cr_assert(backend.last_poll_renewed_the_lease());
 }
 
-Test(backend_client, lost_start_says_whether_another_process_can_have_received_it) {
+Test(backend_client, start_is_not_sent_to_another_process) {
     backend_fixture backend;
-    const auto lost_start = [&](process_start_ms process) {
-        return std::get<command_in_doubt>(backend.lose_start(process, false)).process_known;
-    };
-    backend.poll(former_process);
-    cr_assert(lost_start(former_process));
-    cr_assert(!lost_start(former_process), "the lost call has closed the known connections");
+    cr_assert(std::holds_alternative<backend_unreachable>(backend.lose_start(new_process)));
+    cr_assert(!backend.last_request_was_a_start());
+    cr_assert(std::get<command_in_doubt>(backend.lose_start(former_process)).process_known);
+    cr_assert(backend.last_request_was_a_start(), "on a connection opened for it");
     backend.poll(former_process);
-    cr_assert(!lost_start(new_process));
+    const std::size_t requests = backend.received.size();
+    cr_assert(std::get<command_in_doubt>(backend.lose_start(former_process)).process_known);
+    cr_assert(backend.received.size() == requests + 1, "the process was asked although known");
 }
 
-Test(backend_client, server_that_does_not_report_its_start_keeps_its_lease) {
+Test(backend_client, start_is_sent_to_a_server_that_does_not_report_its_start) {
     backend_fixture backend;
     backend.start(unknown_process);
-    backend.poll(unknown_process);
-    cr_assert(backend.last_poll_renewed_the_lease());
+    cr_assert(!std::get<command_in_doubt>(backend.lose_start(unknown_process)).process_known);
+    cr_assert(backend.last_request_was_a_start());
 }
 
-Test(backend_client, start_for_one_process_is_not_sent_to_another) {
+Test(backend_client, server_that_does_not_report_its_start_keeps_its_lease) {
     backend_fixture backend;
-    backend.poll(former_process);
-    const std::size_t polls = backend.received.size();
-    cr_assert(std::holds_alternative<backend_unreachable>(backend.lose_start(new_process, true)));
-    cr_assert(backend.received.size() == polls, "the start was sent");
-    backend.poll(former_process);
-    cr_assert(std::holds_alternative<command_in_doubt>(backend.lose_start(former_process, true)));
+    backend.start(unknown_process);
+    backend.poll(unknown_process);
+    cr_assert(backend.last_poll_renewed_the_lease());
 }
--- a/tests/restarted_server_test.cpp
+++ b/tests/restarted_server_test.cpp
@@ -242,13 +242,3 @@
     fixture.pass_without_first(ordinary_lease_end);
     cr_assert(fixture.started_again(), "no other process can run the task");
 }
-
-Test(restarted_server, owner_names_the_process_of_a_start_at_the_end_of_its_lease) {
-    restart_fixture fixture;
-    cr_assert(!fixture.starts.front().command.only_to_process);
-    fixture.add_workflow(job_id("late"), false);
-    fixture.now += milliseconds(1900);
-    fixture.answer(first, former_process, former_clock + 1900, {reported_run(1)});
-    fixture.handle(dispatch_tick{1});
-    cr_assert(fixture.starts.size() == 2 && fixture.starts.back().command.only_to_process);
-}
