--- a/tests/proofs/workflow_world.h
+++ b/tests/proofs/workflow_world.h
@@ -43,6 +43,15 @@
     results run(std::span<const std::string_view> promises);
 
   private:
+    static constexpr duration step_time = milliseconds(20);
+    static constexpr duration ownership_lease = milliseconds(1600);
+    static constexpr duration command_grace = milliseconds(3400);
+    static constexpr duration command_timeout = milliseconds(1000);
+    static constexpr duration stop_time = milliseconds(200);
+    static constexpr duration max_lease = milliseconds(6000);
+    static constexpr std::uint32_t attempts = 3;
+    static constexpr resources team_limit{60000, 0, 0};
+
     struct model_run {
         task_key task;
         std::uint32_t run = 0;
