--- a/tests/proofs/main.cpp
+++ b/tests/proofs/main.cpp
@@ -16,6 +16,11 @@
     return points;
 }
 
+bool& tracing() {
+    static bool enabled = false;
+    return enabled;
+}
+
 } // namespace citronford
 
 namespace {
@@ -77,6 +82,7 @@
     add("point", po::value(&options.point), "only this point");
     add("break", po::value(&options.fault), "plant the fault of this name");
     add("until-found", po::bool_switch(&options.until_found), "stop at the first violation");
+    add("trace", po::bool_switch(&tracing()), "print the events of the simulations");
     add("list", "list the points");
     po::variables_map values;
     try {
--- a/tests/proofs/proof.h
+++ b/tests/proofs/proof.h
@@ -22,6 +22,9 @@
     std::function<proof_result(std::uint64_t seed)> run;
 };
 
+/// Whether simulations print what happens in them, to trace a violation.
+bool& tracing();
+
 /// All points, registered by static objects of the proof files.
 std::vector<proof_point>& proof_points();
 
