Proofs: requests that open a connection reach the next process of a server

The world bound each request to the process that lived when it was sent, so none ever reached a server that had restarted under its identifier; clocks began at 0, runs were shorter than any lease, and no restart took less than 500 ms. A request now goes over a connection that is known to lead to the process it names, or opens one, which is retried until the request times out. Polls on other connections go without lease, acknowledgement and delay, as the contract of the link says.

--- a/tests/proofs/workflow_messages.cpp
+++ b/tests/proofs/workflow_messages.cpp
@@ -1,9 +1,21 @@
 // Requests between owners and backend servers, and their answers.
 #include "proofs/workflow_world.h"
 
+#include "citronford/overloaded.h"
+
 #include <algorithm>
 
 namespace citronford {
+namespace {
+
+template <class Result> Result result_without_answer(bool sent, bool process_known) {
+    if (sent) {
+        return command_in_doubt{process_known};
+    }
+    return backend_unreachable{};
+}
+
+} // namespace
 
 void workflow_world::perform(const owner_ref& instance, const send_start& effect) {
     start_message body{effect.run, effect.command, std::string(effect.command.checkpoint)};
@@ -25,20 +37,75 @@
     message item{instance, to.id, std::move(body)};
     item.sent_at = now_;
     item.deliver_at = now_ + step_time;
-    item.times_out_at = now_ + wait + command_timeout;
+    item.times_out_at = now_ + wait + call_timeout_;
     item.reply_by = now_ + wait;
-    item.connected_incarnation = backends_.at(to.id).process_start;
+    item.reset_noticed = chance(0.5);
+    connect(item);
     if (!fault_free_) {
-        item.lost = chance(faults_.request_lost);
-        item.reply_lost = chance(faults_.reply_lost);
-        if (!std::holds_alternative<poll_message>(item.body) && chance(faults_.request_delayed)) {
-            item.deliver_at = now_ + seconds(2 + random_below(10));
-            item.reply_lost = true;
-        }
+        add_faults(item);
+    }
+    if (auto* poll = std::get_if<poll_message>(&item.body);
+        poll != nullptr && !item.process_known) {
+        // As the contract of the link says: the answer may come from another process.
+        poll->request.lease_until.reset();
+        poll->request.acknowledged_completion = 0;
+        poll->request.max_wait = {};
+        item.reply_by = now_;
     }
     messages_.push_back(std::move(item));
 }
 
+void workflow_world::connect(message& item) {
+    const model_backend& server = backends_.at(item.to);
+    const auto kept = item.from->kept_connections.find(item.to);
+    const auto leads_to = [&](process_start_ms process) {
+        return to_ms(kept->second.time_since_epoch()) == process;
+    };
+    if (kept != item.from->kept_connections.end() && !chance(faults_.new_connection)) {
+        // The link may have noticed that the process has gone.
+        const bool closed = kept->second != server.process_start && chance(0.5);
+        const bool known = std::visit(
+            overloaded{
+                [&](const start_message& body) { return leads_to(body.command.process); },
+                [&](const stop_message&) { return false; },
+                [&](const poll_message& body) { return leads_to(body.request.process); },
+            },
+            item.body);
+        const bool is_stop = std::holds_alternative<stop_message>(item.body);
+        if (!closed && (known || is_stop)) {
+            item.connected_process = kept->second;
+            item.process_known = known;
+            return;
+        }
+    }
+    const bool opened_at_once = server.up && chance(0.5);
+    if (opened_at_once) {
+        item.connected_process = server.process_start;
+    }
+}
+
+void workflow_world::add_faults(message& item) {
+    item.lost = chance(faults_.request_lost);
+    item.reply_lost = chance(faults_.reply_lost);
+    const bool is_poll = std::holds_alternative<poll_message>(item.body);
+    const bool delayed = !is_poll && chance(faults_.request_delayed);
+    const bool held_up =
+        !is_poll && !item.process_known && chance(faults_.request_delayed_past_restart);
+    if (item.lost || delayed) {
+        // The request was sent, to the process that is or was the last one.
+        item.connected_process =
+            item.connected_process.value_or(backends_.at(item.to).process_start);
+    }
+    if (delayed || held_up) {
+        item.deliver_at = now_ + seconds(2 + random_below(10));
+        item.reply_lost = true;
+    }
+    if (held_up) {
+        item.connected_process.reset();
+        item.held_up = true;
+    }
+}
+
 void workflow_world::deliver_messages() {
     for (const owner_ref& instance : owners_) {
         // An owner retries its write until it is committed; a write of an earlier owner is refused.
@@ -52,17 +119,7 @@
     }
     for (std::size_t index = 0; index < messages_.size(); ++index) {
         message item = std::move(messages_[index]);
-        const model_backend& server = backends_.at(item.to);
-        const bool reachable = server.up && now_ >= server.partitioned_until;
-        // A restart of the server closes its connections.
-        item.lost = item.lost || item.connected_incarnation != server.process_start;
-        if (!item.delivered && now_ >= item.deliver_at && reachable && !item.lost) {
-            answer(item);
-        }
-        if (!item.answered && now_ >= item.times_out_at) {
-            item.answered = true;
-            time_out(item);
-        }
+        deliver(item);
         messages_[index] = std::move(item);
     }
     std::erase_if(messages_, [&](const message& item) {
@@ -71,6 +128,29 @@
     });
 }
 
+void workflow_world::deliver(message& item) {
+    const model_backend& server = backends_.at(item.to);
+    const bool cut_off = now_ < server.partitioned_until;
+    const bool reachable = server.up && !cut_off;
+    const bool due = now_ >= item.deliver_at;
+    if (due && reachable && !item.connected_process && (!item.answered || item.held_up)) {
+        item.connected_process = server.process_start;
+    }
+    // A restart of the server closes its connections.
+    item.lost = item.lost ||
+                (item.connected_process && *item.connected_process != server.process_start) ||
+                (item.answered && !item.connected_process && !item.held_up);
+    if (!item.delivered && due && reachable && !item.lost) {
+        answer(item);
+    }
+    const bool refused = !cut_off && item.reset_noticed && !item.held_up && !item.delivered &&
+                         (server.up ? item.lost : server.refuses_connections);
+    if (!item.answered && ((due && refused) || now_ >= item.times_out_at)) {
+        item.answered = true;
+        end_without_answer(item);
+    }
+}
+
 void workflow_world::answer(message& item) {
     const request_body body = item.body;
     std::visit([&](const auto& content) { answer(item, content); }, body);
@@ -118,18 +198,32 @@
     item.delivered = true;
     if (!item.reply_lost && !item.answered) {
         item.answered = true;
+        item.from->kept_connections[item.to] = server.process_start;
         handle_input(item.from, poll_answered{item.to, reply});
     }
 }
 
-void workflow_world::time_out(message& item) {
-    if (const auto* start = std::get_if<start_message>(&item.body)) {
-        handle_input(item.from, start_answered{start->run, command_in_doubt{}});
-    } else if (const auto* stop = std::get_if<stop_message>(&item.body)) {
-        handle_input(item.from, stop_answered{stop->run, command_in_doubt{}});
-    } else {
-        handle_input(item.from, poll_answered{item.to, command_in_doubt{}});
-    }
+void workflow_world::end_without_answer(message& item) {
+    item.from->kept_connections.erase(item.to);
+    const bool sent = item.connected_process || item.held_up;
+    std::visit(overloaded{
+                   [&](const start_message& body) {
+                       handle_input(item.from,
+                                    start_answered{body.run, result_without_answer<command_result>(
+                                                                 sent, item.process_known)});
+                   },
+                   [&](const stop_message& body) {
+                       handle_input(item.from,
+                                    stop_answered{body.run, result_without_answer<command_result>(
+                                                                sent, item.process_known)});
+                   },
+                   [&](const poll_message&) {
+                       handle_input(item.from,
+                                    poll_answered{item.to, result_without_answer<poll_result>(
+                                                               sent, item.process_known)});
+                   },
+               },
+               item.body);
 }
 
 } // namespace citronford
--- a/tests/proofs/workflow_servers.cpp
+++ b/tests/proofs/workflow_servers.cpp
@@ -16,7 +16,7 @@
 backend_clock_ms workflow_world::clock_of(const model_backend& server) const {
     const double elapsed_ms =
         static_cast<double>(to_ms(now_ - server.process_start)) * server.clock_rate;
-    return static_cast<backend_clock_ms>(elapsed_ms);
+    return server.clock_at_start + static_cast<backend_clock_ms>(elapsed_ms);
 }
 
 const workflow_step& workflow_world::step_of(const task_key& task) const {
@@ -54,8 +54,16 @@
     }
     check_start(server, command);
     const bool fails = !fault_free_ && chance(faults_.task_fails);
-    const duration time =
-        milliseconds(to_ms(step.estimate) / 2 + random_below(1 + to_ms(step.estimate)));
+    duration time = milliseconds(to_ms(step.estimate) / 2 + random_below(1 + to_ms(step.estimate)));
+    if (!fault_free_ && chance(faults_.task_overruns)) {
+        time += milliseconds(2000 + random_below(10000));
+    }
+    trace("start of " + std::to_string(command.token), server.registration.id, [&] {
+        return text_of(command.task) + " run " + std::to_string(command.run) + " clock " +
+               std::to_string(clock) + " lease left " +
+               std::to_string(command.lease_until - clock) + " for process " +
+               std::to_string(command.process);
+    });
     server.running.push_back({command.task, command.run, now_ + time,
                               fails ? completion_kind::failed : completion_kind::done, step.size});
     return command_accepted{clock};
@@ -120,6 +128,8 @@
     server.fence = command.token;
     std::uint32_t& barred = server.highest_barred_run[command.task];
     barred = std::max(barred, command.run);
+    trace("stop of " + std::to_string(command.token), server.registration.id,
+          [&] { return text_of(command.task) + " run " + std::to_string(command.run); });
     for (model_run& run : server.running) {
         if (run.task == command.task && run.run == command.run) {
             run.kind = completion_kind::stopped;
@@ -143,6 +153,10 @@
     for (model_completion& item : server.completions) {
         if (item.completion.number <= request.acknowledged_completion && !item.acknowledged) {
             item.acknowledged = true;
+            trace("acknowledged", server.registration.id, [&] {
+                return text_of(item.completion.task) + " run " +
+                       std::to_string(item.completion.run);
+            });
             // A completion does not count when the lease expired before the acknowledgement: the
             // task may have been started elsewhere.
             if (item.completion.kind == completion_kind::done && !item.lease_expired_since) {
@@ -168,24 +182,64 @@
         {{++server.last_completion, run.task, run.run, kind, ""}, false, false});
     std::uint32_t& barred = server.highest_barred_run[run.task];
     barred = std::max(barred, run.run);
+    trace("ended", server.registration.id, [&] {
+        return text_of(run.task) + " run " + std::to_string(run.run) + " kind " +
+               std::to_string(static_cast<int>(kind));
+    });
     if (kind == completion_kind::done) {
         done_tasks_.insert(run.task);
     }
 }
 
+void workflow_world::crash(model_backend& server, duration down_time) {
+    server.up = false;
+    server.refuses_connections = chance(0.5);
+    server.running.clear();
+    server.down_until = now_ + down_time;
+    trace("crashed", server.registration.id,
+          [&] { return "until " + time_text(server.down_until); });
+}
+
+/// The VM restarts under the same identifier without its earlier state. The clock of the new
+/// process may continue that of the former one, be somewhat earlier or later, or start anywhere.
+void workflow_world::restart(model_backend& server) {
+    constexpr std::int64_t shift_ms = 8000;
+    const backend_clock_ms former_clock = clock_of(server);
+    model_backend fresh;
+    fresh.registration = server.registration;
+    fresh.stored = server.stored;
+    fresh.clock_rate = server.clock_rate;
+    fresh.partitioned_at = server.partitioned_at;
+    fresh.partitioned_until = server.partitioned_until;
+    fresh.process_start = now_;
+    fresh.registration.process_start_unix_ms = to_ms(now_.time_since_epoch());
+    fresh.registers_at = now_ + milliseconds(20 + random_below(1500));
+    constexpr std::uint64_t kinds = 4;
+    switch (random_below(kinds)) {
+    case 0:
+        fresh.clock_at_start = former_clock;
+        break;
+    case 1:
+        fresh.clock_at_start = std::max<backend_clock_ms>(
+            0, former_clock - shift_ms + static_cast<std::int64_t>(random_below(2 * shift_ms)));
+        break;
+    case 2:
+        fresh.clock_at_start = static_cast<backend_clock_ms>(random_below(longest_clock_ms));
+        break;
+    default:
+        break;
+    }
+    server = std::move(fresh);
+    trace("restarted", server.registration.id, [&] {
+        return "clock " + std::to_string(server.clock_at_start) + " instead of " +
+               std::to_string(former_clock);
+    });
+}
+
 void workflow_world::advance(model_backend& server) {
     if (!server.up) {
         if (now_ >= server.down_until || fault_free_) {
-            // The VM restarts under the same identifier without its earlier state.
-            const backend_registration registration = server.registration;
-            const double rate = server.clock_rate;
-            server = {};
-            server.registration = registration;
-            server.clock_rate = rate;
-            server.process_start = now_;
-            server.registration.process_start_unix_ms =
-                to_ms(server.process_start.time_since_epoch());
-            server.registers_at = now_ + milliseconds(100);
+            restart(server);
         }
         return;
     }
--- a/tests/proofs/workflow_world.cpp
+++ b/tests/proofs/workflow_world.cpp
@@ -3,10 +3,12 @@
 #include "citronford/chart.h"
 
 #include <algorithm>
+#include <iostream>
 
 namespace citronford {
 namespace {
 
+constexpr double steps_per_second = 50;
 const pool_id pool("pool");
 const queue_id queue("queue");
 const team_id team("team");
@@ -25,7 +27,8 @@
 } // namespace
 
 workflow_world::workflow_world(std::uint64_t seed, workflow_faults faults)
-    : random_(seed * 7919 + 1), faults_(faults) {
+    : random_(seed * 7919 + 1), faults_(faults),
+      call_timeout_(chance(0.5) ? milliseconds(300) : milliseconds(1000)) {
     queue_definition definition;
     definition.name = queue;
     definition.pool = pool;
@@ -44,11 +47,19 @@
         server.registration.capacity = {16000, 64000, 0};
         server.clock_rate = index % 2 == 0 ? 1.0 : 0.98;
         server.process_start = now_ - seconds(10 + index);
+        server.clock_at_start = static_cast<backend_clock_ms>(random_below(longest_clock_ms));
         server.registration.process_start_unix_ms = to_ms(server.process_start.time_since_epoch());
+        server.stored = server.registration;
         backends_.emplace(server.registration.id, std::move(server));
     }
 }
 
+void workflow_world::print(std::string_view event, const backend_id& server,
+                           std::string_view detail) const {
+    std::cout << to_ms(now_.time_since_epoch()) << ' ' << event << ' ' << server.str() << ' '
+              << detail << '\n';
+}
+
 bool workflow_world::chance(double probability) {
     return std::uniform_real_distribution<double>(0, 1)(random_) < probability;
 }
@@ -64,6 +75,7 @@
     }
     proof_result& result = found->second;
     ++result.violations;
+    trace("violation", {}, [&] { return std::string(promise) + ": " + detail; });
     if (result.detail.empty()) {
         result.detail = detail + " at " + std::to_string(to_ms(now_.time_since_epoch())) + " ms";
     }
@@ -156,30 +168,65 @@
     }
 }
 
-void workflow_world::inject_faults() {
-    constexpr double steps_per_second = 50;
+void workflow_world::inject_backend_faults() {
+    const auto short_time = [this] { return milliseconds(100 + random_below(900)); };
+    const bool restart_together = chance(faults_.backends_restart_together / steps_per_second);
+    const duration down_together = short_time();
+    if (restart_together && chance(0.4)) {
+        owner_fault_at_ = now_ + milliseconds(random_below(3000));
+    }
     for (auto& [id, server] : backends_) {
         if (server.up && chance(faults_.backend_crash / steps_per_second)) {
-            server.up = false;
-            server.running.clear();
-            server.down_until = now_ + milliseconds(500 + random_below(6000));
+            crash(server, milliseconds(500 + random_below(6000)));
+        }
+        if (server.up && chance(faults_.backend_restart / steps_per_second)) {
+            crash(server, short_time());
+        }
+        if (server.up && restart_together && chance(0.5)) {
+            crash(server, down_together);
+            if (chance(0.5)) {
+                server.partitioned_at =
+                    now_ + down_together + milliseconds(random_below(chance(0.5) ? 300 : 3000));
+            }
         }
-        if (chance(faults_.backend_partitioned / steps_per_second)) {
+        const bool soon_after_restart = server.partitioned_at && now_ >= *server.partitioned_at;
+        if (soon_after_restart) {
+            server.partitioned_at.reset();
+            server.partitioned_until = now_ + milliseconds(3000 + random_below(9000));
+        } else if (chance(faults_.backend_partitioned / steps_per_second)) {
             server.partitioned_until = now_ + milliseconds(500 + random_below(8000));
+        } else {
+            continue;
         }
+        trace("cut off", id, [&] { return "until " + time_text(server.partitioned_until); });
     }
+}
+
+void workflow_world::inject_faults() {
+    inject_backend_faults();
     if (owners_.empty()) {
         return;
     }
     owner& instance = *owners_.back();
-    if (chance(faults_.owner_killed / steps_per_second)) {
+    const bool fault_due = owner_fault_at_ && now_ >= *owner_fault_at_;
+    enum class fault : std::uint8_t { none, kill, store_partition, freeze };
+    constexpr std::uint64_t fault_kinds = 3;
+    const fault due = fault_due ? static_cast<fault>(1 + random_below(fault_kinds)) : fault::none;
+    if (fault_due) {
+        owner_fault_at_.reset();
+    }
+    if (due == fault::kill || chance(faults_.owner_killed / steps_per_second)) {
         instance.alive = false;
+        trace("owner killed", {}, [&] { return std::to_string(instance.token); });
     }
-    if (chance(faults_.owner_store_partitioned / steps_per_second)) {
+    if (due == fault::store_partition ||
+        chance(faults_.owner_store_partitioned / steps_per_second)) {
         instance.store_partitioned_until = now_ + milliseconds(500 + random_below(8000));
+        trace("owner cut off from the store", {}, [&] { return std::to_string(instance.token); });
     }
-    if (chance(faults_.owner_frozen / steps_per_second)) {
+    if (due == fault::freeze || chance(faults_.owner_frozen / steps_per_second)) {
         instance.frozen_until = now_ + milliseconds(500 + random_below(6000));
+        trace("owner frozen", {}, [&] { return std::to_string(instance.token); });
     }
 }
 
@@ -213,6 +260,7 @@
     options.token = owners_.empty() ? 1 : owners_.back()->token + 1;
     options.previous_owner_grace = command_grace;
     options.max_lease = max_lease;
+    options.command_timeout = call_timeout_;
     options.stop_time = stop_time;
     auto instance = std::make_shared<owner>();
     instance->decisions = *dispatcher::create(life_cycles(), options, now_);
@@ -221,11 +269,12 @@
     instance->lease_until = now_ + ownership_lease;
     instance->sends_commands_until = instance->lease_until + command_grace;
     owners_.push_back(instance);
+    trace("owner begins", {}, [&] { return std::to_string(instance->token); });
     handle_input(instance, catalog_applied{catalog_});
     handle_input(instance,
                  ownership_extended{instance->lease_until, instance->sends_commands_until});
     for (const auto& [id, server] : backends_) {
-        handle_input(instance, backend_registered{server.registration});
+        handle_input(instance, backend_registered{server.stored});
     }
     handle_input(instance, backends_loaded{});
     for (const auto& [id, stored] : store_) {
@@ -241,6 +290,7 @@
     for (auto& [id, server] : backends_) {
         if (server.up && server.registers_at && now_ >= *server.registers_at) {
             server.registers_at.reset();
+            server.stored = server.registration;
             for (const owner_ref& instance : owners_) {
                 if (store_reachable(*instance)) {
                     handle_input(instance, backend_registered{server.registration});
@@ -284,6 +334,11 @@
     instance->alive = instance == owners_.back();
 }
 
+void workflow_world::perform(const owner_ref& instance, const log_decision& effect) {
+    trace("log of " + std::to_string(instance->token), effect.backend,
+          [&] { return std::string(effect.event) + ' ' + effect.job.str() + ' ' + effect.detail; });
+}
+
 void workflow_world::check_final_state() {
     for (const auto& [id, stored] : store_) {
         const bool late = now_ - stored.stored_at > seconds(30);
