--- a/tests/proofs/workflow_world.cpp
+++ b/tests/proofs/workflow_world.cpp
@@ -3,21 +3,15 @@
 #include "citronford/chart.h"
 
 #include <algorithm>
+#include <iostream>
 
 namespace citronford {
 namespace {
 
-constexpr duration step_time = milliseconds(20);
-constexpr duration ownership_lease = milliseconds(1600);
-constexpr duration command_grace = milliseconds(3400);
-constexpr duration command_timeout = milliseconds(1000);
-constexpr duration stop_time = milliseconds(200);
-constexpr duration max_lease = milliseconds(6000);
-constexpr std::uint32_t attempts = 3;
+constexpr double steps_per_second = 50;
 const pool_id pool("pool");
 const queue_id queue("queue");
 const team_id team("team");
-const resources team_limit{60000, 0, 0};
 
 chart loaded(std::string_view name) {
     return *chart::load(std::string(CITRONFORD_CHARTS) + "/" + std::string(name) + ".scxml");
@@ -30,14 +24,11 @@
     return {workflow, task_run, contact};
 }
 
-std::string text_of(const task_key& task) {
-    return task.job.str() + '.' + std::to_string(task.step) + '.' + std::to_string(task.index);
-}
-
 } // namespace
 
 workflow_world::workflow_world(std::uint64_t seed, workflow_faults faults)
-    : random_(seed * 7919 + 1), faults_(faults) {
+    : random_(seed * 7919 + 1), faults_(faults),
+      call_timeout_(chance(0.5) ? milliseconds(300) : milliseconds(1000)) {
     queue_definition definition;
     definition.name = queue;
     definition.pool = pool;
@@ -56,11 +47,19 @@
         server.registration.capacity = {16000, 64000, 0};
         server.clock_rate = index % 2 == 0 ? 1.0 : 0.98;
         server.process_start = now_ - seconds(10 + index);
+        server.clock_at_start = static_cast<backend_clock_ms>(random_below(longest_clock_ms));
         server.registration.process_start_unix_ms = to_ms(server.process_start.time_since_epoch());
+        server.stored = server.registration;
         backends_.emplace(server.registration.id, std::move(server));
     }
 }
 
+void workflow_world::print(std::string_view event, const backend_id& server,
+                           std::string_view detail) const {
+    std::cout << to_ms(now_.time_since_epoch()) << ' ' << event << ' ' << server.str() << ' '
+              << detail << '\n';
+}
+
 bool workflow_world::chance(double probability) {
     return std::uniform_real_distribution<double>(0, 1)(random_) < probability;
 }
@@ -76,6 +75,7 @@
     }
     proof_result& result = found->second;
     ++result.violations;
+    trace("violation", {}, [&] { return std::string(promise) + ": " + detail; });
     if (result.detail.empty()) {
         result.detail = detail + " at " + std::to_string(to_ms(now_.time_since_epoch())) + " ms";
     }
@@ -168,30 +168,65 @@
     }
 }
 
-void workflow_world::inject_faults() {
-    constexpr double steps_per_second = 50;
+void workflow_world::inject_backend_faults() {
+    const auto short_time = [this] { return milliseconds(100 + random_below(900)); };
+    const bool restart_together = chance(faults_.backends_restart_together / steps_per_second);
+    const duration down_together = short_time();
+    if (restart_together && chance(0.4)) {
+        owner_fault_at_ = now_ + milliseconds(random_below(3000));
+    }
     for (auto& [id, server] : backends_) {
         if (server.up && chance(faults_.backend_crash / steps_per_second)) {
-            server.up = false;
-            server.running.clear();
-            server.down_until = now_ + milliseconds(500 + random_below(6000));
+            crash(server, milliseconds(500 + random_below(6000)));
+        }
+        if (server.up && chance(faults_.backend_restart / steps_per_second)) {
+            crash(server, short_time());
         }
-        if (chance(faults_.backend_partitioned / steps_per_second)) {
+        if (server.up && restart_together && chance(0.5)) {
+            crash(server, down_together);
+            if (chance(0.5)) {
+                server.partitioned_at =
+                    now_ + down_together + milliseconds(random_below(chance(0.5) ? 300 : 3000));
+            }
+        }
+        const bool soon_after_restart = server.partitioned_at && now_ >= *server.partitioned_at;
+        if (soon_after_restart) {
+            server.partitioned_at.reset();
+            server.partitioned_until = now_ + milliseconds(3000 + random_below(9000));
+        } else if (chance(faults_.backend_partitioned / steps_per_second)) {
             server.partitioned_until = now_ + milliseconds(500 + random_below(8000));
+        } else {
+            continue;
         }
+        trace("cut off", id, [&] { return "until " + time_text(server.partitioned_until); });
     }
+}
+
+void workflow_world::inject_faults() {
+    inject_backend_faults();
     if (owners_.empty()) {
         return;
     }
     owner& instance = *owners_.back();
-    if (chance(faults_.owner_killed / steps_per_second)) {
+    const bool fault_due = owner_fault_at_ && now_ >= *owner_fault_at_;
+    enum class fault : std::uint8_t { none, kill, store_partition, freeze };
+    constexpr std::uint64_t fault_kinds = 3;
+    const fault due = fault_due ? static_cast<fault>(1 + random_below(fault_kinds)) : fault::none;
+    if (fault_due) {
+        owner_fault_at_.reset();
+    }
+    if (due == fault::kill || chance(faults_.owner_killed / steps_per_second)) {
         instance.alive = false;
+        trace("owner killed", {}, [&] { return std::to_string(instance.token); });
     }
-    if (chance(faults_.owner_store_partitioned / steps_per_second)) {
+    if (due == fault::store_partition ||
+        chance(faults_.owner_store_partitioned / steps_per_second)) {
         instance.store_partitioned_until = now_ + milliseconds(500 + random_below(8000));
+        trace("owner cut off from the store", {}, [&] { return std::to_string(instance.token); });
     }
-    if (chance(faults_.owner_frozen / steps_per_second)) {
+    if (due == fault::freeze || chance(faults_.owner_frozen / steps_per_second)) {
         instance.frozen_until = now_ + milliseconds(500 + random_below(6000));
+        trace("owner frozen", {}, [&] { return std::to_string(instance.token); });
     }
 }
 
@@ -225,6 +260,7 @@
     options.token = owners_.empty() ? 1 : owners_.back()->token + 1;
     options.previous_owner_grace = command_grace;
     options.max_lease = max_lease;
+    options.command_timeout = call_timeout_;
     options.stop_time = stop_time;
     auto instance = std::make_shared<owner>();
     instance->decisions = *dispatcher::create(life_cycles(), options, now_);
@@ -233,11 +269,12 @@
     instance->lease_until = now_ + ownership_lease;
     instance->sends_commands_until = instance->lease_until + command_grace;
     owners_.push_back(instance);
+    trace("owner begins", {}, [&] { return std::to_string(instance->token); });
     handle_input(instance, catalog_applied{catalog_});
     handle_input(instance,
                  ownership_extended{instance->lease_until, instance->sends_commands_until});
     for (const auto& [id, server] : backends_) {
-        handle_input(instance, backend_registered{server.registration});
+        handle_input(instance, backend_registered{server.stored});
     }
     handle_input(instance, backends_loaded{});
     for (const auto& [id, stored] : store_) {
@@ -253,6 +290,7 @@
     for (auto& [id, server] : backends_) {
         if (server.up && server.registers_at && now_ >= *server.registers_at) {
             server.registers_at.reset();
+            server.stored = server.registration;
             for (const owner_ref& instance : owners_) {
                 if (store_reachable(*instance)) {
                     handle_input(instance, backend_registered{server.registration});
@@ -288,21 +326,6 @@
     }
 }
 
-void workflow_world::perform(const owner_ref& instance, const send_start& effect) {
-    start_message body{effect.run, effect.command, std::string(effect.command.checkpoint)};
-    body.command.payload = {};
-    body.command.checkpoint = {};
-    send(instance, effect.to, std::move(body), {});
-}
-
-void workflow_world::perform(const owner_ref& instance, const send_stop& effect) {
-    send(instance, effect.to, stop_message{effect.run, effect.command}, {});
-}
-
-void workflow_world::perform(const owner_ref& instance, const send_poll& effect) {
-    send(instance, effect.to, poll_message{effect.request}, effect.request.max_wait);
-}
-
 void workflow_world::perform(const owner_ref& instance, const save_progress& effect) {
     instance->unsaved = effect.rows;
 }
@@ -311,311 +334,9 @@
     instance->alive = instance == owners_.back();
 }
 
-void workflow_world::send(const owner_ref& instance, const backend_address& to, request_body body,
-                          duration wait) {
-    message item{instance, to.id, std::move(body)};
-    item.sent_at = now_;
-    item.deliver_at = now_ + step_time;
-    item.times_out_at = now_ + wait + command_timeout;
-    item.reply_by = now_ + wait;
-    item.connected_incarnation = backends_.at(to.id).process_start;
-    if (!fault_free_) {
-        item.lost = chance(faults_.request_lost);
-        item.reply_lost = chance(faults_.reply_lost);
-        if (!std::holds_alternative<poll_message>(item.body) && chance(faults_.request_delayed)) {
-            item.deliver_at = now_ + seconds(2 + random_below(10));
-            item.reply_lost = true;
-        }
-    }
-    messages_.push_back(std::move(item));
-}
-
-void workflow_world::deliver_messages() {
-    for (const owner_ref& instance : owners_) {
-        // An owner retries its write until it is committed; a write of an earlier owner is refused.
-        if (instance == owners_.back() && !instance->unsaved.empty() &&
-            store_reachable(*instance)) {
-            for (const progress_row& row : std::exchange(instance->unsaved, {})) {
-                store_.at(row.job).progress = row.progress;
-            }
-            handle_input(instance, progress_saved{});
-        }
-    }
-    for (std::size_t index = 0; index < messages_.size(); ++index) {
-        message item = std::move(messages_[index]);
-        const model_backend& server = backends_.at(item.to);
-        const bool reachable = server.up && now_ >= server.partitioned_until;
-        // A restart of the server closes its connections.
-        item.lost = item.lost || item.connected_incarnation != server.process_start;
-        if (!item.delivered && now_ >= item.deliver_at && reachable && !item.lost) {
-            answer(item);
-        }
-        if (!item.answered && now_ >= item.times_out_at) {
-            item.answered = true;
-            time_out(item);
-        }
-        messages_[index] = std::move(item);
-    }
-    std::erase_if(messages_, [&](const message& item) {
-        const bool too_old = now_ >= item.deliver_at + seconds(20);
-        return item.answered && (item.delivered || item.lost || too_old);
-    });
-}
-
-void workflow_world::answer(message& item) {
-    const request_body body = item.body;
-    std::visit([&](const auto& content) { answer(item, content); }, body);
-}
-
-void workflow_world::answer(message& item, const start_message& body) {
-    item.delivered = true;
-    // A delayed start, or one from an owner without the latest state, may come after a
-    // cancellation.
-    constexpr duration on_time_limit = milliseconds(200);
-    constexpr duration recovery_time = milliseconds(3000);
-    const owner& instance = *item.from;
-    sender_up_to_date_ = item.from == owners_.back() && now_ <= item.sent_at + on_time_limit &&
-                         now_ >= instance.begun_at + recovery_time &&
-                         now_ >= instance.store_partitioned_until + recovery_time &&
-                         now_ >= instance.frozen_until + recovery_time;
-    const command_result result = start_task(backends_.at(item.to), body.command);
-    if (!item.reply_lost && !item.answered) {
-        item.answered = true;
-        handle_input(item.from, start_answered{body.run, result});
-    }
-}
-
-void workflow_world::answer(message& item, const stop_message& body) {
-    item.delivered = true;
-    const command_result result = stop_run(backends_.at(item.to), body.command);
-    if (!item.reply_lost && !item.answered) {
-        item.answered = true;
-        handle_input(item.from, stop_answered{body.run, result});
-    }
-}
-
-void workflow_world::answer(message& item, const poll_message& body) {
-    model_backend& server = backends_.at(item.to);
-    if (body.request.token < server.fence) {
-        item.delivered = true;
-        item.answered = true;
-        handle_input(item.from, poll_answered{item.to, command_refused{command_refusal::fenced}});
-        return;
-    }
-    const poll_reply reply = answer_poll(server, body.request);
-    if (reply.completions.empty() && now_ < item.reply_by) {
-        return;
-    }
-    item.delivered = true;
-    if (!item.reply_lost && !item.answered) {
-        item.answered = true;
-        handle_input(item.from, poll_answered{item.to, reply});
-    }
-}
-
-void workflow_world::time_out(message& item) {
-    if (const auto* start = std::get_if<start_message>(&item.body)) {
-        handle_input(item.from, start_answered{start->run, command_in_doubt{}});
-    } else if (const auto* stop = std::get_if<stop_message>(&item.body)) {
-        handle_input(item.from, stop_answered{stop->run, command_in_doubt{}});
-    } else {
-        handle_input(item.from, poll_answered{item.to, command_in_doubt{}});
-    }
-}
-
-backend_clock_ms workflow_world::clock_of(const model_backend& server) const {
-    const double elapsed_ms =
-        static_cast<double>(to_ms(now_ - server.process_start)) * server.clock_rate;
-    return static_cast<backend_clock_ms>(elapsed_ms);
-}
-
-const workflow_step& workflow_world::step_of(const task_key& task) const {
-    return store_.at(task.job).row.spec.steps[task.step];
-}
-
-command_result workflow_world::start_task(model_backend& server, const start_command& command) {
-    if (command.token < server.fence) {
-        return command_refused{command_refusal::fenced};
-    }
-    server.fence = command.token;
-    const backend_clock_ms clock = clock_of(server);
-    const backend_clock_ms lease =
-        std::min<backend_clock_ms>(command.lease_until, clock + to_ms(max_lease));
-    for (const model_run& run : server.running) {
-        if (run.task == command.task && run.run == command.run) {
-            return command_accepted{clock};
-        }
-    }
-    if (lease <= clock) {
-        return command_refused{command_refusal::lease_expired};
-    }
-    server.lease_until = std::max(server.lease_until, lease);
-    const auto barred = server.highest_barred_run.find(command.task);
-    if (barred != server.highest_barred_run.end() && command.run <= barred->second) {
-        return command_refused{command_refusal::superseded_run};
-    }
-    const workflow_step& step = step_of(command.task);
-    resources used;
-    for (const model_run& run : server.running) {
-        used += run.size;
-    }
-    if (!(server.registration.capacity - used).holds(step.size)) {
-        return command_refused{command_refusal::insufficient_capacity};
-    }
-    check_start(server, command);
-    const bool fails = !fault_free_ && chance(faults_.task_fails);
-    const duration time =
-        milliseconds(to_ms(step.estimate) / 2 + random_below(1 + to_ms(step.estimate)));
-    server.running.push_back({command.task, command.run, now_ + time,
-                              fails ? completion_kind::failed : completion_kind::done, step.size});
-    return command_accepted{clock};
-}
-
-void workflow_world::check_start(const model_backend& server, const start_command& command) {
-    const workflow_step& step = step_of(command.task);
-    const stored_workflow& stored = store_.at(command.task.job);
-    if (acknowledged_done_.contains(command.task)) {
-        report_violation("workflow-once",
-                         text_of(command.task) +
-                             " starts again after its completion was acknowledged");
-    }
-    resources team_use = step.size;
-    std::uint32_t on_server = 1;
-    for (const auto& [id, other] : backends_) {
-        for (const model_run& run : other.running) {
-            team_use += run.size;
-            if (other.up && run.task == command.task) {
-                report_violation("workflow-once", text_of(command.task) + " runs on " + id.str() +
-                                                      " and " + server.registration.id.str());
-            }
-            on_server += &other == &server && run.task.job == command.task.job &&
-                                 run.task.step == command.task.step
-                             ? 1
-                             : 0;
-        }
-    }
-    if (step.max_per_server != 0 && on_server > step.max_per_server) {
-        report_violation("workflow-limits",
-                         text_of(command.task) + " exceeds the limit of its server");
-    }
-    // Allows 10% and one task more, since no dispatcher observes that a run ends when its lease
-    // expires.
-    if (team_use.millicores > team_limit.millicores + team_limit.millicores / 10 + 4000) {
-        report_violation("workflow-limits", "the team has " + std::to_string(team_use.millicores) +
-                                                " millicores running");
-    }
-    if (acknowledged_failures_[command.task] >= attempts) {
-        report_violation("workflow-attempts",
-                         text_of(command.task) + " starts again after all attempts have failed");
-    }
-    for (const std::uint32_t earlier : step.after) {
-        for (std::uint32_t index = 0; index < stored.row.spec.steps[earlier].tasks; ++index) {
-            if (!done_tasks_.contains({command.task.job, 0, earlier, index})) {
-                report_violation("workflow-order",
-                                 text_of(command.task) + " starts before an earlier step");
-            }
-        }
-    }
-    constexpr duration cancel_time = milliseconds(3000);
-    if (stored.cancelled && now_ > stored.cancelled_at + cancel_time && sender_up_to_date_) {
-        report_violation("workflow-cancel",
-                         text_of(command.task) + " starts after it was cancelled");
-    }
-}
-
-command_result workflow_world::stop_run(model_backend& server, const stop_command& command) {
-    if (command.token < server.fence) {
-        return command_refused{command_refusal::fenced};
-    }
-    server.fence = command.token;
-    std::uint32_t& barred = server.highest_barred_run[command.task];
-    barred = std::max(barred, command.run);
-    for (model_run& run : server.running) {
-        if (run.task == command.task && run.run == command.run) {
-            run.kind = completion_kind::stopped;
-            run.ends_at =
-                std::min(run.ends_at, now_ + milliseconds(random_below(to_ms(stop_time))));
-        }
-    }
-    return command_accepted{clock_of(server)};
-}
-
-poll_reply workflow_world::answer_poll(model_backend& server, const poll_request& request) {
-    server.fence = request.token;
-    poll_reply reply;
-    reply.clock = clock_of(server);
-    reply.process_start_unix_ms = to_ms(server.process_start.time_since_epoch());
-    if (request.lease_until) {
-        server.lease_until = std::max(
-            server.lease_until,
-            std::min<backend_clock_ms>(*request.lease_until, reply.clock + to_ms(max_lease)));
-    }
-    for (model_completion& item : server.completions) {
-        if (item.completion.number <= request.acknowledged_completion && !item.acknowledged) {
-            item.acknowledged = true;
-            // A completion does not count when the lease expired before the acknowledgement: the
-            // task may have been started elsewhere.
-            if (item.completion.kind == completion_kind::done && !item.lease_expired_since) {
-                acknowledged_done_.insert(item.completion.task);
-            } else if (item.completion.kind == completion_kind::failed) {
-                ++acknowledged_failures_[item.completion.task];
-            }
-        }
-    }
-    std::erase_if(server.completions,
-                  [](const model_completion& item) { return item.acknowledged; });
-    for (const model_completion& item : server.completions) {
-        reply.completions.push_back(item.completion);
-    }
-    for (const model_run& run : server.running) {
-        reply.running.push_back({run.task, run.run, "", 100, 0});
-    }
-    return reply;
-}
-
-void workflow_world::end_run(model_backend& server, const model_run& run, completion_kind kind) {
-    server.completions.push_back(
-        {{++server.last_completion, run.task, run.run, kind, ""}, false, false});
-    std::uint32_t& barred = server.highest_barred_run[run.task];
-    barred = std::max(barred, run.run);
-    if (kind == completion_kind::done) {
-        done_tasks_.insert(run.task);
-    }
-}
-
-void workflow_world::advance(model_backend& server) {
-    if (!server.up) {
-        if (now_ >= server.down_until || fault_free_) {
-            // The VM restarts under the same identifier without its earlier state.
-            const backend_registration registration = server.registration;
-            const double rate = server.clock_rate;
-            server = {};
-            server.registration = registration;
-            server.clock_rate = rate;
-            server.process_start = now_;
-            server.registration.process_start_unix_ms =
-                to_ms(server.process_start.time_since_epoch());
-            server.registers_at = now_ + milliseconds(100);
-        }
-        return;
-    }
-    if (fault_free_) {
-        server.partitioned_until = std::min(server.partitioned_until, now_);
-    }
-    const bool lapsed = clock_of(server) >= server.lease_until;
-    for (model_completion& item : server.completions) {
-        item.lease_expired_since = item.lease_expired_since || lapsed;
-    }
-    const std::vector<model_run> running = std::exchange(server.running, {});
-    for (const model_run& run : running) {
-        if (now_ >= run.ends_at) {
-            end_run(server, run, run.kind);
-        } else if (lapsed) {
-            end_run(server, run, completion_kind::lapsed);
-        } else {
-            server.running.push_back(run);
-        }
-    }
+void workflow_world::perform(const owner_ref& instance, const log_decision& effect) {
+    trace("log of " + std::to_string(instance->token), effect.backend,
+          [&] { return std::string(effect.event) + ' ' + effect.job.str() + ' ' + effect.detail; });
 }
 
 void workflow_world::check_final_state() {
