Stop series: restart backend servers and cut them off

A new process has another clock, up to 2% slow, and no runs, fencing token or ends. A gate in front of each server resets the connections of the former process; calls that open a connection meanwhile are dropped or reach the new process. `proxied` also delivers calls on idle connections.

The stand-ins register, expire after three heartbeats and report their start in lists of runs only, as PROTOCOL.md has it. The ledger of runs has a file of its own. A start after an end that was listed as done no longer counts if the lease lapsed, or the process ended, before the end was acknowledged: RULES.md allows it (TWICE), and a server that is cut off shows it. Nothing else of the check is narrower.

--- a/tools/stop_series/backend_model.h
+++ b/tools/stop_series/backend_model.h
@@ -2,6 +2,7 @@
 
 #include "citronford/timer_service.h"
 #include "io/http_server.h"
+#include "stop_series/run_ledger.h"
 
 #include <nlohmann/json.hpp>
 
@@ -9,51 +10,45 @@
 #include <deque>
 #include <list>
 #include <map>
-#include <optional>
+#include <memory>
 #include <string>
-#include <vector>
+#include <string_view>
 
 namespace citronford {
 
-/// What all backend servers have run, by task.
-class run_ledger {
-  public:
-    void note_start(const std::string& task, instant now);
-    void note_end(const std::string& task, bool done);
-
-    /// Whether a task of the job `id` was started.
-    [[nodiscard]] bool has_run(const std::string& id) const;
-
-    /// When the first task of the job `id` was started; none if nothing was.
-    [[nodiscard]] std::optional<instant> first_start(const std::string& id) const;
-
-    /// Tasks that ran twice at the same time, or were started again after they were done.
-    [[nodiscard]] std::size_t doubled() const { return doubled_.size(); }
-
-  private:
-    struct task_history {
-        int running = 0;
-        bool done = false;
-        instant first_start = instant::max();
-    };
-    std::map<std::string, task_history> tasks_;
-    std::vector<std::string> doubled_;
+/// How a process of a backend server behaves.
+struct backend_options {
+    duration task_time{};
+    duration long_task_time{}; ///< Of a task whose text is `long_spec`.
+    duration longest_lease{};
+    std::int64_t processors = 64;
+    std::int64_t clock_start_ms = 1;
+    double clock_rate = 1.0; ///< Seconds of its clock in one second.
 };
 
-/// Stand-in for a backend server that runs tasks under leases. Each task ends `done` after
-/// `task_time`, or `failed` soon if its text is `failing_spec`.
+/// Stand-in for a process of a backend server that runs tasks under leases. Each task ends `done`
+/// after its time, or `failed` soon if its text is `failing_spec`. All runs end with the process.
 class backend_model {
   public:
-    backend_model(std::string id, duration task_time, timer_service& timers, run_ledger& ledger);
+    backend_model(std::string id, backend_options options, timer_service& timers,
+                  run_ledger& ledger);
+    backend_model(const backend_model&) = delete;
+    backend_model& operator=(const backend_model&) = delete;
+    backend_model(backend_model&&) = delete;
+    backend_model& operator=(backend_model&&) = delete;
+    ~backend_model();
 
     void handle(const http_request& request, const http_responder& responder);
 
-    [[nodiscard]] const std::string& id() const { return id_; }
+    [[nodiscard]] std::size_t running() const { return running_.size(); }
+    /// Rest of the lease on its clock; negative without one.
+    [[nodiscard]] std::int64_t lease_left_ms() const { return lease_until_ms_ - clock_ms(); }
     [[nodiscard]] std::int64_t born_unix_ms() const { return born_unix_ms_; }
 
   private:
     struct active_run {
         std::uint32_t run = 0;
+        std::shared_ptr<run_record> record;
         timer_subscription end;
     };
     struct listed_end {
@@ -61,6 +56,7 @@
         std::string task;
         std::uint32_t run = 0;
         std::string how;
+        std::shared_ptr<run_record> record;
     };
     struct waiting_poll {
         instant until;
@@ -72,14 +68,17 @@
     void poll(const nlohmann::json& call, const http_responder& responder);
     void extend_lease(const nlohmann::json& call);
     void tick(instant now);
+    void end_lease();
     void end(const std::string& task, const std::string& how);
+    void forfeit_ends();
+    [[nodiscard]] duration time_of(std::string_view spec) const;
     void answer_poll(const http_responder& responder);
     void refuse(const http_responder& responder, const char* reason);
     [[nodiscard]] nlohmann::json reply_document() const;
     [[nodiscard]] std::int64_t clock_ms() const;
 
     std::string id_;
-    duration task_time_;
+    backend_options options_;
     timer_service& timers_;
     run_ledger& ledger_;
     instant born_;
--- a/tools/stop_series/entry_vms.cpp
+++ b/tools/stop_series/entry_vms.cpp
@@ -115,7 +115,7 @@
         {"platform.RowBytes", "65536"},
         {"Cloud.Address", text_of({platform_host, options_.vm_list_port})},
         {"Advice", ""},
-        {"Bounds.HoldMaxMs", "6000"},
+        {"Bounds.HoldMaxMs", std::to_string(to_ms(options_.longest_lease))},
         {"Bounds.StopTimeoutMs", "900"},
         {"Bounds.LeaseMs", "3000"},
         {"Bounds.GraceS", std::to_string(to_ms(options_.stop_grace) / 1000)},
--- a/tools/stop_series/entry_vms.h
+++ b/tools/stop_series/entry_vms.h
@@ -25,7 +25,8 @@
     std::string directory;     ///< For settings and logs.
     std::uint16_t store_port = 0;
     std::uint16_t vm_list_port = 0;
-    duration stop_grace{}; ///< From SIGTERM to SIGKILL.
+    duration stop_grace{};               ///< From SIGTERM to SIGKILL.
+    duration longest_lease = seconds(6); ///< That backend servers grant.
 };
 
 /// One life of the daemon on an entry VM that has ended.
--- a/tools/stop_series/kept_caller.cpp
+++ b/tools/stop_series/kept_caller.cpp
@@ -58,10 +58,9 @@
 }
 
 /// A job of one task, or one of three tasks that always fail.
-std::string job_body(bool failing) {
-    const std::string spec(failing ? failing_spec : "text");
-    return R"({"Spec":")" + spec + R"(","Steps":[{"Count":)" + (failing ? "3" : "1") +
-           R"(,"Cpu":1000,"MemMb":64,"EstimateMs":400}]})";
+std::string job_body(std::string_view spec) {
+    return R"({"Spec":")" + std::string(spec) + R"(","Steps":[{"Count":)" +
+           (spec == failing_spec ? "3" : "1") + R"(,"Cpu":1000,"MemMb":64,"EstimateMs":400}]})";
 }
 
 } // namespace
@@ -151,7 +150,7 @@
             jobs_.accepted.erase(jobs_.accepted.begin() + static_cast<std::ptrdiff_t>(index));
         }
     }
-    const std::string body = request_.method == "POST" ? job_body(submission_.failing) : "";
+    const std::string body = request_.method == "POST" ? job_body(submission_.spec) : "";
     request_.text = std::string(request_.method) + " " + target_.prefix + request_.job +
                     " HTTP/1.1\r\nhost: " + target_.host + "\r\nauthorization: Token " +
                     target_.key + "\r\ncontent-type: application/json\r\ndeadline-ms: " +
@@ -164,9 +163,13 @@
         constexpr std::uint64_t jobs_of_caller = 1000000;
         constexpr std::int64_t percent = 100;
         // Nothing is drawn without such jobs, so that seeds keep their meaning.
-        const bool failing =
-            options_.failing_percent > 0 && below(percent) < options_.failing_percent;
-        submission_ = {job_name(number_ * jobs_of_caller + ++last_job_), 0, false, failing};
+        const auto drawn = [&](std::int64_t share) { return share > 0 && below(percent) < share; };
+        submission_ = {job_name(number_ * jobs_of_caller + ++last_job_)};
+        if (drawn(options_.failing_percent)) {
+            submission_.spec = failing_spec;
+        } else if (drawn(options_.long_percent)) {
+            submission_.spec = long_spec;
+        }
     }
     ++submission_.attempts;
     request_ = {"POST", submission_.job, "", {}};
@@ -282,7 +285,8 @@
 
 void kept_caller::note_submission(request_end end, int status) {
     if (end == request_end::answered && status == ok) {
-        (submission_.failing ? jobs_.failing : jobs_.accepted).push_back(submission_.job);
+        (submission_.spec == failing_spec ? jobs_.failing : jobs_.accepted)
+            .push_back(submission_.job);
         jobs_.accepted_at.emplace(submission_.job, timers_.now());
         submission_ = {};
         return;
--- a/tools/stop_series/kept_caller.h
+++ b/tools/stop_series/kept_caller.h
@@ -53,10 +53,14 @@
 /// Text of a task that always fails.
 inline constexpr std::string_view failing_spec = "fails";
 
+/// Text of a task that takes longer than the longest lease.
+inline constexpr std::string_view long_spec = "long";
+
 /// How a caller behaves.
 struct caller_options {
     duration max_pause{};             ///< Between an answer and the next request.
     std::int64_t failing_percent = 0; ///< Of its jobs, those that can never be done.
+    std::int64_t long_percent = 0;    ///< Of its other jobs, those that take long.
 };
 
 /// Deadline that callers give with each request.
@@ -101,7 +105,7 @@
         std::string job;
         int attempts = 0;
         bool in_doubt = false; ///< An attempt ended without an answer that tells its result.
-        bool failing = false;
+        std::string_view spec = "text"; ///< Of its tasks.
     };
 
     void send_next();
--- a/tools/stop_series/main.cpp
+++ b/tools/stop_series/main.cpp
@@ -1,6 +1,7 @@
-// Stops the daemons of a small fleet on loopback one after the other, under callers that keep their
-// connections, and reports what the callers saw. Exits with a failure when a request was cut, a job
-// was lost or run wrongly, or a daemon did not end as asked.
+// Stops the daemons of a small fleet on loopback one after the other, or restarts its backend
+// servers and kills the owner, under callers that keep their connections, and reports what the
+// callers saw. Exits with a failure when a request was cut, a job was lost or run wrongly, or a
+// daemon did not end as asked.
 #include "stop_series/stop_scenario.h"
 
 #include "io/event_loop.h"
@@ -22,6 +23,7 @@
     stop_scenario_options scenario;
     entry_vm_options daemons;
     std::int64_t max_pause_ms = 600;
+    std::int64_t longest_lease_ms = 6000;
     std::string faults; ///< Names of faults, separated by commas.
     bool help = false;
 };
@@ -45,8 +47,12 @@
         "longest pause of a caller between an answer and its next request");
     add("failing-percent", po::value(&scenario.caller.failing_percent)->default_value(0),
         "share of the jobs whose tasks always fail");
+    add("long-percent", po::value(&scenario.caller.long_percent)->default_value(0),
+        "share of the other jobs whose task takes longer than the longest lease");
+    add("longest-lease-ms", po::value(&chosen.longest_lease_ms)->default_value(6000),
+        "that backend servers grant");
     add("faults", po::value(&chosen.faults)->default_value(""),
-        "any of overlap,owner,pauses,silences,kills,reloads,changes");
+        "any of overlap,owner,pauses,silences,kills,reloads,changes,restarts,proxied");
     return description;
 }
 
@@ -56,7 +62,8 @@
         {"overlap", &scenario.stops_overlap}, {"owner", &scenario.owner_only},
         {"pauses", &scenario.pauses},         {"silences", &scenario.silences},
         {"kills", &scenario.kills},           {"reloads", &scenario.reloads},
-        {"changes", &scenario.changes}};
+        {"changes", &scenario.changes},       {"restarts", &scenario.restarts},
+        {"proxied", &scenario.proxied}};
     while (!faults.empty()) {
         const std::string_view name = faults.substr(0, faults.find(','));
         faults.remove_prefix(std::min(faults.size(), name.size() + 1));
@@ -88,7 +95,9 @@
               << " unfinished_jobs=" << result.unfinished_jobs
               << " stalled_jobs=" << result.stalled_jobs
               << " refused_jobs_run=" << result.refused_jobs_run
-              << " doubled_tasks=" << result.doubled_tasks << '\n';
+              << " doubled_tasks=" << result.doubled_tasks
+              << " server_restarts=" << result.server_restarts
+              << " owner_kills=" << result.owner_kills << '\n';
 }
 
 /// Ends the process at once: h2o keeps its connections in the loop, which need not be closed.
@@ -147,5 +156,6 @@
     constexpr duration stop_grace = seconds(6);
     chosen.scenario.caller.max_pause = milliseconds(chosen.max_pause_ms);
     chosen.daemons.stop_grace = stop_grace;
+    chosen.daemons.longest_lease = milliseconds(chosen.longest_lease_ms);
     leave(play(chosen));
 }
--- a/tools/stop_series/platform_store.cpp
+++ b/tools/stop_series/platform_store.cpp
@@ -69,6 +69,14 @@
     answer_due_feeds();
 }
 
+void platform_store::remove(std::string_view table, std::string_view key) {
+    const location at{std::string(table), "", std::string(key)};
+    if (live_version(at) != 0) {
+        write(at, {"", ++version_, true});
+        answer_due_feeds();
+    }
+}
+
 void platform_store::write(const location& at, stored_row row) {
     by_version_[row.version].push_back(at);
     rows_[at] = std::move(row);
--- a/tools/stop_series/platform_store.h
+++ b/tools/stop_series/platform_store.h
@@ -26,6 +26,9 @@
     /// A write of the operator or of a backend server.
     void put(std::string_view table, std::string_view key, const nlohmann::json& value);
 
+    /// Removes a row that the operator or a backend server has written, if it is there.
+    void remove(std::string_view table, std::string_view key);
+
     /// While set, calls are not answered; those that were held are answered afterwards.
     void set_silent(bool silent);
 
