--- a/tests/proofs/workflow_messages.cpp
+++ b/tests/proofs/workflow_messages.cpp
@@ -4,6 +4,7 @@
 #include "citronford/overloaded.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace citronford {
 namespace {
@@ -158,6 +159,15 @@
 
 void workflow_world::answer(message& item, const start_message& body) {
     item.delivered = true;
+    const model_backend& server = backends_.at(item.to);
+    const bool names_server = body.command.process == server.registration.process_start_unix_ms;
+    if (!item.process_known && !item.held_up && !names_server) {
+        // The link asks first which process answers, and sends a start to no other one.
+        if (!std::exchange(item.answered, true)) {
+            handle_input(item.from, start_answered{body.run, backend_unreachable{}});
+        }
+        return;
+    }
     // A delayed start, or one from an owner without the latest state, may come after a
     // cancellation.
     constexpr duration on_time_limit = milliseconds(200);
