Next owner: an adopted run does not make the runs of its task known

Two runs of a task around a takeover: the next owner adopted a run from one server and took the task for known from then on.

--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -129,8 +129,6 @@
         record.copy = &run;
     }
     record.last_run = std::max(record.last_run, number);
-    // A run of an earlier owner may have a copy that was not seen.
-    record.run_seen = record.run_seen || !allows_copies(definition);
     ++entry.runs;
     if (entry.state == workflow_state::pending) {
         entry.state = workflow_state::running;
--- a/tests/dispatcher_takeover_test.cpp
+++ b/tests/dispatcher_takeover_test.cpp
@@ -186,3 +186,27 @@
     }
     cr_assert(fixture.starts.size() == 1);
 }
+
+// Guards against two runs of a task: while a server is unread, an earlier owner in its grace may
+// start a task there again whose run on another server has ended with the server.
+Test(dispatcher_takeover, waits_for_unread_servers_after_an_adopted_run_is_lost) {
+    dispatch_fixture fixture;
+    fixture.register_backend(first);
+    fixture.register_backend(second);
+    fixture.add_workflow(job, true);
+    fixture.finish_loading();
+    fixture.tick();
+    fixture.answer_poll(first, {reported_run(2)}, {});
+    fixture.handle(poll_answered{second, backend_unreachable{}});
+    fixture.tick(seconds(1));
+    cr_assert(fixture.decisions->counts().runs == 1);
+    constexpr process_start_ms new_process = 8;
+    fixture.handle(poll_answered{first, poll_reply{1000, new_process, {}, {}}});
+    fixture.tick();
+    fixture.handle(poll_answered{first, poll_reply{1020, new_process, {}, {}}});
+    fixture.tick();
+    cr_assert(fixture.starts.empty());
+    fixture.answer_poll(second, {}, {});
+    fixture.tick();
+    cr_assert(fixture.starts.size() == 1);
+}
