--- a/include/citronford/backend_link.h
+++ b/include/citronford/backend_link.h
@@ -117,7 +117,7 @@
 };
 /// Another incarnation of the VM answered; the intended one is gone.
 struct backend_replaced {};
-/// No byte was sent.
+/// The command or poll was not sent.
 struct backend_unreachable {};
 /// The request may have been executed, or may still be executed seconds later.
 struct command_in_doubt {
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -32,10 +32,10 @@
     /// Sent in place of `request` on a connection that may lead to another process than `peer`.
     std::optional<std::string> request_for_unknown_peer;
     peer_id peer = unknown_peer;
-    /// Asked before the request on a connection that may lead to another process than `peer`.
-    std::string question;
-    std::function<peer_id(const http_reply&)> read_peer; ///< Empty without a question.
-    bool is_asking = false;
+    /// Sent before the request on a connection that may lead to another process than `peer`.
+    std::string query;
+    std::function<peer_id(const http_reply&)> read_peer; ///< Empty without a query.
+    bool is_querying = false;
     instant deadline;
     bool is_connected = false;
     instant sent_at{};
@@ -45,8 +45,6 @@
     connection* carrier = nullptr;     ///< Null while the call waits for a connection.
 };
 
-namespace {} // namespace
-
 struct http_client::implementation {
     uv_loop_t* loop = nullptr;
     timer_service& timers;
@@ -157,7 +155,7 @@
 
 bool send_request(open_call* call);
 
-/// Notes which process has answered the question of a call, and sends its request.
+/// Notes which process has answered the query of a call, and sends its request.
 void apply_peer(open_call* call) {
     const http_reply reply = call->reader.take_reply();
     call->carrier->peer = call->read_peer(reply);
@@ -174,7 +172,7 @@
         return;
     case http_reply_reader::state::complete: {
         uv_read_stop(call->carrier->stream());
-        if (call->is_asking) {
+        if (call->is_querying) {
             apply_peer(call);
             return;
         }
@@ -232,7 +230,7 @@
     return carrier.is_writing;
 }
 
-/// Sends the request on a connection, after the question that it may need, and reads the reply.
+/// Sends the request on a connection, after the query that it may need, and reads the reply.
 /// Returns false if the socket fails at once, if the connection does not lead to the peer, or if
 /// the time of the call is over: the timers of the loop do not count the time of a suspended VM.
 bool send_request(open_call* call) {
@@ -242,10 +240,10 @@
     }
     const bool known = leads_to_peer(*call);
     if (call->read_peer && !known) {
-        const bool asked = std::exchange(call->is_asking, true);
-        return !asked && send_text(*call, call->question);
+        const bool queried = std::exchange(call->is_querying, true);
+        return !queried && send_text(*call, call->query);
     }
-    call->is_asking = false;
+    call->is_querying = false;
     call->is_connected = true;
     return send_text(*call, call->request_for_unknown_peer && !known
                                 ? *call->request_for_unknown_peer
@@ -340,12 +338,11 @@
     call->done = std::move(done);
     call->request = request_text(to, request, request.body, shares);
     call->peer = request.peer;
-    if (request.question != nullptr) {
-        call->question = request_text(
-            to,
-            {.method = request.method, .path = request.question->path, .headers = request.headers},
-            request.question->body, shares);
-        call->read_peer = request.question->read_peer;
+    if (request.query != nullptr) {
+        call->query = request_text(
+            to, {.method = request.method, .path = request.query->path, .headers = request.headers},
+            request.query->body, shares);
+        call->read_peer = request.query->read_peer;
     }
     if (request.body_for_unknown_peer) {
         call->request_for_unknown_peer =
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -31,7 +31,8 @@
     /// The value of the header `name` (lower case); empty when absent.
     [[nodiscard]] std::string_view header(std::string_view name) const;
 };
-/// The connection could not be established, so nothing was sent.
+/// The connection could not be established, or leads to another process than the call is for, so
+/// the request was not sent.
 struct http_unreachable {
     bool refused = false; ///< The address refused the connection: no process listens there.
 };
@@ -47,7 +48,7 @@
 using http_result = std::variant<http_reply, http_unreachable, http_lost>;
 
 /// A call whose reply names the process that answers.
-struct peer_question {
+struct peer_query {
     std::string_view path;
     std::string_view body;
     std::function<peer_id(const http_reply&)> read_peer; ///< `unknown_peer` for another reply.
@@ -63,9 +64,9 @@
     peer_id peer = unknown_peer;
     /// Sent in place of `body` on a connection that may lead to another process than `peer`.
     std::optional<std::string_view> body_for_unknown_peer{};
-    /// Asked on such a connection first; the call ends as unreachable if it does not lead to
-    /// `peer`.
-    const peer_question* question = nullptr;
+    /// Sent first on such a connection; the call ends as unreachable if the reply names another
+    /// process.
+    const peer_query* query = nullptr;
 };
 
 struct http_client_options {
