--- a/review/standin-2/gang_after_crash.cpp
+++ b/review/standin-2/gang_after_crash.cpp
@@ -21,8 +21,8 @@
     const json steps = json::array(
         {{{"Count", 2}, {"Cpu", 5000}, {"MemMb", 256}, {"EstimateMs", 4000}, {"Gang", true}}});
     fleet.world.behave = [](const task_name&, int) { return behaviour{4000, "done"}; };
-    // The crashed executor's machine is back after 1 s, and calm machines are in touch after
-    // ContactMs of 3 s more.
+    // A new executor takes the place of the crashed one after 1 s, and calm machines are in touch
+    // after ContactMs of 3 s more.
     constexpr std::int64_t down_ms = 1000;
     constexpr std::int64_t contact_ms = 3000;
     std::int64_t crash_at = -1;
