--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,7 +4,7 @@
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
-program=target/review-2/gang_after_crash
+program=target/review-2/ended_long_running
 [ -x "$program" ] && [ -x target/citronford_fleetd ] || { echo "not built"; exit 2; }
 temporary=$(mktemp -d) || exit 2
 # The program ends its daemons when it ends, also by a signal.
