--- a/review/standin-2/odd_entry_at_takeover.cpp
+++ b/review/standin-2/odd_entry_at_takeover.cpp
@@ -35,33 +35,33 @@
     fleet.world.behave = [](const task_name& name, int run) {
         return behaviour{5000, name.index == 0 && run == 1 ? "failed" : "done"};
     };
-};
-int running = 0;
-std::int64_t idle_since = -1;
-fleet.world.observe = [&](const std::string&, int, const std::string& what, const std::string&) {
-    if (what.starts_with("noted")) {
-        return;
+    int running = 0;
+    std::int64_t idle_since = -1;
+    fleet.world.observe = [&](const std::string&, int, const std::string& what,
+                              const std::string&) {
+        if (what.starts_with("noted")) {
+            return;
+        }
+        running += what == "start" ? 1 : -1;
+        idle_since = running == 0 ? now_ms() : -1;
+    };
+    fleet.on.run_for(12000);
+    if (!fleet.submit(job, steps)) {
+        return fleet.failed_to_run("the job was not accepted");
     }
-    running += what == "start" ? 1 : -1;
-    idle_since = running == 0 ? now_ms() : -1;
-};
-fleet.on.run_for(12000);
-if (!fleet.submit(job, steps)) {
-    return fleet.failed_to_run("the job was not accepted");
-}
-fleet.on.run_for(2000);
-const std::string owner = fleet.owner();
-if (running != 4 || owner.empty()) {
-    return fleet.failed_to_run("the tasks do not run");
-}
-fleet.kill_node(owner);
-fleet.on.run_for(500);
-fleet.start_node(owner);
-fleet.on.run_for(60000);
-const std::string state = fleet.state_of(fleet.any_node(), job);
-const std::int64_t idle_ms = idle_since < 0 || state == "completed" ? 0 : now_ms() - idle_since;
-// More than finish_s, the leases and the takeover take together.
-return fleet.verdict(idle_ms > 30000, "60 s after the owner was killed the job is " + state +
-                                          "; nothing of it has run for the last " +
-                                          std::to_string(idle_ms) + " ms");
+    fleet.on.run_for(2000);
+    const std::string owner = fleet.owner();
+    if (running != 4 || owner.empty()) {
+        return fleet.failed_to_run("the tasks do not run");
+    }
+    fleet.kill_node(owner);
+    fleet.on.run_for(500);
+    fleet.start_node(owner);
+    fleet.on.run_for(60000);
+    const std::string state = fleet.state_of(fleet.any_node(), job);
+    const std::int64_t idle_ms = idle_since < 0 || state == "completed" ? 0 : now_ms() - idle_since;
+    // More than finish_s, the leases and the takeover take together.
+    return fleet.verdict(idle_ms > 30000, "60 s after the owner was killed the job is " + state +
+                                              "; nothing of it has run for the last " +
+                                              std::to_string(idle_ms) + " ms");
 }
