Ownership: a read that spans an outage does not show the age of the rows

Cause: a read of the owner rows that the store does not answer is repeated up to four times of 1.5 s within one call, so an outage of 5 s is never reported as `rows_unavailable`. The read succeeds after it, and the rows count as unchanged since before the outage. The lease and the delay that lets larger VMs claim first have then passed for every VM at once.

Evidence: the new line `ownership_claimed` shows capacity and `rows_unchanged_ms`. Two tests, one of the decision and one of the driver, fail without the check (run with it taken out).

The rows now count as unchanged only if their read took at most 1 s.

--- a/include/citronford/ownership.h
+++ b/include/citronford/ownership.h
@@ -33,6 +33,7 @@
     std::optional<owner_row> owner;
     table_version owner_version = absent_row;
     table_version renewal_version = absent_row;
+    duration read_time{}; ///< From the sending of the read to its answer.
 };
 /// The table did not answer a read, so the owner may have been unable to renew as well.
 struct rows_unavailable {
@@ -84,6 +85,8 @@
 /// Write the owner row if it still has the version `expected`.
 struct write_claim {
     table_version expected = absent_row;
+    std::int64_t last_capacity_permille = 0; ///< Of the last owner; 0 if unknown.
+    duration unchanged{};                    ///< How long the rows have been seen unchanged.
 };
 /// Write the renewal row if the owner row still has the version `token`.
 struct write_renewal {
@@ -160,6 +163,8 @@
 
         [[nodiscard]] duration claim_delay(const rows_observed& rows) const;
         [[nodiscard]] instant claimable_at(const rows_observed& rows) const;
+        /// Since when the rows are known to have been unchanged, up to this read.
+        [[nodiscard]] instant unchanged_since(const rows_observed& rows) const;
     };
     using machine = chart_machine<step_context, ownership_input>;
 
--- a/src/decide/ownership/ownership.cpp
+++ b/src/decide/ownership/ownership.cpp
@@ -4,6 +4,13 @@
 #include <utility>
 
 namespace citronford {
+namespace {
+
+/// A read that takes longer was held up by an outage of the table, in which the owner could not
+/// renew its lease, either.
+constexpr duration max_read_time = milliseconds(1000);
+
+} // namespace
 
 /// A VM with less capacity than the last owner delays its claim, so that a larger VM can claim
 /// first: on a small VM the reads of a new owner take seconds. The nodes see a change of the rows
@@ -19,10 +26,14 @@
     return max_delay * shortfall / last_capacity + options.claim_jitter;
 }
 
-instant ownership::step_context::claimable_at(const rows_observed& rows) const {
+instant ownership::step_context::unchanged_since(const rows_observed& rows) const {
     const bool unchanged = first_seen_at && owner_version == rows.owner_version &&
                            renewal_version == rows.renewal_version;
-    const instant seen_at = unchanged ? *first_seen_at : now;
+    return unchanged && rows.read_time <= max_read_time ? *first_seen_at : now;
+}
+
+instant ownership::step_context::claimable_at(const rows_observed& rows) const {
+    const instant seen_at = unchanged_since(rows);
     const bool vacant = !rows.owner || rows.owner->released;
     // This process runs, so an earlier process of the same node has ended.
     const bool owned_by_earlier_process = rows.owner && rows.owner->node == options.node;
@@ -63,10 +74,7 @@
         {"note_rows",
          [](step_context& context, const ownership_input& input) {
              const auto& rows = std::get<rows_observed>(input);
-             if (!context.first_seen_at || context.owner_version != rows.owner_version ||
-                 context.renewal_version != rows.renewal_version) {
-                 context.first_seen_at = context.now;
-             }
+             context.first_seen_at = context.unchanged_since(rows);
              context.owner = rows.owner;
              context.owner_version = rows.owner_version;
              context.renewal_version = rows.renewal_version;
@@ -77,7 +85,9 @@
         {"send_claim",
          [](step_context& context, const ownership_input&) {
              context.last_sent_at = context.now;
-             context.effects.emplace_back(write_claim{context.owner_version});
+             context.effects.emplace_back(write_claim{
+                 context.owner_version, context.owner ? context.owner->capacity_permille : 0,
+                 context.now - *context.first_seen_at});
          }},
         {"note_claim",
          [](step_context& context, const ownership_input& input) {
--- a/src/node/fleet/ownership_driver.cpp
+++ b/src/node/fleet/ownership_driver.cpp
@@ -13,8 +13,9 @@
 
 constexpr duration tick_period = milliseconds(50);
 
-rows_observed observed(const table_scan& scan) {
+rows_observed observed(const table_scan& scan, duration read_time) {
     rows_observed rows;
+    rows.read_time = read_time;
     for (const table_row& row : scan.rows) {
         if (row.key == renewal_row_key) {
             rows.renewal_version = row.version;
@@ -66,7 +67,7 @@
         reading_ = false;
         // While a claim is under way, its result is newer than the rows that were read.
         if (!claiming_) {
-            handle(result.ok() ? ownership_input(observed(*result))
+            handle(result.ok() ? ownership_input(observed(*result, timers_.now() - read_at_))
                                : ownership_input(rows_unavailable{}));
         }
     });
@@ -87,6 +88,11 @@
     const std::array checks = {table_check{std::string(owner_row_key), effect.expected}};
     const std::array writes = {owner_write(false)};
     claiming_ = true;
+    log_event(log_level::info, "ownership_claimed",
+              {{"expected", static_cast<std::int64_t>(effect.expected)},
+               {"capacity_permille", options_.capacity_permille},
+               {"last_capacity_permille", effect.last_capacity_permille},
+               {"rows_unchanged_ms", to_ms(effect.unchanged)}});
     table_.commit(checks, writes, [this](const absl::StatusOr<table_commit>& result) {
         claiming_ = false;
         if (result.ok() && result->committed) {
@@ -129,7 +135,8 @@
 
 void ownership_driver::perform(const ownership_begun& effect) {
     log_event(log_level::info, "ownership_begun",
-              {{"token", static_cast<std::int64_t>(effect.token)}});
+              {{"token", static_cast<std::int64_t>(effect.token)},
+               {"capacity_permille", options_.capacity_permille}});
     on_.begun(effect.token);
 }
 
--- a/tests/fleet_drivers_test.cpp
+++ b/tests/fleet_drivers_test.cpp
@@ -4,6 +4,7 @@
 #include "citronford/workflow_rows.h"
 #include "io/metrics.h"
 #include "io/progress_codec.h"
+#include "io/workflow_codec.h"
 #include "node/fleet/ended_work_marker.h"
 #include "node/fleet/observed_table.h"
 #include "node/fleet/owner_row_writer.h"
@@ -201,6 +202,27 @@
     cr_assert(stopped);
 }
 
+// Guards against claims right after a silent outage of the table: the driver has to say how long a
+// read was held up (review/6).
+Test(ownership_driver, notices_an_outage_that_held_up_a_read) {
+    table_fixture fixture;
+    ownership_options options;
+    options.node = node_id("n1");
+    options.incarnation = "n1-1";
+    options.capacity_permille = 100;
+    ownership_driver driver(*ownership::create(installed_chart("ownership"), options), options,
+                            fixture.table, fixture.timers, {[](fencing_token) {}, [] {}, [] {}});
+    table_scan rows;
+    rows.rows = {{std::string(owner_row_key), encode_owner({node_id("n2"), "n2-1", false, 500}), 3},
+                 {std::string(renewal_row_key), "renewed", 4}};
+    driver.start();
+    fixture.answer_scan(rows);
+    fixture.timers.advance(milliseconds(300));
+    fixture.timers.advance(seconds(5));
+    fixture.answer_scan(rows);
+    cr_assert(fixture.commits.empty(), "claimed as soon as the table answers again");
+}
+
 // Guards against progress that is written twice, or an ownership that ends, because the reply to a
 // committed write was lost.
 Test(progress_writer, recognises_its_own_write_by_the_fence) {
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -101,6 +101,27 @@
               "no claim although the owner does not renew after the outage");
 }
 
+// Guards against a smallest VM that owns the scheduler after a silent outage of the table: the read
+// that was pending all the while was answered after it, and every VM took the time of the outage
+// for time in which the owner had not renewed (review/6).
+Test(ownership, counts_the_delay_of_a_claim_from_the_end_of_an_outage_that_held_up_a_read) {
+    ownership_options options = options_of("n1");
+    options.capacity_permille = 100;
+    auto node = ownership::create(installed_chart("ownership"), options);
+    rows_observed rows = rows_of("n2", 1, 2);
+    rows.owner->capacity_permille = 500;
+    node->handle(rows, start);
+    instant now = start + seconds(5);
+    rows.read_time = milliseconds(4900);
+    cr_assert(node->handle(rows, now).empty(), "a claim as soon as the table answers again");
+    rows.read_time = milliseconds(4);
+    now += milliseconds(2300);
+    cr_assert(node->handle(rows, now).empty(), "the lease and the delay count from the outage on");
+    now += milliseconds(200);
+    cr_assert(find<write_claim>(node->handle(rows, now)) != nullptr,
+              "no claim although the owner does not renew after the outage");
+}
+
 // Guards against waiting for the lease of an owner that has released it or whose process has ended.
 Test(ownership, takes_over_at_once_after_a_release_and_from_an_earlier_process_of_the_node) {
     ownership node = make_ownership();
