Ownership: a small owner hands over to a VM with twice its capacity or more

A delay of the claim does not help when the large VMs are down, cut off or late at that moment.

A VM that follows an owner with at most half of its own capacity for 0.5 s offers to take over, in the row control/owner/offer. The owner reads the offer with the owner rows (only a VM that can be replaced reads them), ends its ownership and writes the bidder into the owner row, conditional on its token: the version of that row is the token of the next owner. No claim is involved, so no other small VM comes between. Capacity at least doubles with each transfer, so the ownership never moves in turns. A small owner without larger VMs waits for nothing. An owner whose lease has expired keeps the ownership: the store may be out.

--- a/include/citronford/ownership.h
+++ b/include/citronford/ownership.h
@@ -25,15 +25,25 @@
     std::int64_t capacity_permille = 0; ///< As in `ownership_options`; 0 if unknown.
 };
 
+/// Offer of a VM to take over from an owner with much less capacity.
+struct takeover_offer {
+    node_id node;
+    std::string incarnation;
+    std::int64_t capacity_permille = 0;
+    fencing_token token = 0; ///< Of the ownership that the VM would continue.
+};
+
 // Inputs.
 
-/// The owner row and the renewal row as read from the table.
+/// The rows of the ownership as read from the table.
 struct rows_observed {
     static constexpr std::string_view event_name = "rows_observed";
     std::optional<owner_row> owner;
     table_version owner_version = absent_row;
     table_version renewal_version = absent_row;
     duration read_time{}; ///< From the sending of the read to its answer.
+    std::optional<takeover_offer> offer{};
+    table_version offer_version = absent_row;
 };
 /// The table did not answer a read, so the owner may have been unable to renew as well.
 struct rows_unavailable {
@@ -63,6 +73,10 @@
 struct release_ended {
     static constexpr std::string_view event_name = "release_ended";
 };
+/// The write that hands the ownership over has ended, whatever its result.
+struct transfer_ended {
+    static constexpr std::string_view event_name = "transfer_ended";
+};
 /// The table refused the write that releases the row, or did not answer it.
 struct release_failed {
     static constexpr std::string_view event_name = "release_failed";
@@ -77,8 +91,8 @@
 
 using ownership_input =
     std::variant<rows_observed, rows_unavailable, claim_committed, claim_rejected, claim_in_doubt,
-                 renewal_committed, renewal_conflict, release_ended, release_failed, ownership_stop,
-                 ownership_tick>;
+                 renewal_committed, renewal_conflict, transfer_ended, release_ended, release_failed,
+                 ownership_stop, ownership_tick>;
 
 // Effects.
 
@@ -92,6 +106,15 @@
 struct write_renewal {
     fencing_token token = 0;
 };
+/// Write the offer if the owner row still has the version in it.
+struct write_offer {
+    takeover_offer offer;
+};
+/// Make the VM that offered the owner if the owner row still has the version `token`.
+struct write_transfer {
+    fencing_token token = 0;
+    takeover_offer to;
+};
 /// Mark the owner row as released if it still has the version `token`.
 struct write_release {
     fencing_token token = 0;
@@ -103,8 +126,9 @@
 /// After a planned stop: the node neither owns nor claims the scheduler any more.
 struct ownership_stopped {};
 
-using ownership_effect = std::variant<write_claim, write_renewal, write_release, ownership_begun,
-                                      ownership_ended, ownership_stopped>;
+using ownership_effect =
+    std::variant<write_claim, write_renewal, write_offer, write_transfer, write_release,
+                 ownership_begun, ownership_ended, ownership_stopped>;
 
 struct ownership_options {
     node_id node;
@@ -142,8 +166,9 @@
     /// Until when an owner may send orders to backend servers.
     [[nodiscard]] instant authority_until() const { return lease_until() + context_.options.grace; }
 
-    /// Time between two reads of the rows; shorter when the lease seems about to expire.
-    [[nodiscard]] duration poll_interval(instant now) const;
+    /// Time between two reads of the rows; shorter when the lease seems about to expire. Nothing if
+    /// the rows need not be read: no VM has more capacity than this owner.
+    [[nodiscard]] std::optional<duration> poll_interval(instant now) const;
 
     [[nodiscard]] std::string_view state() const { return machine_.name_of(position_); }
 
@@ -155,6 +180,10 @@
         table_version owner_version = absent_row;
         table_version renewal_version = absent_row;
         std::optional<instant> first_seen_at; ///< When the present row versions were first seen.
+        instant owner_seen_at{};              ///< When `owner_version` was first seen.
+        table_version offer_version = absent_row;
+        instant offer_seen_at{};                ///< When `offer_version` was first seen.
+        instant offer_sent_at = instant::min(); ///< When this VM last sent an offer.
         fencing_token token = 0;
         instant renewed_at{};              ///< When the last successful claim or renewal was sent.
         instant last_sent_at{};            ///< When the last claim or renewal was sent.
@@ -165,6 +194,8 @@
         [[nodiscard]] instant claimable_at(const rows_observed& rows) const;
         /// Since when the rows are known to have been unchanged, up to this read.
         [[nodiscard]] instant unchanged_since(const rows_observed& rows) const;
+        [[nodiscard]] bool should_offer(const rows_observed& rows) const;
+        [[nodiscard]] bool should_accept(const rows_observed& rows) const;
     };
     using machine = chart_machine<step_context, ownership_input>;
 
--- a/include/citronford/workflow_rows.h
+++ b/include/citronford/workflow_rows.h
@@ -12,6 +12,7 @@
 //
 //   control/owner/owner      the owner of the scheduler; its version is the fencing token
 //   control/owner/renewal    written by the owner to renew its lease
+//   control/owner/offer      offer of a VM with more capacity to take over from the owner
 //   work/{part}/{job}        an accepted workflow; "ended" once its final state is saved
 //   work/{part}/{job}!cancel order to cancel the workflow
 //   progress/run/{job}       state and completed tasks of the workflow; written only by the owner
@@ -22,6 +23,7 @@
 
 inline constexpr std::string_view owner_row_key = "control/owner/owner";
 inline constexpr std::string_view renewal_row_key = "control/owner/renewal";
+inline constexpr std::string_view offer_row_key = "control/owner/offer";
 inline constexpr std::string_view owner_rows_prefix = "control/owner/";
 inline constexpr std::string_view work_rows_prefix = "work/";
 inline constexpr std::string_view progress_rows_prefix = "progress/run/";
--- a/src/io/workflow_codec.cpp
+++ b/src/io/workflow_codec.cpp
@@ -160,6 +160,24 @@
     });
 }
 
+std::string encode_offer(const takeover_offer& offer) {
+    return text_of({{"node", offer.node.view()},
+                    {"incarnation", offer.incarnation},
+                    {"capacity", offer.capacity_permille},
+                    {"token", offer.token}});
+}
+
+absl::StatusOr<takeover_offer> decode_offer(std::string_view text) {
+    return decoded<takeover_offer>(text, [](const json& document) {
+        takeover_offer offer;
+        offer.node = node_id(document.at("node").get<std::string>());
+        offer.incarnation = document.at("incarnation");
+        offer.capacity_permille = document.at("capacity");
+        offer.token = document.at("token");
+        return offer;
+    });
+}
+
 std::string encode_fenced_value(const fenced_value& value) {
     return std::to_string(value.token) + ' ' + value.text;
 }
--- a/src/io/workflow_codec.h
+++ b/src/io/workflow_codec.h
@@ -22,6 +22,9 @@
 std::string encode_owner(const owner_row& row);
 absl::StatusOr<owner_row> decode_owner(std::string_view text);
 
+std::string encode_offer(const takeover_offer& offer);
+absl::StatusOr<takeover_offer> decode_offer(std::string_view text);
+
 /// Value of a row that only the owner writes, with its fencing token.
 struct fenced_value {
     fencing_token token = 0; ///< Token of the owner that wrote the row.
--- a/src/node/fleet/ownership_driver.cpp
+++ b/src/node/fleet/ownership_driver.cpp
@@ -13,6 +13,19 @@
 
 constexpr duration tick_period = milliseconds(50);
 
+/// The value that `decode` reads from a row; nothing if it cannot be read.
+template <class Value>
+std::optional<Value> decoded_row(const table_row& row,
+                                 absl::StatusOr<Value> (*decode)(std::string_view)) {
+    auto value = decode(*row.value);
+    if (!value.ok()) {
+        log_event(log_level::error, "row_unreadable",
+                  {{"key", row.key}, {"reason", message_of(value.status())}});
+        return std::nullopt;
+    }
+    return *std::move(value);
+}
+
 rows_observed observed(const table_scan& scan, duration read_time) {
     rows_observed rows;
     rows.read_time = read_time;
@@ -21,13 +34,10 @@
             rows.renewal_version = row.version;
         } else if (row.key == owner_row_key && row.value) {
             rows.owner_version = row.version;
-            auto owner = decode_owner(*row.value);
-            if (owner.ok()) {
-                rows.owner = *std::move(owner);
-            } else {
-                log_event(log_level::error, "row_unreadable",
-                          {{"key", row.key}, {"reason", message_of(owner.status())}});
-            }
+            rows.owner = decoded_row(row, decode_owner);
+        } else if (row.key == offer_row_key && row.value) {
+            rows.offer_version = row.version;
+            rows.offer = decoded_row(row, decode_offer);
         }
     }
     return rows;
@@ -55,7 +65,8 @@
 
 void ownership_driver::tick(instant now) {
     handle(ownership_tick{});
-    if (!decisions_.owning() && !reading_ && now >= read_at_ + decisions_.poll_interval(now)) {
+    const auto interval = decisions_.poll_interval(now);
+    if (interval && !reading_ && now >= read_at_ + *interval) {
         read_rows();
     }
 }
@@ -65,8 +76,9 @@
     read_at_ = timers_.now();
     table_.scan(owner_rows_prefix, 0, [this](const absl::StatusOr<table_scan>& result) {
         reading_ = false;
-        // While a claim is under way, its result is newer than the rows that were read.
-        if (!claiming_) {
+        // While a claim or a transfer is under way, its result is newer than the rows that were
+        // read.
+        if (!claiming_ && !transferring_) {
             handle(result.ok() ? ownership_input(observed(*result, timers_.now() - read_at_))
                                : ownership_input(rows_unavailable{}));
         }
@@ -121,6 +133,32 @@
                   });
 }
 
+void ownership_driver::perform(const write_offer& effect) {
+    const std::array checks = {table_check{std::string(owner_row_key), effect.offer.token}};
+    const std::array writes = {table_write{std::string(offer_row_key), encode_offer(effect.offer)}};
+    log_event(log_level::info, "takeover_offered",
+              {{"token", static_cast<std::int64_t>(effect.offer.token)},
+               {"capacity_permille", effect.offer.capacity_permille}});
+    // A lost offer is repeated.
+    table_.commit(checks, writes, [](const absl::StatusOr<table_commit>&) {});
+}
+
+void ownership_driver::perform(const write_transfer& effect) {
+    const std::array checks = {table_check{std::string(owner_row_key), effect.token}};
+    const std::array writes = {table_write{
+        std::string(owner_row_key),
+        encode_owner({effect.to.node, effect.to.incarnation, false, effect.to.capacity_permille})}};
+    transferring_ = true;
+    table_.commit(checks, writes,
+                  [this, to = effect.to.node](const absl::StatusOr<table_commit>& result) {
+                      transferring_ = false;
+                      log_event(log_level::info, "ownership_transferred",
+                                {{"to", to.view()},
+                                 {"written", result.ok() && result->committed ? "yes" : "no"}});
+                      handle(transfer_ended{});
+                  });
+}
+
 void ownership_driver::perform(const write_release& effect) {
     const std::array checks = {table_check{std::string(owner_row_key), effect.token}};
     const std::array writes = {owner_write(true)};
--- a/src/node/fleet/ownership_driver.h
+++ b/src/node/fleet/ownership_driver.h
@@ -33,6 +33,8 @@
     void handle(const ownership_input& input);
     void perform(const write_claim& effect);
     void perform(const write_renewal& effect);
+    void perform(const write_offer& effect);
+    void perform(const write_transfer& effect);
     void perform(const write_release& effect);
     void perform(const ownership_begun& effect);
     void perform(const ownership_ended& effect);
@@ -49,7 +51,8 @@
     handlers on_;
     timer_subscription ticks_;
     bool reading_ = false;
-    bool claiming_ = false; ///< Whether a claim is under way.
+    bool claiming_ = false;     ///< Whether a claim is under way.
+    bool transferring_ = false; ///< Whether a transfer is under way.
     instant read_at_ = instant::min();
 };
 
--- a/tests/fleet_drivers_test.cpp
+++ b/tests/fleet_drivers_test.cpp
@@ -223,6 +223,33 @@
     cr_assert(fixture.commits.empty(), "claimed as soon as the table answers again");
 }
 
+// Guards against a small owner that keeps the ownership although a larger VM offers to take over.
+Test(ownership_driver, hands_over_to_the_vm_that_offers) {
+    table_fixture fixture;
+    bool ended = false;
+    ownership_options options;
+    options.node = node_id("n1");
+    options.incarnation = "n1-1";
+    options.capacity_permille = 100;
+    ownership_driver driver(*ownership::create(installed_chart("ownership"), options), options,
+                            fixture.table, fixture.timers,
+                            {[](fencing_token) {}, [&] { ended = true; }, [] {}});
+    driver.start();
+    fixture.answer_scan(table_scan{});
+    fixture.timers.advance(seconds(1));
+    fixture.answer_scan(table_scan{});
+    fixture.answer_commit(committed(7));
+    fixture.timers.advance(milliseconds(300));
+    table_scan rows;
+    rows.rows = {{std::string(owner_row_key), encode_owner({node_id("n1"), "n1-1", false, 100}), 7},
+                 {std::string(offer_row_key), encode_offer({node_id("n2"), "n2-1", 500, 7}), 9}};
+    fixture.answer_scan(rows);
+    cr_assert(ended);
+    cr_assert(fixture.checked.back()[0].version == 7);
+    const auto written = decode_owner(*fixture.written.back()[0].value);
+    cr_assert(written.ok() && written->node == node_id("n2") && written->capacity_permille == 500);
+}
+
 // Guards against progress that is written twice, or an ownership that ends, because the reply to a
 // committed write was lost.
 Test(progress_writer, recognises_its_own_write_by_the_fence) {
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -193,3 +193,125 @@
     cr_assert(find<ownership_stopped>(node.handle(release_ended{}, start + milliseconds(60))) !=
               nullptr);
 }
+
+namespace {
+
+ownership make_node(const std::string& name, std::int64_t capacity_permille) {
+    ownership_options options = options_of(name);
+    options.capacity_permille = capacity_permille;
+    return *ownership::create(installed_chart("ownership"), options);
+}
+
+rows_observed rows_of_small_owner() {
+    rows_observed rows = rows_of("small", 7, 8);
+    rows.owner->capacity_permille = 100;
+    return rows;
+}
+
+takeover_offer offer_of(const std::string& name, std::int64_t capacity_permille,
+                        fencing_token token) {
+    return {node_id(name), name + "-1", capacity_permille, token};
+}
+
+/// The rows after `name` has offered to take over from the small owner.
+rows_observed rows_with_offer(const std::string& name, std::int64_t capacity_permille,
+                              table_version version) {
+    rows_observed rows = rows_of_small_owner();
+    rows.offer = offer_of(name, capacity_permille, rows.owner_version);
+    rows.offer_version = version;
+    return rows;
+}
+
+/// A node with a tenth of the capacity of a processor that has owned the scheduler since `start`.
+ownership make_small_owner() {
+    ownership node = make_node("small", 100);
+    node.handle(rows_observed{}, start);
+    node.handle(ownership_tick{}, start);
+    node.handle(rows_observed{}, start + seconds(1));
+    node.handle(claim_committed{7}, start + seconds(1));
+    cr_assert(node.owning());
+    return node;
+}
+
+} // namespace
+
+// Guards against an owner on one of the smallest VMs that keeps the ownership while larger VMs are
+// in good health: it falls behind with the leases of its servers (review/6).
+Test(ownership, offers_to_take_over_from_an_owner_with_much_less_capacity) {
+    ownership node = make_node("large", 500);
+    rows_observed rows = rows_of_small_owner();
+    cr_assert(node.handle(rows, start).empty(), "an offer before the owner had time to begin");
+    const auto effects = node.handle(rows, start + milliseconds(600));
+    const auto* sent = find<write_offer>(effects);
+    cr_assert(sent != nullptr && sent->offer.token == 7 && sent->offer.capacity_permille == 500);
+    cr_assert(node.handle(rows, start + milliseconds(900)).empty(), "offered at each read");
+    ++rows.renewal_version;
+    cr_assert(node.handle(rows, start + milliseconds(1500)).empty());
+    cr_assert(find<write_offer>(node.handle(rows, start + milliseconds(2700))) != nullptr,
+              "a lost offer is not repeated");
+}
+
+// Guards against offers of all larger VMs at once, and of VMs that would be no improvement.
+Test(ownership, offers_only_what_improves_the_ownership) {
+    const auto offers = [](std::int64_t own_permille, const rows_observed& rows) {
+        ownership node = make_node("n1", own_permille);
+        node.handle(rows, start);
+        return find<write_offer>(node.handle(rows, start + seconds(1))) != nullptr;
+    };
+    cr_assert(!offers(100, rows_of_small_owner()) && !offers(199, rows_of_small_owner()));
+    cr_assert(offers(200, rows_of_small_owner()));
+    cr_assert(!offers(500, rows_with_offer("n2", 500, 9)), "another VM has offered as much");
+    cr_assert(offers(500, rows_with_offer("n2", 250, 9)));
+    rows_observed unknown = rows_of_small_owner();
+    unknown.owner->capacity_permille = 0;
+    cr_assert(!offers(500, unknown), "the capacity of the owner is not known");
+}
+
+// Guards against a small owner that does not hand over, and against one that still sends orders
+// when the next owner begins.
+Test(ownership, hands_over_to_a_vm_with_much_more_capacity) {
+    ownership node = make_small_owner();
+    const auto effects = node.handle(rows_with_offer("large", 500, 9), start + milliseconds(1500));
+    cr_assert(effects.size() == 2 && std::holds_alternative<ownership_ended>(effects[0]));
+    const auto* transfer = find<write_transfer>(effects);
+    cr_assert(transfer != nullptr && transfer->token == 7 && transfer->to.node == node_id("large"));
+    cr_assert(!node.owning());
+    node.handle(transfer_ended{}, start + milliseconds(1520));
+    expect_equal(std::string(node.state()), "following");
+    ownership large = make_node("large", 500);
+    rows_observed transferred = rows_of("large", 12, 8);
+    transferred.owner->capacity_permille = 500;
+    cr_assert(find<ownership_begun>(large.handle(transferred, start + seconds(2)))->token == 12);
+}
+
+// Guards against an ownership that moves in turns, to a VM that has stopped since its offer, or
+// while the table is out and nobody can take over.
+Test(ownership, ignores_offers_that_do_not_help) {
+    const auto transfers = [](const rows_observed& rows, duration delay) {
+        ownership node = make_small_owner();
+        return find<write_transfer>(node.handle(rows, start + seconds(1) + delay)) != nullptr;
+    };
+    const duration soon = milliseconds(500);
+    cr_assert(transfers(rows_with_offer("n2", 200, 9), soon));
+    cr_assert(!transfers(rows_with_offer("n2", 199, 9), soon));
+    rows_observed earlier = rows_with_offer("n2", 500, 9);
+    earlier.offer->token = 6;
+    cr_assert(!transfers(earlier, soon), "the offer was made to an earlier owner");
+    cr_assert(!transfers(rows_with_offer("n2", 500, 9), milliseconds(1700)),
+              "the lease has expired, so the table may be out");
+    ownership node = make_small_owner();
+    node.handle(rows_with_offer("n2", 500, 9), start + milliseconds(2700));
+    node.handle(renewal_committed{start + milliseconds(5000)}, start + milliseconds(5000));
+    cr_assert(node.handle(rows_with_offer("n2", 500, 9), start + milliseconds(5100)).empty(),
+              "the VM may have stopped since its offer");
+}
+
+// Guards against the price of reads by an owner that no VM can replace.
+Test(ownership, reads_the_rows_as_owner_only_on_a_small_vm) {
+    ownership large = make_node("large", 600);
+    large.handle(rows_observed{}, start);
+    large.handle(rows_observed{}, start + seconds(1));
+    large.handle(claim_committed{7}, start + seconds(1));
+    cr_assert(large.owning() && !large.poll_interval(start + seconds(1)));
+    cr_assert(make_small_owner().poll_interval(start + seconds(1)).has_value());
+}
