Dispatcher: an owner that is behind limits its starts and says so

Cause, from logs and a profile of the owner: each tick of 20 ms makes passes over all waiting work, so a queue makes the loop late, which makes the queue longer. Polls and starts time out after 300 ms, their connections are reset, leases lapse, and the entry VMs go on accepting.

Change: - `start_window` limits the starts that wait for an answer by the time that most answers take. Pools have their turns. - `work_pace` spaces out passes, divisions and plans by the delay they cause. - While starts are held back, the load report has the time that the owner needs for all accepted tasks; entry VMs refuse beyond 3 s, with a Retry-After, and never long-running or scheduled work. - Log lines `starts_limited`/`starts_unlimited`, two figures, and the refusal reason `owner_behind`.

--- a/include/citronford/dispatcher.h
+++ b/include/citronford/dispatcher.h
@@ -101,6 +101,7 @@
 };
 struct dispatch_tick {
     std::int64_t unix_ms = 0; ///< Time of day, for scheduled occurrences.
+    duration late_by{};       ///< Time by which the loop delayed the tick.
 };
 
 using dispatch_input =
@@ -210,6 +211,8 @@
     std::uint64_t runs_failed = 0;
     std::uint64_t runs_lost = 0;      ///< Runs that ended without a reported completion.
     std::uint64_t starts_refused = 0; ///< Starts that were refused or not delivered.
+    std::size_t start_limit = 0;      ///< Starts that may wait for an answer at a time.
+    bool starts_held_back = false;    ///< Within the last second, since the owner is behind.
     std::uint64_t copies_started = 0; ///< Second runs of tasks that were held up.
     std::uint64_t copies_won = 0;     ///< Of these, those that ended as done before the first run.
     /// Servers that were considered for a task. With `starts`, shows the cost of placement.
--- a/include/citronford/load_admission.h
+++ b/include/citronford/load_admission.h
@@ -44,6 +44,7 @@
 enum class load_refusal {
     useless,      ///< Would end after its useful time.
     beyond_share, ///< Its team is beyond its share, and it would end after its objective.
+    owner_behind, ///< The owner cannot start the work that is accepted already within its time.
 };
 std::string_view name_of(load_refusal reason);
 
@@ -61,6 +62,8 @@
     duration report_lifetime = seconds(3); ///< An older report is not used.
     /// A pool is pressed from this pressure on, until it is below `reported_pressure`.
     duration high_pressure = milliseconds(500);
+    /// Longest time that the owner may need for the accepted work. Callers wait a few seconds.
+    duration max_owner_backlog = seconds(3);
 };
 
 /// Decides on one entry VM whether to admit a submission, from the last report of the owner and the
@@ -126,6 +129,9 @@
     void step(pool_entry& pool, const event& trigger, instant now);
     void drop_ended_pools();
     [[nodiscard]] bool is_current(instant now) const;
+    /// The refusal of a submission that the owner would not get to in time.
+    [[nodiscard]] std::optional<submission_refused_by_load>
+    judge_owner(const load_submission& submission, instant now) const;
     [[nodiscard]] bool is_pressed(const pool_entry& pool) const;
     [[nodiscard]] load_decision judge(const pool_entry& pool, const load_submission& submission,
                                       duration objective, instant now) const;
@@ -143,6 +149,7 @@
     load_admission_options options_;
     std::map<pool_id, pool_entry> pools_;
     std::set<team_id> teams_beyond_share_;
+    duration owner_backlog_{};
     fencing_token token_ = 0;
     std::uint64_t sequence_ = 0;
     bool received_ = false; ///< Whether any report was received.
--- a/src/decide/admission/load_admission.cpp
+++ b/src/decide/admission/load_admission.cpp
@@ -63,7 +63,8 @@
 } // namespace
 
 std::string_view name_of(load_refusal reason) {
-    return reason == load_refusal::useless ? "useless" : "beyond_share";
+    constexpr std::string_view names[] = {"useless", "beyond_share", "owner_behind"};
+    return names[static_cast<std::size_t>(reason)];
 }
 
 bool has_usable_objective(const queue_definition& queue) {
@@ -136,6 +137,7 @@
     if (!is_current(now)) {
         return apply(load_tick{}, now);
     }
+    owner_backlog_ = input.report.owner_backlog;
     teams_beyond_share_ = {input.report.teams_beyond_share.begin(),
                            input.report.teams_beyond_share.end()};
     std::set<pool_id> listed;
@@ -201,6 +203,9 @@
 
 load_decision load_admission::decide(const load_submission& submission, instant now) {
     apply(load_tick{}, now);
+    if (const auto refusal = judge_owner(submission, now)) {
+        return *refusal;
+    }
     const accepted_workflow& row = submission.row;
     const auto found = pools_.find(row.pool);
     if (found == pools_.end() || submission.queue == nullptr) {
@@ -219,6 +224,20 @@
     return decision;
 }
 
+std::optional<submission_refused_by_load>
+load_admission::judge_owner(const load_submission& submission, instant now) const {
+    const accepted_workflow& row = submission.row;
+    if (!is_current(now) || owner_backlog_ <= options_.max_owner_backlog ||
+        !may_be_refused(row.spec)) {
+        return std::nullopt;
+    }
+    const duration excess = std::clamp<duration>(owner_backlog_ - options_.max_owner_backlog,
+                                                 min_retry_delay, max_retry_delay);
+    return submission_refused_by_load{load_refusal::owner_behind, owner_backlog_,
+                                      now - received_at_,
+                                      duration_of(seconds_of(excess) * (1 + spread_of(row.id)))};
+}
+
 load_decision load_admission::judge(const pool_entry& pool, const load_submission& submission,
                                     duration objective, instant now) const {
     const accepted_workflow& row = submission.row;
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -315,8 +315,19 @@
     commands_until_ = std::max(commands_until_, input.sends_commands_until);
 }
 
+void dispatcher::implementation::log_start_limit(duration late_by) {
+    const bool limited = start_window_.limits_work(now_);
+    if (std::exchange(starts_limited_, limited) != limited) {
+        log(limited ? "starts_limited" : "starts_unlimited", {}, {},
+            "limit=" + std::to_string(start_window_.limit()) +
+                " tick_late_ms=" + std::to_string(to_ms(late_by)));
+    }
+}
+
 void dispatcher::implementation::process(const dispatch_tick& input) {
     unix_ms_ = input.unix_ms;
+    pace_of_passes_.begin_tick(now_, input.late_by);
+    log_start_limit(input.late_by);
     for (std::size_t index = 0; index < scheduled_.size(); ++index) {
         begin_due_occurrences(*scheduled_[index]);
     }
--- a/src/decide/dispatch/dispatcher_figures.cpp
+++ b/src/decide/dispatch/dispatcher_figures.cpp
@@ -100,6 +100,8 @@
     numbers.backends = servers_.size();
     numbers.teams_over_share = teams_over_share().size();
     numbers.team_shares = team_shares();
+    numbers.start_limit = start_window_.limit();
+    numbers.starts_held_back = start_window_.limits_work(now_);
     for (const auto& [name, pool] : pools_) {
         numbers.stalled += pool.stalled_workflows;
         numbers.quarantined += static_cast<std::size_t>(availability_in(pool).quarantined);
--- a/src/decide/dispatch/dispatcher_load.cpp
+++ b/src/decide/dispatch/dispatcher_load.cpp
@@ -66,15 +66,15 @@
     return sum;
 }
 
-/// Measures the pace of a pool: the finished work of the last second.
-double measure_pace(load_history& history, instant now) {
-    while (history.samples.size() > 1 && history.samples[1].at <= now - pace_window) {
-        history.samples.pop_front();
+/// Measures the pace of what `total` sums up: its growth in the last second.
+double measure_pace(std::deque<pace_sample>& samples, double total, instant now) {
+    while (samples.size() > 1 && samples[1].at <= now - pace_window) {
+        samples.pop_front();
     }
-    history.samples.push_back({now, history.finished_core_s});
-    const load_history::sample& oldest = history.samples.front();
+    samples.push_back({now, total});
+    const pace_sample& oldest = samples.front();
     const double span_s = std::chrono::duration<double>(now - oldest.at).count();
-    return span_s > 0 ? (history.finished_core_s - oldest.finished_core_s) / span_s : 0;
+    return span_s > 0 ? (total - oldest.total) / span_s : 0;
 }
 
 } // namespace
@@ -193,6 +193,36 @@
     }
 }
 
+std::size_t dispatcher::implementation::unstarted_tasks() const {
+    std::size_t tasks = 0;
+    for (const auto& [name, pool] : pools_) {
+        for (const workflow_entry* entry : pool.active_workflows) {
+            for (const auto& [number, occurrence] : entry->occurrences) {
+                for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                    const step_state& state = occurrence.steps[step];
+                    tasks += entry->step(step).long_running
+                                 ? 0
+                                 : state.tasks.size() - state.done - state.active;
+                }
+            }
+        }
+    }
+    return tasks;
+}
+
+milliseconds dispatcher::implementation::owner_backlog(instant now) {
+    const double starts_per_s =
+        measure_pace(start_samples_, static_cast<double>(counts_.starts), now);
+    if (!start_window_.limits_work(now)) {
+        return milliseconds::zero();
+    }
+    const double longest_s = std::chrono::duration<double>(longest_wait).count();
+    const auto tasks = static_cast<double>(unstarted_tasks());
+    const double span_s = starts_per_s > 0 ? std::min(tasks / starts_per_s, longest_s) : longest_s;
+    constexpr double ms_per_s = 1000;
+    return milliseconds(static_cast<std::int64_t>(span_s * ms_per_s));
+}
+
 load_report dispatcher::implementation::report_load(instant now) {
     now_ = now;
     std::vector<reported_pool> loads;
@@ -204,10 +234,15 @@
         }
         reported_pool& load = loads.emplace_back();
         load.pool = name;
-        load.pace_cores = measure_pace(pool.load, now);
+        load.pace_cores = measure_pace(pool.load.samples, pool.load.finished_core_s, now);
         for (const auto& [id, server] : pool.servers) {
             add_server_load(*server, load);
         }
+        if (start_window_.limits_work(now)) {
+            // The owner and not the servers limits the work that the pool can do.
+            load.cores = std::min(load.cores, load.pace_cores);
+            load.arriving.clear();
+        }
         for (const workflow_entry* entry : pool.active_workflows) {
             add_waiting_work(*entry, load, teams);
         }
@@ -216,6 +251,7 @@
         }
     }
     load_report report;
+    report.owner_backlog = owner_backlog(now);
     double waiting = 0;
     for (const reported_pool& load : loads) {
         waiting += pressure_of(load) >= reported_pressure ? waiting_of(load) : 0;
--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -33,17 +33,31 @@
     unknown_state unread;
     std::set<const backend_entry*> reserved_servers{}; ///< Kept clear for long-running tasks.
     failed_searches failed{};
+    bool starts_held_back = false; ///< The limit of starts was reached.
 };
 
 void dispatcher::implementation::place_tasks() {
-    if (now_ >= commands_until_) {
+    if (now_ >= commands_until_ || !pace_of_passes_.due()) {
         return;
     }
     estimate_unknown_usage();
+    std::vector<pool_state*> due;
     for (auto& [name, pool] : pools_) {
         if (pool.recovered && pool.placement_due) {
-            pool.placement_due = false;
-            place_pool(pool);
+            due.push_back(&pool);
+        }
+    }
+    // While starts are limited, each pool has its turn to be the first.
+    const auto first = std::ranges::find_if(
+        due, [this](const pool_state* pool) { return pool->name >= first_pool_; });
+    std::rotate(due.begin(), first, due.end());
+    for (std::size_t index = 0; index < due.size(); ++index) {
+        pool_state& pool = *due[index];
+        pace_of_passes_.note_work();
+        pool.placement_due = false;
+        if (!place_pool(pool)) {
+            first_pool_ = due[(index + 1) % due.size()]->name;
+            return;
         }
     }
 }
@@ -93,7 +107,7 @@
     }
 }
 
-void dispatcher::implementation::place_pool(pool_state& pool) {
+bool dispatcher::implementation::place_pool(pool_state& pool) {
     std::vector<candidate> candidates;
     for (workflow_entry* entry : pool.active_workflows) {
         collect_candidates(*entry, candidates);
@@ -102,7 +116,7 @@
     pool.stalled_workflows = 0;
     pool.order.waiting = {};
     if (candidates.empty()) {
-        return;
+        return true;
     }
     update_quarantine(pool);
     std::vector<backend_entry*> servers;
@@ -128,6 +142,9 @@
                 stalled.push_back(item.workflow);
             }
         }
+        if (pass.starts_held_back) {
+            break;
+        }
     }
     if (options_.overload_order) {
         note_order(pool, candidates);
@@ -136,6 +153,7 @@
     for (backend_entry* server : stale) {
         server->poll_wanted = server->poll_wanted || pool.placement_due;
     }
+    return !pass.starts_held_back;
 }
 
 bool dispatcher::implementation::place_step(const candidate& item, placement_pass& pass) {
@@ -144,6 +162,11 @@
     if (definition.gang && !pass.servers.have_room(item.reserved(), state.waiting_tasks())) {
         return false;
     }
+    if (!start_window_.has_room(definition.gang ? state.waiting_tasks() : 1)) {
+        start_window_.note_held_back(now_);
+        pass.starts_held_back = true;
+        return false;
+    }
     std::vector<task_run*> started;
     bool complete = true;
     bool skipped = false;
@@ -156,6 +179,12 @@
         if (!record.is_waiting()) {
             continue;
         }
+        if (!definition.gang && !start_window_.has_room(started.size() + 1)) {
+            start_window_.note_held_back(now_);
+            pass.starts_held_back = true;
+            complete = false;
+            break;
+        }
         const bool may_run_elsewhere = pass.unread.runs && !fault_planted("workflow-once");
         const bool attempts_may_be_exhausted =
             pass.unread.completions && on_last_attempt(*item.workflow, definition, record);
--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -299,6 +299,7 @@
 
 void dispatcher::implementation::emit_start(task_run& run) {
     ++counts_.starts;
+    start_window_.note_sent();
     task_record& record = record_of(run);
     if (run.follows_unknown_runs) {
         log_unseen_runs(run);
@@ -321,6 +322,13 @@
 
 void dispatcher::implementation::process(const start_answered& input) {
     const auto found = runs_.find(static_cast<std::uint64_t>(input.run));
+    const bool answered = std::holds_alternative<command_accepted>(input.result) ||
+                          std::holds_alternative<command_refused>(input.result);
+    if (found != runs_.end() && answered) {
+        start_window_.note_answered(now_ - found->second->start_sent_at, now_);
+    } else {
+        start_window_.note_unanswered();
+    }
     if (found == runs_.end()) {
         return;
     }
--- a/src/decide/dispatch/dispatcher_shares.cpp
+++ b/src/decide/dispatch/dispatcher_shares.cpp
@@ -226,7 +226,8 @@
         return;
     }
     apply_rate_verdicts();
-    if (now_ >= next_division_at_) {
+    if (now_ >= next_division_at_ && pace_of_passes_.due()) {
+        pace_of_passes_.note_work();
         next_division_at_ = now_ + division_period;
         divide_fleet();
         if (workflows_loaded_) {
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -5,6 +5,7 @@
 #include "decide/dispatch/open_servers.h"
 #include "decide/dispatch/pace_state.h"
 #include "decide/dispatch/pool_state.h"
+#include "decide/dispatch/start_window.h"
 #include "decide/dispatch/task_location.h"
 #include "decide/dispatch/task_run.h"
 #include "decide/dispatch/team_share.h"
@@ -12,6 +13,7 @@
 
 #include "citronford/dispatcher.h"
 #include "citronford/submission_rates.h"
+#include "citronford/work_pace.h"
 
 #include <functional>
 #include <map>
@@ -143,6 +145,7 @@
     void note_saved_completions();
     /// Keeps the completion from being acknowledged until its workflow is saved.
     void track_completion(backend_entry& server, const run_completion& completion);
+    void log_start_limit(duration late_by);
     void remove_ended();
     void prune_recently_ended();
     void save_changes();
@@ -204,6 +207,10 @@
     void add_waiting_work(const workflow_entry& entry, reported_pool& load,
                           std::set<team_id>& teams_beyond_share) const;
     void add_server_load(const backend_entry& server, reported_pool& load) const;
+    /// Tasks of all workflows that have no run and are not done, without long-running ones.
+    [[nodiscard]] std::size_t unstarted_tasks() const;
+    /// As in `load_report`. Measures the pace of the starts as well.
+    [[nodiscard]] milliseconds owner_backlog(instant now);
     /// Cores that other pools can spare for `name`, or that are in no pool.
     [[nodiscard]] double spare_cores(const pool_id& name,
                                      std::span<const reported_pool> loads) const;
@@ -304,7 +311,8 @@
 
     // Placement.
     void place_tasks();
-    void place_pool(pool_state& pool);
+    /// Returns false if the limit of starts has ended the pass.
+    bool place_pool(pool_state& pool);
     void collect_candidates(workflow_entry& entry, std::vector<candidate>& candidates);
     /// Gives the candidates their places by `order_waiting_work`; `servers` accept tasks.
     void order_by_cost(pool_state& pool, std::span<backend_entry* const> servers,
@@ -376,6 +384,11 @@
     std::map<backend_id, present_backend> unregistered_;
     bool vm_list_received_ = false;
     std::vector<idle_vm> idle_vms_; ///< Of the last VM list.
+    dispatch::start_window start_window_;
+    bool starts_limited_ = false; ///< As last logged.
+    std::deque<dispatch::pace_sample> start_samples_;
+    work_pace pace_of_passes_; ///< Of placement and of the division of the fleet.
+    pool_id first_pool_;       ///< The next pass begins with it, or with the next one by name.
     std::unordered_map<std::uint64_t, std::unique_ptr<task_run>> runs_;
     std::map<team_id, resources> team_usage_;    ///< Charged by all runs that may exist.
     std::map<team_id, resources> unknown_usage_; ///< Upper bound for unread servers.
--- a/src/decide/dispatch/pool_state.h
+++ b/src/decide/dispatch/pool_state.h
@@ -14,14 +14,16 @@
 struct backend_entry;
 struct workflow_entry;
 
+/// A sum at some time, from which a pace is measured.
+struct pace_sample {
+    instant at{};
+    double total = 0;
+};
+
 /// What the load report of a pool is computed from, beside the present state.
 struct load_history {
-    struct sample {
-        instant at{};
-        double finished_core_s = 0;
-    };
     double finished_core_s = 0;       ///< By estimate, since the ownership began.
-    std::deque<sample> samples;       ///< Of the last second, the oldest first.
+    std::deque<pace_sample> samples;  ///< Of the last second, the oldest first.
     instant calm_at = instant::min(); ///< Last report in which the pool was not under pressure.
 };
 
--- a/src/io/load_codec.cpp
+++ b/src/io/load_codec.cpp
@@ -103,6 +103,9 @@
 std::string encode_load_report(const load_report& report) {
     json document = {
         {"sequence", report.sequence}, {"pools", json::array()}, {"beyond_share", json::array()}};
+    if (report.owner_backlog > milliseconds::zero()) {
+        document["owner_backlog"] = report.owner_backlog.count();
+    }
     for (const reported_pool& load : report.pools) {
         document["pools"].push_back(encode_pool(load));
     }
@@ -128,6 +131,9 @@
         for (const json& item : read.list(document.at("beyond_share"), max_reported_teams)) {
             report.teams_beyond_share.emplace_back(item.get_ref<const std::string&>());
         }
+        if (document.contains("owner_backlog")) {
+            report.owner_backlog = read.delay(document.at("owner_backlog"));
+        }
         if (!read.valid()) {
             return make_status(result_code::malformed_body, "a figure or a list is out of range");
         }
--- a/src/node/fleet/admission_driver.cpp
+++ b/src/node/fleet/admission_driver.cpp
@@ -19,6 +19,13 @@
     return {{key}, key, milliseconds(2000), duration::zero()};
 }
 
+std::string_view reason_text(load_refusal reason) {
+    constexpr std::string_view texts[] = {"it would end after its useful time",
+                                          "its team is beyond its share, and it would end late",
+                                          "the owner is behind with the work accepted so far"};
+    return texts[static_cast<std::size_t>(reason)];
+}
+
 } // namespace
 
 admission_driver::admission_driver(load_admission decisions, table_service& table,
@@ -97,9 +104,7 @@
     registry_.add("citronford_submissions_refused_by_load_total", labels);
     log_event(log_level::info, "submission_refused",
               {{"job", row.id.view()},
-               {"reason", refusal.reason == load_refusal::useless
-                              ? "it would end after its useful time"
-                              : "its team is beyond its share, and it would end late"},
+               {"reason", reason_text(refusal.reason)},
                {"queue", row.queue.view()},
                {"team", row.team.view()},
                {"predicted_wait_ms", to_ms(refusal.predicted_wait)},
--- a/src/node/fleet/dispatch_driver.cpp
+++ b/src/node/fleet/dispatch_driver.cpp
@@ -81,6 +81,7 @@
 void dispatch_driver::start() {
     const owner_authority authority = on_.authority();
     handle(ownership_extended{authority.accepts_work_until, authority.sends_commands_until});
+    ticked_at_ = services_.timers.now();
     backends_.start();
     progress_.acquire_fence([this] { load_progress(); });
     ticks_ = services_.timers.every(tick_period, [this](instant now) { tick(now); });
@@ -249,12 +250,17 @@
     if (!deferred_work_.empty() && now < authority.accepts_work_until) {
         process_work_rows(std::exchange(deferred_work_, {}), false);
     }
-    handle(dispatch_tick{on_.unix_ms()});
+    handle(dispatch_tick{on_.unix_ms(), lateness(now)});
     publish_waiting_counts(now);
     publish_load(now);
     ended_marker_.tick(now);
 }
 
+duration dispatch_driver::lateness(instant now) {
+    const duration gap = now - std::exchange(ticked_at_, now);
+    return std::max<duration>(gap - tick_period, duration::zero());
+}
+
 void dispatch_driver::handle(const dispatch_input& input) {
     if (stopped_) {
         return;
@@ -341,8 +347,10 @@
     }
     load_published_at_ = now;
     load_report report = decisions_->report_load(now);
-    const bool pressed = !report.pools.empty();
-    if (pressed || !published_load_.pools.empty()) {
+    const auto shows_load = [](const load_report& load) {
+        return !load.pools.empty() || load.owner_backlog > milliseconds::zero();
+    };
+    if (shows_load(report) || shows_load(published_load_)) {
         report.sequence = published_load_.sequence + 1;
         published_load_ = std::move(report);
     }
--- a/src/node/fleet/dispatch_driver.h
+++ b/src/node/fleet/dispatch_driver.h
@@ -84,6 +84,8 @@
     void perform(const log_decision& effect);
 
     void tick(instant now);
+    /// Time by which the loop has delayed this tick.
+    duration lateness(instant now);
     void load_progress();
     void load_progress_rows(const absl::StatusOr<table_scan>& result);
     void process_work_rows(std::span<const table_row> rows, bool stored_before);
@@ -96,6 +98,7 @@
     void publish_load(instant now);
 
     std::unique_ptr<dispatcher> decisions_;
+    instant ticked_at_{};
     dispatch_options options_;
     dispatch_services services_;
     callbacks on_;
--- a/src/node/fleet/dispatch_figures.cpp
+++ b/src/node/fleet/dispatch_figures.cpp
@@ -50,6 +50,8 @@
         {"citronford_backends", counts.backends},
         {"citronford_quarantined_backends", counts.quarantined},
         {"citronford_slow_backends", counts.slow},
+        {"citronford_start_limit", counts.start_limit},
+        {"citronford_starts_held_back", counts.starts_held_back ? 1 : 0},
         {"citronford_teams_over_share", counts.teams_over_share}};
     for (const auto& [name, value] : gauges) {
         registry.set(name, {}, static_cast<double>(value));
--- a/src/node/fleet/vm_driver.cpp
+++ b/src/node/fleet/vm_driver.cpp
@@ -67,6 +67,7 @@
 
 void vm_driver::start() {
     read_records();
+    ticked_at_ = links_.timers.now();
     ticks_ = links_.timers.every(tick_period, [this](instant now) { tick(now); });
 }
 
@@ -122,9 +123,12 @@
         return;
     }
     list_vms(now);
-    if (listed_at_ == instant::min()) {
+    const duration gap = now - std::exchange(ticked_at_, now);
+    pace_.begin_tick(now, gap - tick_period);
+    if (listed_at_ == instant::min() || !pace_.due()) {
         return;
     }
+    pace_.note_work();
     const std::vector<backend_load> backend_loads = on_.current_dispatcher().backend_loads();
     const fleet_index fleet(vms_, backend_loads);
     const std::vector<vm_id> blocked_now = blocked_vms(now);
--- a/src/node/fleet/vm_driver.h
+++ b/src/node/fleet/vm_driver.h
@@ -7,6 +7,7 @@
 #include "citronford/timer_service.h"
 #include "citronford/vm_fleet.h"
 #include "citronford/wave_planner.h"
+#include "citronford/work_pace.h"
 #include "io/metrics.h"
 
 #include <functional>
@@ -87,6 +88,8 @@
     pool_plan_filter plan_filter_;
     std::set<vm_id> initially_up_vms_; ///< Up in all lists of this ownership.
     timer_subscription ticks_;
+    instant ticked_at_{};
+    work_pace pace_; ///< Of the plans.
     bool records_read_ = false;
     bool listing_ = false;
     instant list_requested_at_ = instant::min();
