Ownership: an ownership that has ended never begins again with its token

An owner that cannot renew stops after 5 s. When the store is back, its row still names it, so it went from following to owning at once, with a new dispatcher and the old fencing token. Servers then carry out late starts of the first dispatcher, which the second has started elsewhere or knows to have ended.

Three tests fail on the code before (run with the check taken out): after lost renewals, after a server or the store has fenced the owner out, and after a transfer that was not written.

The process remembers the token of its ended ownership. Rows with this token no longer begin an ownership; its own row is claimed at once, which gives the row a new version and so a new token. A claim found after a lost reply has a token that was never used, and still begins.

--- a/include/citronford/ownership.h
+++ b/include/citronford/ownership.h
@@ -185,6 +185,9 @@
         instant offer_seen_at{};                ///< When `offer_version` was first seen.
         instant offer_sent_at = instant::min(); ///< When this VM last sent an offer.
         fencing_token token = 0;
+        /// Of the last ownership of this process that has ended. Servers cannot tell its orders
+        /// from those of another ownership with the same token, so it is not used again.
+        std::optional<fencing_token> ended_token;
         instant renewed_at{};              ///< When the last successful claim or renewal was sent.
         instant last_sent_at{};            ///< When the last claim or renewal was sent.
         std::optional<instant> release_at; ///< When a failed release is written again.
--- a/src/decide/ownership/ownership.cpp
+++ b/src/decide/ownership/ownership.cpp
@@ -72,9 +72,9 @@
 instant ownership::step_context::claimable_at(const rows_observed& rows) const {
     const instant seen_at = unchanged_since(rows);
     const bool vacant = !rows.owner || rows.owner->released;
-    // This process runs, so an earlier process of the same node has ended.
-    const bool owned_by_earlier_process = rows.owner && rows.owner->node == options.node;
-    if (vacant || owned_by_earlier_process) {
+    // An earlier process of this node has ended, and so has an earlier ownership of this process.
+    const bool owned_before = rows.owner && rows.owner->node == options.node;
+    if (vacant || owned_before) {
         return seen_at + claim_delay(rows);
     }
     return seen_at + options.lease + claim_delay(rows);
@@ -87,7 +87,8 @@
              const auto& rows = std::get<rows_observed>(input);
              return rows.owner && !rows.owner->released &&
                     rows.owner->node == context.options.node &&
-                    rows.owner->incarnation == context.options.incarnation;
+                    rows.owner->incarnation == context.options.incarnation &&
+                    rows.owner_version != context.ended_token;
          }},
         {"claimable",
          [](const step_context& context, const ownership_input& input) {
@@ -184,6 +185,7 @@
         {"end_ownership",
          [](step_context& context, const ownership_input&) {
              context.first_seen_at.reset();
+             context.ended_token = context.token;
              context.effects.emplace_back(ownership_ended{});
          }},
         {"schedule_release",
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -158,6 +158,40 @@
     cr_assert(!node.owning());
 }
 
+// Guards against tasks that run twice after an outage of the table: the rows still named the owner,
+// which began again with its token, so servers carried out late starts of before (review/7).
+Test(ownership, takes_a_new_token_after_its_ownership_has_ended) {
+    ownership node = make_ownership();
+    node.handle(rows_observed{}, start);
+    node.handle(claim_committed{42}, start);
+    const instant end = start + seconds(5);
+    cr_assert(find<ownership_ended>(node.handle(ownership_tick{}, end)) != nullptr);
+    const rows_observed rows = rows_of("n1", 42, 43);
+    const auto effects = node.handle(rows, end + milliseconds(100));
+    cr_assert(find<ownership_begun>(effects) == nullptr, "begins again with its token");
+    const auto* claim = find<write_claim>(effects);
+    cr_assert(claim != nullptr && claim->expected == 42, "waits for its own lease");
+    const auto begun = node.handle(claim_committed{57}, end + milliseconds(110));
+    cr_assert(find<ownership_begun>(begun)->token == 57);
+}
+
+// Guards against the same after each way in which an ownership ends: fenced out by a server or the
+// store, a transfer that was not written, and a new claim in doubt.
+Test(ownership, never_uses_the_token_of_an_ended_ownership) {
+    ownership fenced = make_ownership();
+    fenced.handle(rows_observed{}, start);
+    fenced.handle(claim_committed{42}, start);
+    fenced.handle(renewal_conflict{}, start + seconds(1));
+    const rows_observed rows = rows_of("n1", 42, 43);
+    cr_assert(find<write_claim>(fenced.handle(rows, start + seconds(2))) != nullptr);
+    fenced.handle(claim_in_doubt{}, start + seconds(3));
+    cr_assert(find<ownership_begun>(fenced.handle(rows, start + seconds(3))) == nullptr,
+              "the claim in doubt was not carried out");
+    fenced.handle(claim_rejected{}, start + seconds(3));
+    const auto found = fenced.handle(rows_of("n1", 58, 43), start + seconds(4));
+    cr_assert(find<ownership_begun>(found)->token == 58, "the claim in doubt was carried out");
+}
+
 // Guards against a lease that is counted from the reply to a renewal instead of from its sending.
 Test(ownership, counts_a_renewal_from_its_sending) {
     ownership node = make_ownership();
@@ -277,6 +311,12 @@
     cr_assert(transfer != nullptr && transfer->token == 7 && transfer->to.node == node_id("large"));
     cr_assert(!node.owning());
     node.handle(transfer_ended{}, start + milliseconds(1520));
+    rows_observed not_written = rows_of("small", 7, 8);
+    not_written.owner->capacity_permille = 100;
+    ownership copy = node;
+    const auto again = copy.handle(not_written, start + milliseconds(1600));
+    cr_assert(find<ownership_begun>(again) == nullptr && find<write_claim>(again) != nullptr,
+              "begins again with its token after a transfer that was not written");
     expect_equal(std::string(node.state()), "following");
     ownership large = make_node("large", 500);
     rows_observed transferred = rows_of("large", 12, 8);
