Dispatcher: a long-running task is started again however it ends

An end as done of a long-running task now leaves the task waiting, with its checkpoint; the line `long_running_ended` tells it from a loss. Progress that an earlier version stored with such a task as done is read as not done.

Two tests cover six kinds of ends for plain, checkpointing, gang, filling, speculative and scheduled steps, under the first owner and after a takeover; both fail on the code before. A third one keeps cancelled tasks ended.

--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -228,6 +228,13 @@
     case completion_kind::done:
         ++counts_.runs_done;
         record_run_result(server, false);
+        if (location.workflow->step(key.step).long_running) {
+            // Long-running tasks run until their workflow is cancelled, however a run ends.
+            log("long_running_ended", key.job, server.registration.id,
+                "task=" + std::to_string(key.step) + "." + std::to_string(key.index) +
+                    " run=" + std::to_string(number));
+            break;
+        }
         count_finished_work(*location.workflow, key.step);
         complete(location, key);
         if (allows_copies(location.workflow->step(key.step))) {
--- a/src/decide/dispatch/workflow_entry.cpp
+++ b/src/decide/dispatch/workflow_entry.cpp
@@ -83,7 +83,8 @@
     const task_numbering numbering(row.spec);
     for (task_number task = 0; task < saved.done.size(); ++task) {
         const auto place = numbering.place_of(task);
-        if (place && saved.done[task]) {
+        // Earlier versions stored long-running tasks that ended as done; these are to run again.
+        if (place && saved.done[task] && !row.spec.steps[place->step].long_running) {
             complete_task(add_occurrence(place->occurrence, now), place->step, place->index);
         }
     }
