Dispatcher: a gang is started only when no member of it has a run

The pass started the member that waited while the others were being stopped, since all members then counted as active; the end of the last stopped member stopped it again. After a refused start, the missing member started with another number of the run, which the others do not join.

A gang with missing members now has the others stopped, once no unread server can run them, and starts as a whole when all have ended. Both tests fail on the code before.

--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -159,6 +159,14 @@
 bool dispatcher::implementation::place_step(const candidate& item, placement_pass& pass) {
     const workflow_step& definition = item.definition();
     step_state& state = item.occurrence->steps[item.step];
+    if (definition.gang && state.active > 0) {
+        // A member that is missing would join with another number of the run. The others are
+        // stopped, unless a server that has not answered may run it.
+        if (!pass.unread.runs) {
+            stop_gang({item.workflow, item.occurrence, &state.tasks.front()}, item.step);
+        }
+        return false;
+    }
     if (definition.gang && !pass.servers.have_room(item.reserved(), state.waiting_tasks())) {
         return false;
     }
--- a/tests/restarted_tasks_test.cpp
+++ b/tests/restarted_tasks_test.cpp
@@ -75,6 +75,10 @@
     }
 };
 
+workflow_step gang_of(std::uint32_t tasks) {
+    return {.tasks = tasks, .size = {1000, 10, 0}, .estimate = milliseconds(500), .gang = true};
+}
+
 } // namespace
 
 // Guards against a long-running task that is never started again once a run has ended as done, and
@@ -135,3 +139,71 @@
     fixture.end(fixture.starts[0], completion_kind::done);
     cr_assert(fixture.starts.size() == 1);
 }
+
+// Guards against a gang whose members are started and stopped in turn without end after one of them
+// has failed: the failed one was started alone, beside members that were being stopped.
+Test(restarted_tasks, a_gang_starts_again_when_all_members_have_ended) {
+    restart_fixture fixture;
+    fixture.add(gang_of(3), 0, false);
+    fixture.begin();
+    cr_assert(fixture.starts.size() == 3);
+    std::map<backend_id, std::vector<running_task>> running;
+    for (const send_start& start : fixture.starts) {
+        fixture.accept(start);
+        running[start.to.id].push_back({start.command.task, start.command.run, "", 100, 0});
+    }
+    const send_start failed = fixture.starts[0];
+    std::erase_if(running[failed.to.id],
+                  [&](const running_task& item) { return item.task == failed.command.task; });
+    const run_completion failure{1, failed.command.task, failed.command.run,
+                                 completion_kind::failed, ""};
+    fixture.now += milliseconds(20);
+    fixture.answer_poll(failed.to.id, running[failed.to.id], {failure});
+    fixture.tick();
+    cr_assert(fixture.stops.size() == 2, "the other members are not stopped");
+    cr_assert(fixture.starts.size() == 3, "a member is started beside members of the old run");
+    for (const send_stop& stop : std::vector(fixture.stops)) {
+        fixture.handle(stop_answered{stop.run, command_accepted{1000}});
+    }
+    fixture.now += milliseconds(20);
+    std::vector<run_completion> ends{failure};
+    for (const send_stop& stop : fixture.stops) {
+        ends.push_back(
+            {ends.size() + 1, stop.command.task, stop.command.run, completion_kind::stopped, ""});
+    }
+    fixture.confirm_save();
+    fixture.tick();
+    for (const backend_id& id : {first, second}) {
+        std::vector<run_completion> own;
+        for (const run_completion& end : ends) {
+            const auto start = std::ranges::find(
+                fixture.starts, end.task, [](const auto& item) { return item.command.task; });
+            if (start->to.id == id) {
+                own.push_back(end);
+            }
+        }
+        fixture.answer_poll(id, {}, own);
+    }
+    fixture.tick();
+    cr_assert(fixture.starts.size() == 6, "%zu starts", fixture.starts.size());
+    cr_assert(fixture.stops.size() == 2, "stopped again");
+    for (std::size_t index = 3; index < 6; ++index) {
+        cr_assert(fixture.starts[index].command.run == fixture.starts[3].command.run);
+    }
+}
+
+// Guards against members of a gang that wait for one whose start was refused: it would join with
+// another number of the run.
+Test(restarted_tasks, a_gang_with_a_refused_member_is_stopped_and_started_as_a_whole) {
+    restart_fixture fixture;
+    fixture.add(gang_of(2), 0, false);
+    fixture.begin();
+    cr_assert(fixture.starts.size() == 2);
+    fixture.accept(fixture.starts[0]);
+    fixture.handle(start_answered{fixture.starts[1].run,
+                                  command_refused{command_refusal::insufficient_capacity}});
+    fixture.tick();
+    cr_assert(fixture.starts.size() == 2, "the refused member is started alone");
+    cr_assert(fixture.stops.size() == 1);
+    cr_assert(fixture.stops[0].command.task == fixture.starts[0].command.task);
+}
