Dispatcher: a workflow keeps the terms under which it was accepted

The row of a workflow stores the terms of its queue (priority, attempts, stretch, slack) and the limit of its team when it is accepted, so they survive a change of the owner. While the queue is configured, changes of its terms apply; after it is removed, the last known ones hold. The same for the limit of a team: a removed team could use the whole fleet. Priority and objective of a removed queue no longer fall back to defaults. The pool was stored already.

--- a/include/citronford/queue_admission.h
+++ b/include/citronford/queue_admission.h
@@ -15,6 +15,7 @@
     const queue_definition* queue = nullptr; ///< Points into the catalogue.
     team_id team;                            ///< Empty on an open queue.
     std::string_view path_suffix;            ///< The path after the prefix of the queue.
+    resources team_limit;                    ///< Of the team; zero: no limit.
 };
 
 /// Decides whether a request may use a queue. `digest` computes the digest of an API key. Fails
--- a/include/citronford/queue_catalog.h
+++ b/include/citronford/queue_catalog.h
@@ -37,6 +37,10 @@
     std::optional<advice_timing> advice; ///< Set: only advised backend servers may run the tasks.
 };
 
+inline queue_terms terms_of(const queue_definition& queue) {
+    return {queue.priority, queue.max_attempts, queue.stretch, queue.objective_slack};
+}
+
 /// A pool of VMs as operators configure it.
 struct catalog_pool {
     pool_id name;
--- a/include/citronford/workflow.h
+++ b/include/citronford/workflow.h
@@ -52,6 +52,17 @@
     friend bool operator==(const workflow_spec&, const workflow_spec&) = default;
 };
 
+/// What the definition of a queue says about its workflows. The defaults are for rows that an
+/// earlier version stored without terms, and whose queue is gone.
+struct queue_terms {
+    int priority = 0;               ///< Zero is the highest.
+    std::uint32_t max_attempts = 3; ///< Failed runs of a task after which its workflow fails.
+    double stretch = 2;
+    milliseconds objective_slack{1000};
+
+    friend bool operator==(const queue_terms&, const queue_terms&) = default;
+};
+
 /// A workflow whose row is stored.
 struct accepted_workflow {
     job_id id;
@@ -60,6 +71,10 @@
     team_id team; ///< Empty for a queue that is open to all teams.
     std::int64_t accepted_unix_ms = 0; ///< By the clock of the accepting node.
     workflow_spec spec;
+    // As configured when the workflow was accepted. They hold once the operators have removed the
+    // queue or the team, also after a change of the owner.
+    queue_terms terms;
+    resources team_limit; ///< Zero: no limit.
 };
 
 enum class workflow_state { pending, running, completed, failed, cancelled };
--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -67,12 +67,24 @@
 
 void dispatcher::implementation::process(const catalog_applied& input) {
     catalog_ = input.catalog;
+    for (const auto& [id, entry] : workflows_) {
+        update_terms(*entry);
+    }
+    for (const auto& [name, team] : catalog_->teams()) {
+        team_limits_.insert_or_assign(name, team.limit);
+    }
     apply_team_weights();
     for (auto& [name, pool] : pools_) {
         pool.placement_due = true;
     }
 }
 
+void dispatcher::implementation::update_terms(workflow_entry& entry) const {
+    if (const queue_definition* queue = catalog_->queue(entry.row.queue)) {
+        entry.terms = terms_of(*queue);
+    }
+}
+
 void dispatcher::implementation::process(const orders_applied& input) {
     orders_ = input.orders;
     for (auto& [name, pool] : pools_) {
@@ -95,14 +107,14 @@
     entry.position = workflow_machine_.initial();
     entry.stored_before = input.stored_before;
     entry.critical_path = critical_path_length(entry.row.spec);
-    const queue_definition* queue = catalog_->queue(entry.row.queue);
-    // Operators may have removed the queue; its workflows then get a default objective.
-    constexpr double default_stretch = 2;
-    constexpr duration default_slack = seconds(1);
+    entry.terms = entry.row.terms;
+    update_terms(entry);
+    if (!entry.row.team.empty()) {
+        team_limits_.try_emplace(entry.row.team, entry.row.team_limit);
+    }
     entry.objective =
-        std::chrono::duration_cast<duration>(
-            entry.critical_path * (queue == nullptr ? default_stretch : queue->stretch)) +
-        (queue == nullptr ? default_slack : duration(queue->objective_slack));
+        std::chrono::duration_cast<duration>(entry.critical_path * entry.terms.stretch) +
+        entry.terms.objective_slack;
     constexpr std::int64_t max_age_ms = 600000;
     const std::int64_t age_ms =
         unix_ms_ == 0
--- a/src/decide/dispatch/dispatcher_copies.cpp
+++ b/src/decide/dispatch/dispatcher_copies.cpp
@@ -113,10 +113,9 @@
     const workflow_entry& entry = *run.workflow;
     const task_record& record = record_of(run);
     constexpr std::size_t runs_of_task = 2;
-    const queue_definition* queue = catalog_->queue(entry.row.queue);
     return allows_copies(entry.step(run.step)) && record.run == &run && record.copy == nullptr &&
-           !record.done && !entry.is_ended() && queue != nullptr &&
-           record.failed_runs.size() + runs_of_task <= queue->max_attempts &&
+           !record.done && !entry.is_ended() &&
+           record.failed_runs.size() + runs_of_task <= entry.terms.max_attempts &&
            !(entry.may_have_unknown_run(record) &&
              (may_have_unknown_runs(*run.server->pool) ||
               may_have_unread_completions(*run.server->pool)));
--- a/src/decide/dispatch/dispatcher_demand.cpp
+++ b/src/decide/dispatch/dispatcher_demand.cpp
@@ -18,8 +18,7 @@
 } // namespace
 
 bool dispatcher::implementation::is_urgent(const workflow_entry& entry) const {
-    const queue_definition* queue = catalog_->queue(entry.row.queue);
-    return queue != nullptr && queue->priority <= 0;
+    return entry.terms.priority <= 0;
 }
 
 void dispatcher::implementation::note_arrival(pool_state& pool, const workflow_entry& entry) {
--- a/src/decide/dispatch/dispatcher_load.cpp
+++ b/src/decide/dispatch/dispatcher_load.cpp
@@ -89,7 +89,6 @@
 
 void dispatcher::implementation::add_waiting_work(const workflow_entry& entry, reported_pool& load,
                                                   std::set<team_id>& teams_beyond_share) const {
-    const queue_definition* queue = catalog_->queue(entry.row.queue);
     for (const auto& [number, occurrence] : entry.occurrences) {
         const double core_s = unstarted_core_s(entry, occurrence);
         if (!(core_s > 0)) {
@@ -102,7 +101,7 @@
         if (slack + 2 * entry.objective < duration::zero()) {
             continue; // Past its useful time.
         }
-        priority_backlog& work = work_at(load, queue == nullptr ? 0 : queue->priority);
+        priority_backlog& work = work_at(load, entry.terms.priority);
         if (slack < -path / 10) {
             work.late_core_s += core_s;
         } else if (entry.over_quota) {
--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -67,7 +67,6 @@
     if (entry.stored_before && fault_planted("workflow-finishes")) {
         return;
     }
-    const queue_definition* queue = catalog_->queue(entry.row.queue);
     for (auto& [number, occurrence] : entry.occurrences) {
         if (occurrence.steps_done == occurrence.steps.size()) {
             continue;
@@ -94,8 +93,7 @@
         }
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
             if (occurrence.steps[step].waiting_tasks() > 0) {
-                candidate item{
-                    &entry, &occurrence, step, rank, queue == nullptr ? 0 : queue->priority, slack};
+                candidate item{&entry, &occurrence, step, rank, entry.terms.priority, slack};
                 item.critical_path = critical_path;
                 item.active_before = occurrence.steps[step].active;
                 if (item.definition().long_running) {
@@ -366,8 +364,8 @@
                                                             const resources& size,
                                                             std::int64_t tasks,
                                                             const resources& planned) const {
-    const catalog_team* known = catalog_->team(team);
-    if (known == nullptr || fault_planted("workflow-limits")) {
+    const auto known = team_limits_.find(team);
+    if (known == team_limits_.end() || fault_planted("workflow-limits")) {
         return tasks;
     }
     const auto found = team_usage_.find(team);
@@ -383,9 +381,9 @@
             allowed = std::min(allowed, (limit - amount) / needed);
         }
     };
-    apply(known->limit.millicores, used.millicores, size.millicores);
-    apply(known->limit.memory_mb, used.memory_mb, size.memory_mb);
-    apply(known->limit.accelerators, used.accelerators, size.accelerators);
+    apply(known->second.millicores, used.millicores, size.millicores);
+    apply(known->second.memory_mb, used.memory_mb, size.memory_mb);
+    apply(known->second.accelerators, used.accelerators, size.accelerators);
     return allowed;
 }
 
--- a/src/decide/dispatch/dispatcher_runs.cpp
+++ b/src/decide/dispatch/dispatcher_runs.cpp
@@ -285,9 +285,7 @@
         // A server that was deregistered and came back reports its last completions again.
         return;
     }
-    const queue_definition* queue = catalog_->queue(entry.row.queue);
-    // Without its queue there is no limit: the tasks are retried until done or cancelled.
-    const bool limited = queue != nullptr && !entry.step(key.step).long_running;
+    const bool limited = !entry.step(key.step).long_running;
     if (entry.step(key.step).long_running) {
         // These tasks have no limit, so only the last number is needed; a list would never end.
         record.failed_runs.clear();
@@ -297,8 +295,10 @@
     mark_changed(entry);
     log("task_failed", key.job, server.registration.id,
         "task=" + std::to_string(key.step) + "." + std::to_string(key.index) +
-            " failures=" + std::to_string(record.failed_runs.size()));
-    if (limited && record.failed_runs.size() >= queue->max_attempts &&
+            " failures=" + std::to_string(record.failed_runs.size()) +
+            " max_attempts=" + (limited ? std::to_string(entry.terms.max_attempts) : "none") +
+            " queue=" + (catalog_->queue(entry.row.queue) == nullptr ? "removed" : "present"));
+    if (limited && record.failed_runs.size() >= entry.terms.max_attempts &&
         !fault_planted("workflow-attempts")) {
         process_workflow_event(entry, attempts_exhausted{});
     }
--- a/src/decide/dispatch/dispatcher_shares.cpp
+++ b/src/decide/dispatch/dispatcher_shares.cpp
@@ -135,10 +135,8 @@
         }
     }
     if (any && entry.share != nullptr) {
-        const queue_definition* queue = catalog_->queue(entry.row.queue);
         entry.share->planned += wanted;
-        entry.share->waiting.push_back(
-            {&entry, queue == nullptr ? 0 : queue->priority, due, wanted.millicores});
+        entry.share->waiting.push_back({&entry, entry.terms.priority, due, wanted.millicores});
     }
     return any;
 }
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -137,6 +137,8 @@
 
     // Workflows.
     void begin_due_occurrences(workflow_entry& entry);
+    /// Takes the terms of the queue over, if the catalogue still has it.
+    void update_terms(workflow_entry& entry) const;
     [[nodiscard]] bool consume_quota(const team_id& team);
     void process_workflow_event(workflow_entry& entry, const dispatch::workflow_event& event);
     void finish_workflow(workflow_entry& entry);
@@ -369,6 +371,8 @@
     dispatch::save_ticket saved_ticket_ = 0;
 
     std::shared_ptr<const queue_catalog> catalog_ = std::make_shared<queue_catalog>();
+    bool catalog_received_ = false;            ///< Limits of teams are not known before.
+    std::map<team_id, resources> team_limits_; ///< As in the last catalogue with the team.
     operator_orders orders_;
     std::unordered_map<job_id, std::unique_ptr<workflow_entry>> workflows_;
     std::map<backend_id, std::unique_ptr<backend_entry>> servers_;
--- a/src/decide/dispatch/dispatcher_takeover.cpp
+++ b/src/decide/dispatch/dispatcher_takeover.cpp
@@ -170,9 +170,8 @@
                                                  const workflow_step& step,
                                                  const task_record& record) const {
     const std::size_t unknown_failures = allows_copies(step) ? 2 : 1;
-    const queue_definition* queue = catalog_->queue(entry.row.queue);
-    return queue != nullptr && !step.long_running &&
-           record.failed_runs.size() + unknown_failures >= queue->max_attempts;
+    return !step.long_running &&
+           record.failed_runs.size() + unknown_failures >= entry.terms.max_attempts;
 }
 
 void dispatcher::implementation::estimate_unknown_usage() {
--- a/src/decide/dispatch/workflow_entry.h
+++ b/src/decide/dispatch/workflow_entry.h
@@ -59,6 +59,7 @@
 
 struct workflow_entry {
     accepted_workflow row;
+    queue_terms terms; ///< Of the queue in the last catalogue that had it.
     chart_position position{};
     workflow_state state = workflow_state::pending;
     bool stored_before = false;
--- a/src/decide/submission/queue_admission.cpp
+++ b/src/decide/submission/queue_admission.cpp
@@ -14,7 +14,7 @@
     if (queue == nullptr) {
         return make_status(result_code::unknown_service, "no queue has this host and path");
     }
-    queue_admission admission{queue, {}, address.path.substr(queue->prefix.size())};
+    queue_admission admission{queue, {}, address.path.substr(queue->prefix.size()), {}};
     if (queue->open) {
         return admission;
     }
@@ -26,6 +26,7 @@
         return make_status(result_code::key_rejected, "no team has the API key");
     }
     admission.team = team->name;
+    admission.team_limit = team->limit;
     return admission;
 }
 
--- a/src/io/workflow_codec.cpp
+++ b/src/io/workflow_codec.cpp
@@ -95,6 +95,15 @@
     return step;
 }
 
+json encode_terms(const queue_terms& terms) {
+    return {terms.priority, terms.max_attempts, terms.stretch, terms.objective_slack.count()};
+}
+
+queue_terms decode_terms(const json& document) {
+    return {document.at(0), document.at(1), document.at(2),
+            milliseconds(document.at(3).get<std::int64_t>())};
+}
+
 } // namespace
 
 std::string_view name_of(workflow_state state) {
@@ -104,11 +113,13 @@
 }
 
 std::string encode_workflow(const accepted_workflow& row) {
-    json document = {{"queue", row.queue.view()},
-                     {"pool", row.pool.view()},
-                     {"at", row.accepted_unix_ms},
-                     {"text", row.spec.payload},
-                     {"steps", json::array()}};
+    json document = {{"queue", row.queue.view()},  {"pool", row.pool.view()},
+                     {"at", row.accepted_unix_ms}, {"text", row.spec.payload},
+                     {"steps", json::array()},     {"terms", encode_terms(row.terms)}};
+    if (row.team_limit != resources{}) {
+        document["limit"] = {row.team_limit.millicores, row.team_limit.memory_mb,
+                             row.team_limit.accelerators};
+    }
     put(document, "team", row.team.str(), std::string());
     put(document, "times", row.spec.occurrences, 0U);
     put(document, "first", row.spec.first_due_unix_ms, std::int64_t{0});
@@ -127,6 +138,13 @@
         result.pool = pool_id(document.at("pool").get<std::string>());
         result.team = team_id(document.value("team", ""));
         result.accepted_unix_ms = document.at("at");
+        if (document.contains("terms")) {
+            result.terms = decode_terms(document.at("terms"));
+        }
+        if (document.contains("limit")) {
+            const json& limit = document.at("limit");
+            result.team_limit = {limit.at(0), limit.at(1), limit.at(2)};
+        }
         result.spec.payload = document.at("text");
         result.spec.occurrences = document.value("times", 0U);
         result.spec.first_due_unix_ms = document.value("first", std::int64_t{0});
