--- a/src/decide/dispatch/dispatcher.cpp
+++ b/src/decide/dispatch/dispatcher.cpp
@@ -67,6 +67,7 @@
 
 void dispatcher::implementation::process(const catalog_applied& input) {
     catalog_ = input.catalog;
+    catalog_received_ = true;
     for (const auto& [id, entry] : workflows_) {
         update_terms(*entry);
     }
--- a/src/decide/dispatch/dispatcher_placement.cpp
+++ b/src/decide/dispatch/dispatcher_placement.cpp
@@ -37,7 +37,7 @@
 };
 
 void dispatcher::implementation::place_tasks() {
-    if (now_ >= commands_until_ || !pace_of_passes_.due()) {
+    if (!catalog_received_ || now_ >= commands_until_ || !pace_of_passes_.due()) {
         return;
     }
     estimate_unknown_usage();
--- a/tests/removed_settings_test.cpp
+++ b/tests/removed_settings_test.cpp
@@ -131,6 +131,30 @@
     cr_assert(next.starts.size() == 1, "%zu starts", next.starts.size());
 }
 
+// Guards against starts beyond the limits of teams by an owner that has no configuration yet
+// (note/restart-without-configuration).
+Test(removed_settings, nothing_starts_before_the_first_catalogue) {
+    static const chart workflow = installed_chart("workflow");
+    static const chart run = installed_chart("task_run");
+    static const chart contact = installed_chart("backend_contact");
+    settings_fixture fixture;
+    dispatch_options options;
+    options.token = 6;
+    fixture.decisions = *dispatcher::create({workflow, run, contact}, options, fixture.now);
+    fixture.renew_ownership();
+    fixture.register_backend(first);
+    fixture.add(3, 4, {}, true);
+    fixture.finish_loading();
+    fixture.tick();
+    fixture.answer_poll(first, {}, {});
+    fixture.tick();
+    fixture.tick();
+    cr_assert(fixture.starts.empty(), "the limits of the team are not known");
+    fixture.handle(catalog_applied{catalog_with(1, queue, 3, resources{2000, 0, 0})});
+    fixture.tick();
+    cr_assert(fixture.starts.size() == 2, "%zu starts", fixture.starts.size());
+}
+
 // Guards against terms that are lost with the owner, and against rows of an earlier version.
 Test(removed_settings, rows_keep_the_terms) {
     accepted_workflow row;
