--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -109,6 +109,17 @@
     cr_assert(!accepts(R"({"a":)" + nested(100000) + "}"));
 }
 
+// Guards against tasks on their last attempt that wait for ever after a takeover, for an entry that
+// lacks what every server reports (review/8).
+Test(odd_entries, entries_without_capacity_or_labels_name_no_server) {
+    cr_assert(accepts(good_registration));
+    cr_assert(!accepts(with(good_registration, R"("Labels":["a","r1-3"],)", "")));
+    cr_assert(
+        !accepts(with(good_registration, R"("Capacity":{"Cpu":4000,"MemMb":5,"Gpu":1},)", "")));
+    cr_assert(!accepts(with(good_registration, R"({"Cpu":4000,"MemMb":5,"Gpu":1})", "null")));
+    cr_assert(!accepts(with(good_registration, R"({"Cpu":4000,"MemMb":5,"Gpu":1})", "7")));
+}
+
 // Guards against an id that adds headers to each call of the server.
 Test(odd_entries, ids_with_control_characters_name_no_server) {
     cr_assert(!accepts(good_registration, "servers//i\r\nFencingToken: 9"));
