Dispatcher: a burst that is served promptly does not count as an owner behind

Its log has `starts_limited limit=1024` 2.5 s into the first burst, on a VM of half a core whose ticks were 3 ms late: the initial limit was reached once, and for a second the load report took the pace of before the burst for the room of the pools. Other logs show the limit falling from 529 to 7 while few starts waited.

Starts that are held back count only below the initial limit, which now may grow beyond it; while few starts wait, the limit falls from its own value; and delays of up to 30 ms do not space out passes.

--- a/include/citronford/work_pace.h
+++ b/include/citronford/work_pace.h
@@ -16,7 +16,7 @@
   public:
     /// Begins a tick that the loop has delayed by `late_by`.
     void begin_tick(instant now, duration late_by) {
-        constexpr duration tolerated = milliseconds(10);
+        constexpr duration tolerated = milliseconds(30);
         constexpr duration longest = milliseconds(200);
         constexpr int pause_factor = 2;
         now_ = now;
--- a/src/decide/dispatch/start_window.cpp
+++ b/src/decide/dispatch/start_window.cpp
@@ -9,7 +9,7 @@
 constexpr duration prompt_answer = milliseconds(100);
 
 constexpr std::size_t min_limit = 4;
-constexpr std::size_t max_limit = 1024;
+constexpr std::size_t max_limit = 8192;
 
 /// Single slow servers answer late as well, so the limit falls only while half of the answers do.
 constexpr double high_late_share = 0.5;
@@ -38,12 +38,21 @@
     // Starts that were sent before the last reduction do not show its effect.
     const bool shows_effect = reduced_at_ == instant::min() || now - round_trip >= reduced_at_;
     if (shows_effect && late_share_ >= high_late_share) {
-        const std::size_t used = std::min(limit_, std::max(waiting_before, min_limit));
+        // Few starts that wait are not what delays the answers, so the limit falls from its own
+        // value.
+        const bool is_used = waiting_before * reduction_divisor >= limit_;
+        const std::size_t used = is_used ? std::min(limit_, waiting_before) : limit_;
         limit_ = std::max(used - used / reduction_divisor, min_limit);
         reduced_at_ = now;
     }
 }
 
+void start_window::note_held_back(instant now) {
+    if (limit_ < initial_limit) {
+        held_back_at_ = now;
+    }
+}
+
 void start_window::note_unanswered() {
     waiting_ -= std::min<std::size_t>(waiting_, 1);
 }
--- a/src/decide/dispatch/start_window.h
+++ b/src/decide/dispatch/start_window.h
@@ -11,7 +11,7 @@
 ///
 /// Servers answer a start within milliseconds. When most answers take longer, the VM of the owner
 /// is behind: its loop or its link delays every call, renewals of leases among them. The limit then
-/// falls by a part, and rises by single starts while answers are prompt.
+/// falls by a part of the starts that wait, and rises by single starts while answers are prompt.
 class start_window {
   public:
     /// Whether `count` more starts may be sent. A group that is larger than the limit may be sent
@@ -30,15 +30,17 @@
     void note_unanswered();
 
     /// A start has been held back.
-    void note_held_back(instant now) { held_back_at_ = now; }
+    void note_held_back(instant now);
 
-    /// Whether starts have been held back within the last second.
+    /// Whether starts have been held back within the last second by a limit that late answers have
+    /// lowered.
     [[nodiscard]] bool limits_work(instant now) const;
 
     [[nodiscard]] std::size_t limit() const { return limit_; }
 
   private:
-    std::size_t limit_ = 1024;
+    static constexpr std::size_t initial_limit = 1024;
+    std::size_t limit_ = initial_limit;
     std::size_t waiting_ = 0;
     double late_share_ = 0; ///< Of the last answers.
     instant reduced_at_ = instant::min();
