Admission: the share that an owner behind gets falls with its backlog

The share of the submissions that is admitted now falls with the square of the room below 3 s, chosen by a hash of the job id.

--- a/src/decide/admission/load_admission.cpp
+++ b/src/decide/admission/load_admission.cpp
@@ -37,6 +37,22 @@
     return 0.5 * static_cast<double>(hash % steps) / static_cast<double>(steps);
 }
 
+/// The share of the submissions that an owner with this backlog gets. It falls with the backlog,
+/// and steeply near the limit: callers that were refused return together, and a report comes twice
+/// a second.
+double admitted_share(duration backlog, duration limit) {
+    const double room =
+        1 - static_cast<double>(backlog.count()) / static_cast<double>(limit.count());
+    return room > 0 ? room * room : 0;
+}
+
+/// A place of the job between zero and one, independent of its delay.
+double place_of(const job_id& job) {
+    constexpr std::uint64_t steps = 1024;
+    const std::uint64_t hash = XXH64(job.view().data(), job.view().size(), 2);
+    return static_cast<double>(hash % steps) / static_cast<double>(steps);
+}
+
 duration duration_of(double span_s) {
     const double longest_s = std::chrono::duration<double>(longest_wait).count();
     return std::chrono::duration_cast<duration>(
@@ -227,8 +243,8 @@
 std::optional<submission_refused_by_load>
 load_admission::judge_owner(const load_submission& submission, instant now) const {
     const accepted_workflow& row = submission.row;
-    if (!is_current(now) || owner_backlog_ <= options_.max_owner_backlog ||
-        !may_be_refused(row.spec)) {
+    const double share = admitted_share(owner_backlog_, options_.max_owner_backlog);
+    if (!is_current(now) || place_of(row.id) < share || !may_be_refused(row.spec)) {
         return std::nullopt;
     }
     const duration excess = std::clamp<duration>(owner_backlog_ - options_.max_owner_backlog,
