--- a/tests/deploy_build.sh
+++ b/tests/deploy_build.sh
@@ -2,7 +2,7 @@
 # Plays the entrance of the users' platform on a copy of the tracked files: refused texts, the build
 # line in a bare environment, what it produces and needs, and its processor time.
 set -euo pipefail
-source_folder=$1
+source_folder=$(realpath "$1")
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 fail() {
