--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -29,7 +29,8 @@
 namespace citronford {
 
 /// State of a dispatcher. The files of its functions, by subject:
-/// - dispatcher.cpp: workflows, their saving, and the tick
+/// - dispatcher.cpp: workflows and the tick
+/// - dispatcher_saving.cpp: the saving of workflows, and the removal of ended ones
 /// - dispatcher_servers.cpp: which servers there are
 /// - dispatcher_polling.cpp: the contact with servers
 /// - dispatcher_leases.cpp: clocks, leases and restarts of servers
