Admission: an owner that cannot work yet says so

The owner published no load report before it had read the rows, and its backlog counted starts only.

The report goes out from the begin of the ownership, and its backlog is the time without work once that passes 2 s: as long as the rows are not read, or less than half of the registered servers are in contact. The test fails before ("the rows are not read") and passes after.

--- a/include/citronford/load_report.h
+++ b/include/citronford/load_report.h
@@ -50,8 +50,9 @@
     std::uint64_t sequence = 0;       ///< Rises with each report of one ownership.
     std::vector<reported_pool> pools; ///< Only pools under pressure.
     std::vector<team_id> teams_beyond_share;
-    /// Time that the owner needs to start all accepted tasks at its present pace. Zero while the
-    /// servers limit the work, and not the owner.
+    /// Time that the owner needs to start all accepted tasks at its present pace, or for which it
+    /// has reached too few servers to start them. Zero while the servers limit the work, and not
+    /// the owner.
     milliseconds owner_backlog{};
 
     friend bool operator==(const load_report&, const load_report&) = default;
--- a/src/decide/dispatch/dispatcher_load.cpp
+++ b/src/decide/dispatch/dispatcher_load.cpp
@@ -30,6 +30,9 @@
 /// From the begin of a burst, a pool took up to 4 s to reach the servers that it needs.
 constexpr duration growth_time = seconds(4);
 
+/// An owner that keeps up has read the rows and polled its servers within this time.
+constexpr milliseconds usual_takeover_time{2000};
+
 double cores_of(std::int64_t millicores) {
     return static_cast<double>(std::max<std::int64_t>(millicores, 0)) / millicores_per_core;
 }
@@ -209,9 +212,30 @@
     return tasks;
 }
 
+bool dispatcher::implementation::reaches_most_servers() const {
+    std::size_t registered = 0;
+    std::size_t reached = 0;
+    for (const auto& [id, server] : servers_) {
+        registered += server->registered ? 1 : 0;
+        reached += server->registered && contact_is(*server, "current") ? 1 : 0;
+    }
+    return 2 * reached >= registered;
+}
+
+milliseconds dispatcher::implementation::time_out_of_work(instant now) {
+    if (workflows_loaded_ && backends_loaded_ && reaches_most_servers()) {
+        in_work_at_ = now;
+    }
+    return std::chrono::duration_cast<milliseconds>(now - in_work_at_);
+}
+
 milliseconds dispatcher::implementation::owner_backlog(instant now) {
     const double starts_per_s =
         measure_pace(start_samples_, static_cast<double>(counts_.starts), now);
+    const milliseconds out_of_work = time_out_of_work(now);
+    if (out_of_work > usual_takeover_time) {
+        return out_of_work;
+    }
     if (!start_window_.limits_work(now)) {
         return milliseconds::zero();
     }
--- a/src/decide/dispatch/dispatcher_state.h
+++ b/src/decide/dispatch/dispatcher_state.h
@@ -96,7 +96,7 @@
                    dispatch_options options, instant now)
         : run_machine_(std::move(runs)), workflow_machine_(std::move(workflows)),
           contact_machine_(std::move(contacts)), options_(options), ownership_began_at_(now),
-          now_(now) {}
+          now_(now), in_work_at_(now) {}
 
     static absl::StatusOr<run_machine> bind_runs(const chart& life_cycle);
     static absl::StatusOr<workflow_machine> bind_workflows(const chart& life_cycle);
@@ -212,6 +212,10 @@
     void add_server_load(const backend_entry& server, reported_pool& load) const;
     /// Tasks of all workflows that have no run and are not done, without long-running ones.
     [[nodiscard]] std::size_t unstarted_tasks() const;
+    /// Whether at least half of the registered servers are in contact.
+    [[nodiscard]] bool reaches_most_servers() const;
+    /// For how long the owner has been reading the rows, or has not reached most servers.
+    [[nodiscard]] milliseconds time_out_of_work(instant now);
     /// As in `load_report`. Measures the pace of the starts as well.
     [[nodiscard]] milliseconds owner_backlog(instant now);
     /// Cores that other pools can spare for `name`, or that are in no pool.
@@ -392,6 +396,7 @@
     dispatch::start_window start_window_;
     bool starts_limited_ = false; ///< As last logged.
     std::deque<dispatch::pace_sample> start_samples_;
+    instant in_work_at_;       ///< Last load report with the rows read and most servers in contact.
     work_pace pace_of_passes_; ///< Of placement and of the division of the fleet.
     pool_id first_pool_;       ///< The next pass begins with it, or with the next one by name.
     std::unordered_map<std::uint64_t, std::unique_ptr<task_run>> runs_;
--- a/src/node/fleet/dispatch_driver.cpp
+++ b/src/node/fleet/dispatch_driver.cpp
@@ -342,7 +342,7 @@
 
 void dispatch_driver::publish_load(instant now) {
     constexpr duration period = milliseconds(500);
-    if (!options_.admission || !loaded_ || now < load_published_at_ + period) {
+    if (!options_.admission || now < load_published_at_ + period) {
         return;
     }
     load_published_at_ = now;
--- a/tests/owner_pace_test.cpp
+++ b/tests/owner_pace_test.cpp
@@ -277,6 +277,33 @@
               "a limit of long ago");
 }
 
+// Guards against work that is accepted all the while a new owner on a slow link reads the rows, or
+// reaches too few of its servers to start any of it (small twin of kettunen-lavat-grown,
+// trouble-3).
+Test(dispatcher, reports_that_it_cannot_work_yet) {
+    dispatch_fixture fixture;
+    const auto backlog_after = [&](duration passed) {
+        fixture.now += passed;
+        fixture.renew_ownership();
+        return fixture.decisions->report_load(fixture.now).owner_backlog;
+    };
+    cr_assert(backlog_after(seconds(2)) == milliseconds::zero(), "a usual takeover");
+    cr_assert(backlog_after(seconds(1)) == seconds(3), "the rows are not read");
+    fixture.finish_loading();
+    for (int index = 0; index < 4; ++index) {
+        backend_registration registration;
+        registration.id = backend_id("i-" + std::to_string(index));
+        registration.pool = pool;
+        registration.capacity = {8000, 8000, 0};
+        fixture.handle(backend_registered{registration});
+    }
+    cr_assert(backlog_after(seconds(1)) == seconds(4), "no server is in contact");
+    fixture.answer_poll(backend_id("i-0"), {}, {});
+    cr_assert(backlog_after(seconds(1)) == seconds(5), "one server of four is in contact");
+    fixture.answer_poll(backend_id("i-1"), {}, {});
+    cr_assert(backlog_after(milliseconds(100)) == milliseconds::zero());
+}
+
 // Guards against work that is accepted although the owner cannot start it in time.
 Test(load_admission, refuses_work_while_the_owner_is_behind) {
     load_admission admission = make_admission();
