Tests: the order of the work of a removed queue

The test fails, with the takeover of the stored limit, in a trial that does not take the terms over from the row.

--- a/tests/removed_settings_test.cpp
+++ b/tests/removed_settings_test.cpp
@@ -131,6 +131,37 @@
     cr_assert(next.starts.size() == 1, "%zu starts", next.starts.size());
 }
 
+// Guards against work that loses its priority and its objective once its queue is removed.
+Test(removed_settings, the_order_of_the_work_of_a_removed_queue_holds) {
+    settings_fixture fixture;
+    fixture.handle(catalog_applied{catalog_with(2, other_queue, 3)});
+    fixture.add(3, 3); // Leaves room for one task.
+    fixture.tick();
+    cr_assert(fixture.starts.size() == 3);
+    const auto add_with = [&](const job_id& id, const queue_terms& terms) {
+        accepted_workflow row;
+        row.id = id;
+        row.queue = queue;
+        row.pool = pool;
+        row.terms = terms;
+        row.spec.steps = {{.tasks = 1, .size = {1000, 10, 0}, .estimate = milliseconds(500)}};
+        fixture.handle(workflow_found{row, {}, false});
+    };
+    const job_id urgent("urgent");
+    add_with(job_id("ordinary"), {1, 3, 2, milliseconds(1000)});
+    add_with(urgent, {0, 3, 4, milliseconds(250)});
+    fixture.tick();
+    cr_assert(fixture.starts.size() == 4 && fixture.starts.back().command.task.job == urgent);
+    const send_start start = fixture.starts.back();
+    fixture.handle(start_answered{start.run, command_accepted{1000}});
+    fixture.now += milliseconds(20);
+    fixture.answer_poll(first, {},
+                        {{1, start.command.task, start.command.run, completion_kind::done, ""}});
+    const auto end = std::ranges::find(fixture.log, "workflow_ended", &log_decision::event);
+    cr_assert(end != fixture.log.end() && end->job == urgent);
+    cr_assert(end->detail.find("allowance_ms=2250") != std::string::npos);
+}
+
 // Guards against starts beyond the limits of teams by an owner that has no configuration yet
 // (note/restart-without-configuration).
 Test(removed_settings, nothing_starts_before_the_first_catalogue) {
