Tests: orders around an expired lease that its holder takes back

The epoch stays the same, but it fences nothing: an order carries the number of its step from the row, a VM refuses lower numbers, and the holder reads the rows again before it acts. So no order of before the pause can take effect over a later one.

--- a/tests/pool_controller_test.cpp
+++ b/tests/pool_controller_test.cpp
@@ -309,6 +309,27 @@
     cr_assert(fixture.reboots.empty());
 }
 
+// Guards against orders from before an expired lease that a VM cannot tell from later ones: the
+// lease keeps its epoch when its last holder takes it back, so the order numbers tell them apart.
+Test(pool_controller, numbers_its_orders_on_when_it_takes_its_expired_lease_back) {
+    stored_rows table;
+    controller_fixture fixture(table);
+    fixture.pass_seconds(3);
+    fixture.start_roll_out(quote);
+    fixture.pass_second();
+    const order_drain before = fixture.drains.at(0);
+    fixture.drains.clear();
+    fixture.now += seconds(11);
+    fixture.pass_seconds(2);
+    cr_assert(table.leases.at(quote).row.epoch == 1);
+    cr_assert(fixture.drains.size() == 1 && fixture.drains[0].vm == before.vm);
+    cr_assert(fixture.drains[0].order == before.order, "the same order, sent again");
+    fixture.report(before.vm, vm_status::condition::drained);
+    fixture.pass_second();
+    cr_assert(fixture.reboots.size() == 1 && fixture.reboots[0].vm == before.vm);
+    cr_assert(fixture.reboots[0].order > before.order);
+}
+
 // Guards against acting on known rows while a transaction whose reply was lost may have changed
 // them.
 Test(pool_controller, reads_again_before_acting_after_a_lost_reply) {
